Add the skeleton: kernel, shared types, interfaces and checks

Cause: parts that go on side by side need one set of types and interfaces. Change: package layout, lock file, formatter, linter, strict type check, micro-kernel, ids, records, peer, log and upstream interfaces, and a virtual-time loop with a fake network and a log in memory for tests.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints one JSON line and a table."""
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,1 @@
+"""Shared pytest settings."""
--- /dev/null
+++ b/verbenadeck/__init__.py
@@ -0,0 +1,1 @@
+"""Router for servers that own keys exclusively."""
--- /dev/null
+++ b/verbenadeck/kernel/tests/test_kernel.py
@@ -0,0 +1,44 @@
+import asyncio
+
+import pytest
+
+from verbenadeck.kernel import Kernel, KernelError
+
+
+class _Recorder:
+    def __init__(self, name: str, events: list[str]) -> None:
+        self._name = name
+        self._events = events
+
+    async def start(self) -> None:
+        self._events.append(f'start {self._name}')
+
+    async def stop(self) -> None:
+        self._events.append(f'stop {self._name}')
+
+
+def test_services_start_after_what_they_need() -> None:
+    events: list[str] = []
+    kernel = Kernel()
+    kernel.register('door', _Recorder('door', events), needs=('log',))
+    kernel.register('log', _Recorder('log', events))
+
+    async def scenario() -> None:
+        await kernel.start()
+        await kernel.stop()
+
+    asyncio.run(scenario())
+    assert events == ['start log', 'start door', 'stop door', 'stop log']
+
+
+def test_a_cycle_is_refused() -> None:
+    kernel = Kernel()
+    kernel.register('one', object(), needs=('two',))
+    kernel.register('two', object(), needs=('one',))
+    with pytest.raises(KernelError, match='cycle'):
+        asyncio.run(kernel.start())
+
+
+def test_a_missing_service_is_named() -> None:
+    with pytest.raises(KernelError, match='no service log'):
+        Kernel().find('log', str)
--- /dev/null
+++ b/verbenadeck/model/_outcomes.py
@@ -0,0 +1,81 @@
+"""Outcomes of a request as values."""
+
+import enum
+
+import msgspec
+from returns.result import Result
+
+
+class Outcome(enum.Enum):
+    """What is known about a request that has no answer."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was refused or lost."""
+
+    NO_CONFIG = 'no-config'
+    UNKNOWN_SERVICE = 'unknown-service'
+    BAD_REQUEST = 'bad-request'
+    TOO_LARGE = 'too-large'
+    NO_OWNER = 'no-owner'
+    NOT_OWNER = 'not-owner'
+    MOVING = 'moving'
+    NO_LEASE = 'no-lease'
+    NO_UPSTREAM = 'no-upstream'
+    ZONE_OUT = 'zone-out'
+    DRAINING = 'draining'
+    QUEUE_FULL = 'queue-full'
+    COLD = 'cold'
+    SHED = 'shed'
+    DEADLINE = 'deadline'
+    POISON = 'poison'
+    CANCELLED = 'cancelled'
+    UPSTREAM_FAILED = 'upstream-failed'
+    PEER_LOST = 'peer-lost'
+    LEDGER_LOST = 'ledger-lost'
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True):
+    """Refusal of a request.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        `NOT_RUN` only when the request certainly did not run.
+    reason : RefusalReason
+        Cause, for callers, logs and metrics.
+    retry_after_s : float
+        Hint in seconds before a useful retry; 0 means at once.
+    detail : str
+        One short sentence.
+    """
+
+    outcome: Outcome
+    reason: RefusalReason
+    retry_after_s: float = 0
+    detail: str = ''
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """Complete answer of an upstream.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    headers : tuple of (str, str)
+        HTTP headers without those that belong to one connection.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+AnswerResult = Result[Answer, Refusal]
+"""Result of routing or admitting one request."""
--- /dev/null
+++ b/verbenadeck/records/_records.py
@@ -0,0 +1,192 @@
+"""Typed records of the platform's log."""
+
+import enum
+
+import msgspec
+
+from verbenadeck.model import (
+    ConfigVersion,
+    Epoch,
+    Fence,
+    Incarnation,
+    NodeId,
+    Offset,
+    Region,
+    ServiceName,
+    WriterId,
+    Zone,
+)
+
+
+class NodeJoin(msgspec.Struct, frozen=True, array_like=True, tag='join'):
+    """A node enters the fleet; the record's offset is its incarnation.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        Name of the node.
+    zone, region : str
+        Where it runs.
+    service : ServiceName
+        Service of the upstream beside it.
+    slots : int
+        Slots of that upstream when warm.
+    host : str
+        IP address of the node.
+    peer_port, entry_port : int
+        Ports for peers and for callers.
+    upstream_instance : str
+        Life of the upstream beside it.
+    witnesses : tuple of Incarnation
+        First witness set; empty for a node without peers.
+    """
+
+    node_id: NodeId
+    zone: Zone
+    region: Region
+    service: ServiceName
+    slots: int
+    host: str
+    peer_port: int
+    entry_port: int
+    upstream_instance: str = ''
+    witnesses: tuple[Incarnation, ...] = ()
+
+
+class LeavePhase(enum.Enum):
+    """Step of a planned leave."""
+
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+class NodeLeave(msgspec.Struct, frozen=True, array_like=True, tag='leave'):
+    """A member leaves as planned.
+
+    `DRAINING` asks for its shards to be moved. `GONE` is its own word that
+    it runs nothing and holds no lease any more.
+    """
+
+    incarnation: Incarnation
+    phase: LeavePhase
+
+
+class Witnesses(msgspec.Struct, frozen=True, array_like=True, tag='witness'):
+    """A member changes its own witness set; the offset is the new epoch."""
+
+    incarnation: Incarnation
+    expected_epoch: Epoch
+    witnesses: tuple[Incarnation, ...]
+
+
+class Vote(msgspec.Struct, frozen=True, array_like=True):
+    """Vote of a witness that the lease of a member has lapsed."""
+
+    incarnation: Incarnation
+    epoch: Epoch
+    witness: Incarnation
+
+
+class Suspect(msgspec.Struct, frozen=True, array_like=True, tag='suspect'):
+    """Votes of one witness about any number of members."""
+
+    votes: tuple[Vote, ...]
+
+
+class ShardMove(msgspec.Struct, frozen=True, array_like=True):
+    """Assignment of a range of shards that share one expected fence."""
+
+    service: ServiceName
+    first_shard: int
+    stop_shard: int
+    expected_fence: Fence
+    new_owner: Incarnation
+
+
+class Assign(msgspec.Struct, frozen=True, array_like=True, tag='assign'):
+    """Assignments; the record's offset is the new fence.
+
+    Each move is judged alone: it takes effect when every shard of its range
+    still has the expected fence.
+    """
+
+    moves: tuple[ShardMove, ...]
+
+
+class ReleasedRange(msgspec.Struct, frozen=True, array_like=True):
+    """Range of shards whose earlier owner has stopped serving them."""
+
+    service: ServiceName
+    first_shard: int
+    stop_shard: int
+
+
+class Released(msgspec.Struct, frozen=True, array_like=True, tag='released'):
+    """An earlier owner states that it serves these shards no more."""
+
+    incarnation: Incarnation
+    ranges: tuple[ReleasedRange, ...]
+
+
+class ConfigPublished(
+    msgspec.Struct, frozen=True, array_like=True, tag='config'
+):
+    """A whole configuration document that replaces an expected version."""
+
+    expected_version: ConfigVersion
+    document: bytes
+    author: str
+
+
+class CheckpointChunk(
+    msgspec.Struct, frozen=True, array_like=True, tag='checkpoint'
+):
+    """Part of the fleet state as of an offset."""
+
+    as_of_offset: Offset
+    index: int
+    count: int
+    part: bytes
+
+
+Record = (
+    NodeJoin
+    | NodeLeave
+    | Witnesses
+    | Suspect
+    | Assign
+    | Released
+    | ConfigPublished
+    | CheckpointChunk
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Record with its writer, so that a repeated append applies once.
+
+    Parameters
+    ----------
+    format_version : int
+        Version of the record format.
+    writer : WriterId
+        Process that wrote it.
+    sequence : int
+        Number of the record by that writer, from 1, without gaps in the
+        order of first append.
+    record : Record
+        The record.
+    """
+
+    format_version: int
+    writer: WriterId
+    sequence: int
+    record: Record
+
+
+class Verdict(enum.Enum):
+    """Judgement on a record, the same on every node."""
+
+    ACCEPTED = 'accepted'
+    DUPLICATE = 'duplicate'
+    STALE = 'stale'
+    INVALID = 'invalid'
--- /dev/null
+++ b/verbenadeck/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: the log and an upstream."""
--- /dev/null
+++ b/verbenadeck/testing/_fake_network.py
@@ -0,0 +1,126 @@
+"""Network between nodes of one virtual loop, with faults."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from verbenadeck.peers import (
+    Handler,
+    Message,
+    PeerAddress,
+    PeerError,
+    PeerFailure,
+)
+from verbenadeck.utils import Clock
+
+_DELAY_S = 0.005
+
+
+class FakeNetwork:
+    """Delivers messages between `FakePort` objects, with faults.
+
+    Attributes
+    ----------
+    delay_s : callable
+        Returns the one-way delay in seconds for a pair of addresses.
+    cut : set of (PeerAddress, PeerAddress)
+        Directed pairs over which nothing is delivered.
+    loss : float
+        Share of datagrams that are lost.
+    """
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.cut: set[tuple[PeerAddress, PeerAddress]] = set()
+        self.loss = 0.0
+        self.delay_s: Callable[[PeerAddress, PeerAddress], float] = (
+            lambda _source, _target: _DELAY_S
+        )
+        self.ports: dict[PeerAddress, FakePort] = {}
+
+    def port(self, address: PeerAddress, clock: Clock) -> 'FakePort':
+        """Make the port of an address, replacing an earlier one."""
+        port = FakePort(self, address, clock)
+        self.ports[address] = port
+        return port
+
+    def isolate(self, address: PeerAddress) -> None:
+        """Cut an address off from all others, both ways."""
+        for other in self.ports:
+            self.cut.update(((address, other), (other, address)))
+
+    def heal(self) -> None:
+        """Restore all links."""
+        self.cut.clear()
+
+    async def carry(self, source: PeerAddress, target: PeerAddress) -> bool:
+        """Wait for the delay and return whether a message arrives."""
+        await asyncio.sleep(self.delay_s(source, target))
+        is_up = target in self.ports and self.ports[target].is_up
+        return is_up and (source, target) not in self.cut
+
+
+class FakePort:
+    """Peer port on a `FakeNetwork`."""
+
+    def __init__(
+        self, network: FakeNetwork, address: PeerAddress, clock: Clock
+    ) -> None:
+        self.address = address
+        self.is_up = True
+        self._network = network
+        self._clock = clock
+        self._handlers: dict[type[Message], Handler[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def handle(self, kind: type[Any], handler: Handler[Any]) -> None:
+        """Register the handler of one message type."""
+        self._handlers[kind] = handler
+
+    async def call(
+        self, peer: PeerAddress, message: Message, *, deadline_s: float
+    ) -> Result[Message, PeerError]:
+        """Send a message and wait for the reply."""
+        try:
+            async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
+                return await self._exchange(peer, message)
+        except TimeoutError:
+            return Failure(PeerError(PeerFailure.NO_REPLY, 'timeout'))
+
+    def notify(self, peer: PeerAddress, message: Message) -> None:
+        """Send a datagram."""
+        task = asyncio.ensure_future(self._deliver(peer, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def receive(
+        self, source: PeerAddress, message: Message
+    ) -> Message | None:
+        """Run the handler of an arrived message."""
+        handler = self._handlers.get(type(message))
+        return None if handler is None else await handler(source, message)
+
+    async def _exchange(
+        self, peer: PeerAddress, message: Message
+    ) -> Result[Message, PeerError]:
+        if not await self._network.carry(self.address, peer):
+            await asyncio.Event().wait()
+        reply = await self._network.ports[peer].receive(self.address, message)
+        arrived = await self._network.carry(peer, self.address)
+        if reply is None or not arrived:
+            await asyncio.Event().wait()
+            raise AssertionError('unreachable')
+        return Success(reply)
+
+    async def _deliver(self, peer: PeerAddress, message: Message) -> None:
+        network = self._network
+        if network.random.random() < network.loss:
+            return
+        if not await network.carry(self.address, peer):
+            return
+        reply = await network.ports[peer].receive(self.address, message)
+        if reply is not None and self.is_up:
+            network.ports[peer].notify(self.address, reply)
--- /dev/null
+++ b/verbenadeck/utils/__init__.py
@@ -0,0 +1,5 @@
+"""Small helpers that several subpackages share."""
+
+from verbenadeck.utils._clock import Clock, boot_now_s
+
+__all__ = ('Clock', 'boot_now_s')
