--- /dev/null
+++ b/verbenadeck/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Admin of a node."""
--- /dev/null
+++ b/verbenadeck/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client of a node."""
--- /dev/null
+++ b/verbenadeck/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of a node."""
--- /dev/null
+++ b/verbenadeck/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo of a node."""
--- /dev/null
+++ b/verbenadeck/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry of a node."""
--- /dev/null
+++ b/verbenadeck/fleet/_view.py
@@ -0,0 +1,143 @@
+"""Read access to the state that all nodes derive from the log."""
+
+import enum
+from collections.abc import Callable, Iterator, Mapping
+from typing import Protocol
+
+import msgspec
+
+from verbenadeck.model import (
+    ConfigDocument,
+    ConfigVersion,
+    Epoch,
+    Fence,
+    Incarnation,
+    NodeId,
+    Offset,
+    Region,
+    ServiceName,
+    Shard,
+    Zone,
+)
+from verbenadeck.peers import PeerAddress
+from verbenadeck.records import Record, ReleasedRange, Verdict
+
+
+class MemberState(enum.Enum):
+    """State of one incarnation of a node."""
+
+    JOINED = 'joined'
+    DRAINING = 'draining'
+    GONE = 'gone'
+    EVICTED = 'evicted'
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One incarnation of a node as the log has it.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Offset of its `NodeJoin` record.
+    node_id : NodeId
+        Name of the node.
+    zone, region, service : str
+        Where it runs and what its upstream provides.
+    slots : int
+        Slots of its upstream when warm.
+    address : PeerAddress
+        Address for peers.
+    entry_port : int
+        Port for callers.
+    upstream_instance : str
+        Life of the upstream beside it.
+    witnesses : tuple of Incarnation
+        Witness set in force.
+    epoch : Epoch
+        Offset of the record that installed the witness set.
+    state : MemberState
+        State.
+    """
+
+    incarnation: Incarnation
+    node_id: NodeId
+    zone: Zone
+    region: Region
+    service: ServiceName
+    slots: int
+    address: PeerAddress
+    entry_port: int
+    upstream_instance: str
+    witnesses: tuple[Incarnation, ...]
+    epoch: Epoch
+    state: MemberState
+
+
+class ShardView(msgspec.Struct, frozen=True):
+    """Owner of a shard.
+
+    Parameters
+    ----------
+    owner : Incarnation
+        Owner named by the last valid assignment, or `NO_MEMBER`.
+    fence : Fence
+        Fence of that assignment.
+    earlier : tuple of Incarnation
+        Earlier owners that have neither released it nor been evicted; the
+        owner may serve only when this is empty.
+    """
+
+    owner: Incarnation
+    fence: Fence
+    earlier: tuple[Incarnation, ...]
+
+
+AppliedListener = Callable[[Offset, Record, Verdict], None]
+
+
+class FleetView(Protocol):
+    """Fleet state as of the last applied record."""
+
+    @property
+    def applied_offset(self) -> Offset:
+        """Offset of the last applied record, -1 before the first."""
+        ...
+
+    @property
+    def members(self) -> Mapping[Incarnation, Member]:
+        """Members that are joined or draining."""
+        ...
+
+    @property
+    def config(self) -> ConfigDocument:
+        """Configuration document in force."""
+        ...
+
+    @property
+    def config_version(self) -> ConfigVersion:
+        """Version of the document, 0 before the first."""
+        ...
+
+    def state_of(self, incarnation: Incarnation) -> MemberState | None:
+        """Return the state of an incarnation, None when never joined."""
+        ...
+
+    def shard_count(self, service: ServiceName) -> int:
+        """Return the number of shards, 0 for an unknown service."""
+        ...
+
+    def shard(self, service: ServiceName, shard: Shard) -> ShardView:
+        """Return the owner of a shard."""
+        ...
+
+    def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+        """Yield the ranges of shards whose named owner is a member."""
+        ...
+
+    def held_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+        """Yield ranges that a member owned earlier and has not released."""
+        ...
+
+    def subscribe(self, listener: AppliedListener) -> None:
+        """Call a listener after each record is applied."""
+        ...
--- /dev/null
+++ b/verbenadeck/journal/__init__.py
@@ -0,0 +1,10 @@
+"""Log client: appends, tailing, checkpoints and relaying."""
+
+from verbenadeck.journal._port import (
+    Applied,
+    Journal,
+    JournalError,
+    JournalFailure,
+)
+
+__all__ = ('Applied', 'Journal', 'JournalError', 'JournalFailure')
--- /dev/null
+++ b/verbenadeck/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Logs of a node."""
--- /dev/null
+++ b/verbenadeck/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of a node."""
--- /dev/null
+++ b/verbenadeck/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a node."""
--- /dev/null
+++ b/verbenadeck/node/__init__.py
@@ -0,0 +1,1 @@
+"""Node of a node."""
--- /dev/null
+++ b/verbenadeck/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of a node."""
--- /dev/null
+++ b/verbenadeck/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a node."""
