--- a/verbenadeck/fleet/_sharding.py
+++ b/verbenadeck/fleet/_sharding.py
@@ -20,4 +20,4 @@
     >>> 0 <= shard_of('oven-17', 4096) < 4096
     True
     """
-    return Shard(xxhash.xxh3_64_intdigest(key) & (shard_count - 1))
+    return Shard(xxhash.xxh3_64_intdigest(key.encode()) & (shard_count - 1))
