Add streams and datagrams between nodes

Cause: nodes need calls that many requests share, with true failure values. Change: multiplexed msgpack frames over one connection per peer, pings and redial, bounded buffers, graceful stop, and a UDP socket for heartbeats.

--- /dev/null
+++ b/verbenadeck/peers/_connection.py
@@ -0,0 +1,112 @@
+"""One TCP connection between two nodes, from either end."""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenadeck.peers._frames import (
+    READ_BYTES,
+    Frame,
+    FrameDecoder,
+    FrameError,
+    FrameKind,
+    encode_frame,
+    split_message,
+)
+from verbenadeck.peers._options import PeerOptions
+
+
+class Connection:
+    """Writes and reads frames; knows when it last heard from the peer.
+
+    Parameters
+    ----------
+    reader, writer : asyncio streams
+        The open connection.
+    options : PeerOptions
+        Bounds.
+    now_s : callable returning float
+        Clock.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        options: PeerOptions,
+        now_s: Callable[[], float],
+    ) -> None:
+        self.heard_s = now_s()
+        self.is_open = True
+        self._reader = reader
+        self._writer = writer
+        self._options = options
+        self._now_s = now_s
+
+    async def read(self, on_frame: Callable[[Frame], None]) -> str:
+        """Read frames until the connection ends; return why it ended."""
+        decoder = FrameDecoder()
+        try:
+            while True:
+                received = await self._reader.read(READ_BYTES)
+                if not received:
+                    return 'closed by the peer'
+                self.heard_s = self._now_s()
+                for frame in decoder.feed(received):
+                    self._take(frame, on_frame)
+        except (OSError, FrameError) as error:
+            return str(error) or type(error).__name__
+        finally:
+            self.close()
+
+    def write(self, frame: Frame) -> None:
+        """Write one small frame."""
+        if self.is_open:
+            self._writer.write(encode_frame(frame))
+
+    async def send(self, kind: FrameKind, call_id: int, body: bytes) -> bool:
+        """Write a message; return False when nothing of it was written."""
+        if not self.is_open or self._is_backlogged():
+            return False
+        for frame in split_message(kind, call_id, body):
+            self.write(frame)
+            if not frame.is_last:
+                await self._drain()
+        return True
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self.is_open:
+            self.is_open = False
+            self._writer.transport.abort()
+
+    async def close_gracefully(self) -> None:
+        """Close after all that was written has gone out."""
+        if self.is_open:
+            self.is_open = False
+            self._writer.close()
+            await self._wait_closed()
+
+    async def _wait_closed(self) -> None:
+        try:
+            await asyncio.wait_for(
+                self._writer.wait_closed(), self._options.silence_timeout_s
+            )
+        except (OSError, TimeoutError):
+            self._writer.transport.abort()
+
+    def _take(self, frame: Frame, on_frame: Callable[[Frame], None]) -> None:
+        if frame.kind is FrameKind.PING:
+            self.write(Frame(FrameKind.PONG))
+        elif frame.kind is not FrameKind.PONG:
+            on_frame(frame)
+
+    def _is_backlogged(self) -> bool:
+        unsent_bytes = self._writer.transport.get_write_buffer_size()
+        return unsent_bytes > self._options.max_kept_bytes
+
+    async def _drain(self) -> None:
+        try:
+            await self._writer.drain()
+        except OSError:
+            self.close()
--- /dev/null
+++ b/verbenadeck/peers/_inbound.py
@@ -0,0 +1,131 @@
+"""Inbound connection: the answering side of a peer's stream."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from loguru import logger
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from verbenadeck.peers._connection import Connection
+from verbenadeck.peers._frames import (
+    PROTOCOL_VERSION,
+    Frame,
+    FrameError,
+    FrameKind,
+    Hello,
+    MessageAssembler,
+)
+from verbenadeck.peers._options import PeerOptions
+from verbenadeck.peers._port import Message, PeerAddress
+
+_log = logger.bind(part='peers')
+
+Dispatch = Callable[[PeerAddress, Message], Awaitable[Message | None]]
+
+
+class Inbound:
+    """Handles the calls of one dialling peer.
+
+    Parameters
+    ----------
+    connection : Connection
+        The connection.
+    decode : callable
+        Decodes a message.
+    encode : callable
+        Encodes a reply.
+    dispatch : callable
+        Runs the handler of a message.
+    options : PeerOptions
+        Bounds.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        *,
+        decode: Callable[[bytes], Result[Message, str]],
+        encode: Callable[[Message], bytes],
+        dispatch: Dispatch,
+        options: PeerOptions,
+    ) -> None:
+        self._connection = connection
+        self._decode = decode
+        self._encode = encode
+        self._dispatch = dispatch
+        self._options = options
+        self._peer: PeerAddress | None = None
+        self._running: set[asyncio.Task[None]] = set()
+        self._assembler = MessageAssembler(
+            max_message_bytes=options.max_message_bytes,
+            max_kept_bytes=options.max_kept_bytes,
+        )
+
+    async def serve(self) -> None:
+        """Serve until the connection ends; handlers in progress go on."""
+        reason = await self._connection.read(self._take)
+        _log.debug('connection of {} ended: {}', self._peer, reason)
+
+    async def finish(self) -> None:
+        """Let running handlers reply, then close the connection."""
+        while self._running:
+            await asyncio.wait(self._running)
+        await self._connection.close_gracefully()
+
+    def _take(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.HELLO:
+            self._greet(frame)
+        elif self._peer is None or frame.kind is not FrameKind.CALL:
+            raise FrameError(f'unexpected frame {frame.kind.name}')
+        else:
+            self._take_call(self._peer, frame)
+
+    def _greet(self, frame: Frame) -> None:
+        try:
+            hello = msgspec.msgpack.decode(frame.part, type=Hello)
+        except msgspec.DecodeError as error:
+            raise FrameError(str(error)) from error
+        if hello.version != PROTOCOL_VERSION:
+            raise FrameError(f'protocol version {hello.version}')
+        self._peer = PeerAddress(hello.host, hello.port)
+
+    def _take_call(self, peer: PeerAddress, frame: Frame) -> None:
+        body = self._assembler.add(frame)
+        if body is None:
+            return
+        if len(self._running) >= self._options.max_running:
+            self._reject(frame.call_id, 'too many calls')
+            return
+        decoded = self._decode(body)
+        if not is_successful(decoded):
+            self._reject(frame.call_id, decoded.failure())
+            return
+        task = asyncio.create_task(
+            self._answer(peer, frame.call_id, decoded.unwrap())
+        )
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _answer(
+        self, peer: PeerAddress, call_id: int, message: Message
+    ) -> None:
+        try:
+            reply = await self._dispatch(peer, message)
+        except Exception:
+            _log.exception('handler of {} failed', type(message).__name__)
+            self._write(FrameKind.FAIL, call_id, 'handler failed')
+            return
+        if reply is None:
+            self._write(FrameKind.FAIL, call_id, 'no reply')
+            return
+        body = self._encode(reply)
+        await self._connection.send(FrameKind.REPLY, call_id, body)
+
+    def _reject(self, call_id: int, reason: str) -> None:
+        _log.warning('call of {} rejected: {}', self._peer, reason)
+        self._write(FrameKind.REJECT, call_id, reason)
+
+    def _write(self, kind: FrameKind, call_id: int, reason: str) -> None:
+        self._connection.write(Frame(kind, call_id, True, reason.encode()))
--- /dev/null
+++ b/verbenadeck/peers/_streams.py
@@ -0,0 +1,191 @@
+"""Peer port over TCP streams and UDP datagrams."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from loguru import logger
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from verbenadeck.peers._codec import MessageCodec
+from verbenadeck.peers._connection import Connection
+from verbenadeck.peers._datagrams import DatagramEndpoint
+from verbenadeck.peers._inbound import Inbound
+from verbenadeck.peers._link import Link
+from verbenadeck.peers._options import PeerOptions
+from verbenadeck.peers._port import (
+    Handler,
+    Message,
+    PeerAddress,
+    PeerError,
+    PeerFailure,
+)
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='peers')
+_DEFAULTS = PeerOptions()
+
+
+class StreamPort:
+    """Peer port of a node: one listening TCP socket and one UDP socket.
+
+    Parameters
+    ----------
+    address : PeerAddress
+        Address to listen on; port 0 takes any free port.
+    kinds : iterable of type
+        All message types that this node sends or gets.
+    clock : Clock
+        Clock.
+    options : PeerOptions
+        Bounds and times.
+
+    Attributes
+    ----------
+    address : PeerAddress
+        Address with the port that was taken.
+    """
+
+    def __init__(
+        self,
+        address: PeerAddress,
+        *,
+        kinds: Iterable[type[Message]],
+        clock: Clock,
+        options: PeerOptions = _DEFAULTS,
+    ) -> None:
+        self.address = address
+        self._codec = MessageCodec(kinds)
+        self._clock = clock
+        self._options = options
+        self._handlers: dict[type[Message], Handler[Any]] = {}
+        self._links: dict[PeerAddress, Link] = {}
+        self._inbounds: set[Inbound] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._datagrams = DatagramEndpoint(self._on_datagram)
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on both sockets.
+
+        Raises
+        ------
+        OSError
+            When the port is taken.
+        """
+        self._server = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = PeerAddress(self.address.host, port)
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._datagrams, local_addr=self.address
+        )
+        self._start_task(self._check_links())
+        _log.info('peer port listens on {}:{}', *self.address)
+
+    async def stop(self) -> None:
+        """Let running handlers reply, then close all connections."""
+        if self._server is not None:
+            self._server.close()
+        inbounds = tuple(self._inbounds)
+        await asyncio.gather(*(inbound.finish() for inbound in inbounds))
+        await asyncio.gather(*(link.close() for link in self._links.values()))
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._datagrams.close()
+
+    def handle(self, kind: type[Any], handler: Handler[Any]) -> None:
+        """Register the handler of one message type."""
+        self._handlers[kind] = handler
+
+    async def call(
+        self, peer: PeerAddress, message: Message, *, deadline_s: float
+    ) -> Result[Message, PeerError]:
+        """Send a message over the stream and wait for the reply."""
+        link = self._links.get(peer)
+        if link is None:
+            link = self._open_link(peer)
+        body = self._codec.encode(message)
+        if len(body) > self._options.max_message_bytes:
+            return Failure(PeerError(PeerFailure.NOT_SENT, 'too long'))
+        replied = await link.call(body, deadline_s=deadline_s)
+        if not is_successful(replied):
+            return Failure(replied.failure())
+        decoded = self._codec.decode(replied.unwrap())
+        if not is_successful(decoded):
+            error = PeerError(PeerFailure.NO_REPLY, decoded.failure())
+            return Failure(error)
+        return Success(decoded.unwrap())
+
+    def notify(self, peer: PeerAddress, message: Message) -> None:
+        """Send a datagram."""
+        if not self._datagrams.send(peer, self._codec.encode(message)):
+            _log.warning('datagram {} not sent', type(message).__name__)
+
+    def _open_link(self, peer: PeerAddress) -> Link:
+        link = Link(
+            peer,
+            own_address=lambda: self.address,
+            clock=self._clock,
+            options=self._options,
+        )
+        self._links[peer] = link
+        return link
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = Connection(
+            reader, writer, options=self._options, now_s=self._clock.now_s
+        )
+        inbound = Inbound(
+            connection,
+            decode=self._codec.decode,
+            encode=self._codec.encode,
+            dispatch=self._dispatch,
+            options=self._options,
+        )
+        self._inbounds.add(inbound)
+        try:
+            await inbound.serve()
+            await inbound.finish()
+        finally:
+            self._inbounds.discard(inbound)
+
+    async def _dispatch(
+        self, peer: PeerAddress, message: Message
+    ) -> Message | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            _log.warning('no handler for {}', type(message).__name__)
+            return None
+        return await handler(peer, message)
+
+    def _on_datagram(self, peer: PeerAddress, body: bytes) -> None:
+        decoded = self._codec.decode(body)
+        if is_successful(decoded):
+            self._start_task(self._answer_datagram(peer, decoded.unwrap()))
+        else:
+            _log.warning('bad datagram of {}: {}', peer, decoded.failure())
+
+    async def _answer_datagram(
+        self, peer: PeerAddress, message: Message
+    ) -> None:
+        reply = await self._dispatch(peer, message)
+        if reply is not None:
+            self.notify(peer, reply)
+
+    async def _check_links(self) -> None:
+        while True:
+            await asyncio.sleep(self._options.active_ping_s)
+            for peer, link in tuple(self._links.items()):
+                link.check()
+                if link.is_unused:
+                    self._links.pop(peer)
+
+    def _start_task(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
