--- /dev/null
+++ b/verbenadeck/entry/_server.py
@@ -0,0 +1,227 @@
+"""Entry: accepts callers' HTTP requests and answers them."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+from returns.pipeline import is_successful
+from returns.result import Result
+from sanic import Sanic
+from sanic.compat import Header
+from sanic.exceptions import PayloadTooLarge, SanicException
+from sanic.request import Request as HttpRequest
+from sanic.response import HTTPResponse
+from sanic.server.async_server import AsyncioServer
+
+from verbenadeck.adapters import CallerAnswer, CallerFields, CallerFormat
+from verbenadeck.entry._options import EntryOptions
+from verbenadeck.model import (
+    AnswerResult,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Request,
+    RequestId,
+)
+from verbenadeck.router import Router
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='entry')
+_METHODS = (
+    'GET',
+    'HEAD',
+    'POST',
+    'PUT',
+    'PATCH',
+    'DELETE',
+    'OPTIONS',
+)
+_LONGEST_ANSWER_S = 3700
+_app_numbers = itertools.count(1)
+_DEFAULTS = EntryOptions()
+
+RequestReader = Callable[[CallerFields, str, bytes], Result[Request, Refusal]]
+Observer = Callable[[Request, AnswerResult, float], None]
+OwnerHint = Callable[[Request], tuple[tuple[str, str], ...]]
+
+
+class Entry:
+    """HTTP server for callers, in the loop of the node.
+
+    Parameters
+    ----------
+    router : Router
+        Routes the requests.
+    read_request : callable
+        Completes a caller's fields to a request.
+    vocabulary : CallerFormat
+        Paths and headers towards callers.
+    clock : Clock
+        Clock of this VM.
+    observe : callable
+        Called with each request, its result and its time in seconds.
+    owner_hint : callable
+        Returns headers that tell the caller where the key's owner is.
+    is_leaving : callable
+        Whether callers should go to other entries.
+    options : EntryOptions
+        Address and bounds.
+
+    Attributes
+    ----------
+    port : int
+        Port that was taken.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        read_request: RequestReader,
+        vocabulary: CallerFormat,
+        clock: Clock,
+        observe: Observer = lambda _request, _result, _time_s: None,
+        owner_hint: OwnerHint = lambda _request: (),
+        is_leaving: Callable[[], bool] = lambda: False,
+        options: EntryOptions = _DEFAULTS,
+    ) -> None:
+        self.port = options.port
+        self._router = router
+        self._read_request = read_request
+        self._vocabulary = vocabulary
+        self._clock = clock
+        self._observe = observe
+        self._owner_hint = owner_hint
+        self._is_leaving = is_leaving
+        self._options = options
+        self._running = 0
+        self._last_arrival_s = clock.now_s()
+        self._is_stopping = False
+        self._app = _make_app(options, self._answer, self._on_error)
+        self._server: AsyncioServer | None = None
+
+    async def start(self) -> None:
+        """Listen for callers.
+
+        Raises
+        ------
+        OSError
+            When the port is taken.
+        """
+        server = await self._app.create_server(
+            host=self._options.host,
+            port=self._options.port,
+            return_asyncio_server=True,
+            access_log=False,
+        )
+        assert server is not None
+        self._server = server
+        await server.startup()
+        await server.before_start()
+        await server.after_start()
+        self.port = server.server.sockets[0].getsockname()[1]
+        _log.info('entry listens on {}:{}', self._options.host, self.port)
+
+    async def stop(self) -> None:
+        """Stop gracefully: every request that arrived gets its answer."""
+        server = self._server
+        if server is None:
+            return
+        self._is_stopping = True
+        server.server.close()
+        await self._wait_idle()
+        await server.before_stop()
+        for connection in tuple(server.connections):
+            connection.close_if_idle()
+        await server.after_stop()
+        _log.info('entry stopped')
+
+    async def _wait_idle(self) -> None:
+        # Callers learn from `Connection: close` that they must reconnect; a
+        # request that is on its way on an open connection is still answered.
+        quiet_end_s = self._clock.now_s() + self._options.close_after_s
+        while self._running or self._clock.now_s() < quiet_end_s:
+            await asyncio.sleep(self._options.close_poll_s)
+            last_s = self._last_arrival_s + self._options.close_after_s
+            quiet_end_s = max(quiet_end_s, last_s)
+
+    async def _answer(self, http: HttpRequest, path: str = '') -> HTTPResponse:
+        self._running += 1
+        self._last_arrival_s = self._clock.now_s()
+        try:
+            return await self._route(http)
+        finally:
+            self._running -= 1
+
+    async def _route(self, http: HttpRequest) -> HTTPResponse:
+        read = self._vocabulary.read_call(
+            http.raw_url.decode('latin-1'), http.headers.items()
+        )
+        request = read.bind(
+            lambda fields: self._read_request(fields, http.method, http.body)
+        )
+        if not is_successful(request):
+            return self._write_refusal(request.failure(), None)
+        return await self._route_request(request.unwrap())
+
+    async def _route_request(self, request: Request) -> HTTPResponse:
+        started_s = self._clock.now_s()
+        result = await self._router.route(request)
+        self._observe(request, result, self._clock.now_s() - started_s)
+        if not is_successful(result):
+            return self._write_refusal(result.failure(), request.request_id)
+        answer = self._vocabulary.write_answer(
+            result.unwrap(), request.request_id
+        )
+        return self._write(answer, self._owner_hint(request))
+
+    def _write_refusal(
+        self, refusal: Refusal, request_id: RequestId | None
+    ) -> HTTPResponse:
+        return self._write(self._vocabulary.write_refusal(refusal, request_id))
+
+    def _write(
+        self, answer: CallerAnswer, more: tuple[tuple[str, str], ...] = ()
+    ) -> HTTPResponse:
+        headers = Header((*answer.headers, *more))
+        content_type = headers.pop('content-type', None)
+        headers.pop('content-length', None)
+        if self._is_stopping or self._is_leaving():
+            headers['connection'] = 'close'
+        return HTTPResponse(
+            answer.body,
+            status=answer.status,
+            headers=headers,
+            content_type=content_type,
+        )
+
+    def _on_error(self, http: HttpRequest, error: Exception) -> HTTPResponse:
+        reason = RefusalReason.BAD_REQUEST
+        if isinstance(error, PayloadTooLarge):
+            reason = RefusalReason.TOO_LARGE
+        if not isinstance(error, SanicException):
+            _log.opt(exception=error).error('request failed')
+            refusal = Refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_FAILED)
+            return self._write_refusal(refusal, None)
+        refusal = Refusal(Outcome.NOT_RUN, reason, detail=str(error))
+        return self._write_refusal(refusal, None)
+
+
+def _make_app(
+    options: EntryOptions, answer: Any, on_error: Any
+) -> 'Sanic[Any, Any]':
+    app: Sanic[Any, Any] = Sanic(
+        f'verbenadeck_{next(_app_numbers)}',
+        configure_logging=False,
+        env_prefix='VERBENADECK_HTTP_',
+    )
+    app.config.MOTD = False
+    app.config.REQUEST_MAX_SIZE = options.body_limit_bytes
+    app.config.RESPONSE_TIMEOUT = _LONGEST_ANSWER_S
+    app.config.KEEP_ALIVE_TIMEOUT = options.idle_timeout_s
+    app.add_route(answer, '/', methods=_METHODS)
+    app.add_route(answer, '/<path:path>', methods=_METHODS, name='any')
+    app.error_handler.add(Exception, on_error)
+    return app
