Add HTTP adapters for log, upstream and callers

The node needs a way to the platform's log, its upstream and callers that tells truthfully what a failed exchange means. aiohttp resends PUT and DELETE by itself on a connection that broke; a client middleware stops that, so that a request marked not repeatable can't run twice unseen.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,11 +1,30 @@
 """Adapters to the platform's log, the upstream and the callers."""
 
+from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._caller_headers import (
+    CallerAnswer,
+    CallerFields,
+    read_call,
+    write_answer,
+    write_refusal,
+)
 from verbenadeck.adapters._log import (
     LogAdapter,
     LogError,
     LogFailure,
     LogPage,
 )
+from verbenadeck.adapters._log_http import LogHttpAdapter
+from verbenadeck.adapters._registry import (
+    CALLER_FORMATS,
+    LOG_FORMATS,
+    STANDIN_FORMAT,
+    UPSTREAM_FORMATS,
+    AnnouncedUpstream,
+    CallerFormat,
+    LogMaker,
+    UpstreamMaker,
+)
 from verbenadeck.adapters._upstream import (
     Announcement,
     Grant,
@@ -16,8 +35,26 @@
     UpstreamError,
     UpstreamFailure,
 )
+from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
 
 __all__ = (
+    'CALLER_FORMATS',
+    'LOG_FORMATS',
+    'STANDIN_FORMAT',
+    'UPSTREAM_FORMATS',
+    'AnnounceError',
+    'AnnouncedUpstream',
+    'CallerAnswer',
+    'CallerFields',
+    'CallerFormat',
+    'LogHttpAdapter',
+    'LogMaker',
+    'UpstreamHttpAdapter',
+    'UpstreamMaker',
+    'read_announcement',
+    'read_call',
+    'write_answer',
+    'write_refusal',
     'Announcement',
     'Grant',
     'GrantedRange',
--- /dev/null
+++ b/verbenadeck/adapters/_upstream_life.py
@@ -0,0 +1,109 @@
+"""Connections to one life of an upstream."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from yarl import URL
+
+from verbenadeck.adapters._upstream import Announcement
+
+_SET_BY_CLIENT = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+
+
+class ExchangeBrokenError(aiohttp.ClientError):
+    """The connection broke after the request may have been sent."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending again on a connection that broke.
+
+    It would do so by itself for PUT and DELETE, so that a request could run
+    twice without the door's knowing.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ExchangeBrokenError(str(error)) from error
+
+
+class UpstreamLife:
+    """Session to one announced life; closes when retired and idle.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        What this life said of itself.
+    """
+
+    def __init__(self, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self._session: aiohttp.ClientSession | None = None
+        self._in_flight = 0
+        self._is_retired = False
+        self._closing: asyncio.Task[None] | None = None
+
+    @asynccontextmanager
+    async def request(
+        self,
+        method: str,
+        url: URL,
+        *,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        timeout: aiohttp.ClientTimeout,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send one request, and never a second time by itself."""
+        self._in_flight += 1
+        try:
+            async with self._open().request(
+                method,
+                url,
+                headers=headers,
+                data=body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                yield response
+        finally:
+            self._in_flight -= 1
+            self._close_when_idle()
+
+    def retire(self) -> None:
+        """Close once nothing is in flight; another life has taken over."""
+        self._is_retired = True
+        self._close_when_idle()
+
+    async def close(self) -> None:
+        """Close connections at once."""
+        session = self._session
+        self._session = None
+        if session is not None:
+            await session.close()
+        if self._closing is not None:
+            await self._closing
+
+    def _close_when_idle(self) -> None:
+        if not self._is_retired or self._in_flight > 0:
+            return
+        session = self._session
+        self._session = None
+        if session is not None:
+            self._closing = asyncio.ensure_future(session.close())
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            limit = self.announcement.connections
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=limit),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                skip_auto_headers=_SET_BY_CLIENT,
+                middlewares=(_send_once,),
+            )
+        return self._session
