--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -57,6 +57,8 @@
         Offset of the record that installed the witness set.
     state : MemberState
         State.
+    admin_port : int
+        Port for operators; 0 when not told.
     """
 
     incarnation: Incarnation
@@ -71,6 +73,7 @@
     witnesses: tuple[Incarnation, ...]
     epoch: Epoch
     state: MemberState
+    admin_port: int = 0
 
 
 class ShardView(msgspec.Struct, frozen=True):
--- a/verbenadeck/records/_records.py
+++ b/verbenadeck/records/_records.py
@@ -39,6 +39,8 @@
         Life of the upstream beside it.
     witnesses : tuple of Incarnation
         First witness set; empty for a node without peers.
+    admin_port : int
+        Port for operators; 0 when not told.
     """
 
     node_id: NodeId
@@ -51,6 +53,7 @@
     entry_port: int
     upstream_instance: str = ''
     witnesses: tuple[Incarnation, ...] = ()
+    admin_port: int = 0
 
 
 class LeavePhase(enum.Enum):
