Bind releases, votes and envelopes to log positions

Cause: a release that reaches the log late could free a shard that had come back to its writer in the meantime (X to Y to X to Z), so two owners could serve at once. Repeated appends could not be told from new ones once a writer was forgotten.

Change: Released carries as_of_offset, Vote since_offset and Envelope seen_offset.

--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -118,6 +118,15 @@
         """Version of the document, 0 before the first."""
         ...
 
+    @property
+    def config_author(self) -> str:
+        """Author of the document in force, empty before the first."""
+        ...
+
+    def member(self, incarnation: Incarnation) -> Member | None:
+        """Return a member, also one that left not long ago."""
+        ...
+
     def state_of(self, incarnation: Incarnation) -> MemberState | None:
         """Return the state of an incarnation, None when never joined."""
         ...
@@ -139,5 +148,9 @@
         ...
 
     def subscribe(self, listener: AppliedListener) -> None:
-        """Call a listener after each record is applied."""
+        """Call a listener after each record is applied.
+
+        After the state was replaced by a checkpoint, the listener gets a
+        `CheckpointChunk` with a `count` of 0: anything may have changed.
+        """
         ...
--- a/verbenadeck/records/__init__.py
+++ b/verbenadeck/records/__init__.py
@@ -1,5 +1,11 @@
 """Records of the log."""
 
+from verbenadeck.records._codec import (
+    FORMAT_VERSION,
+    CodecError,
+    decode_envelope,
+    encode_envelope,
+)
 from verbenadeck.records._records import (
     Assign,
     CheckpointChunk,
@@ -19,8 +25,10 @@
 )
 
 __all__ = (
+    'FORMAT_VERSION',
     'Assign',
     'CheckpointChunk',
+    'CodecError',
     'ConfigPublished',
     'Envelope',
     'LeavePhase',
@@ -34,4 +42,6 @@
     'Verdict',
     'Vote',
     'Witnesses',
+    'decode_envelope',
+    'encode_envelope',
 )
--- a/verbenadeck/records/_records.py
+++ b/verbenadeck/records/_records.py
@@ -80,11 +80,26 @@
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True):
-    """Vote of a witness that the lease of a member has lapsed."""
+    """Vote of a witness that the lease of a member has lapsed.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Member whose lease has lapsed.
+    epoch : Epoch
+        Witness set that the vote is for.
+    witness : Incarnation
+        Member that votes.
+    since_offset : Offset
+        Position that the voter had applied a full lease before it voted.
+        Witnesses that had left the fleet by then count as votes too, since
+        what they renewed has run out. -1 counts none.
+    """
 
     incarnation: Incarnation
     epoch: Epoch
     witness: Incarnation
+    since_offset: Offset = Offset(-1)
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True, tag='suspect'):
@@ -122,10 +137,23 @@
 
 
 class Released(msgspec.Struct, frozen=True, array_like=True, tag='released'):
-    """An earlier owner states that it serves these shards no more."""
+    """An earlier owner states that it serves these shards no more.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        The earlier owner.
+    ranges : tuple of ReleasedRange
+        Shards that it has stopped serving.
+    as_of_offset : Offset
+        Position it had applied when it stopped. The release covers
+        assignments up to there only: one that arrives late must not release
+        a shard that came back to this owner in the meantime.
+    """
 
     incarnation: Incarnation
     ranges: tuple[ReleasedRange, ...]
+    as_of_offset: Offset
 
 
 class ConfigPublished(
@@ -171,16 +199,21 @@
     writer : WriterId
         Process that wrote it.
     sequence : int
-        Number of the record by that writer, from 1, without gaps in the
-        order of first append.
+        Number of the record by that writer, from 1. Records may reach the
+        log in another order; each number takes effect at most once.
     record : Record
         The record.
+    seen_offset : Offset
+        Last position that the writer had applied when it first proposed the
+        record. Far beyond it the record has no effect any more, so that
+        readers may forget writers.
     """
 
     format_version: int
     writer: WriterId
     sequence: int
     record: Record
+    seen_offset: Offset = Offset(-1)
 
 
 class Verdict(enum.Enum):
