Add stand-ins of the log and of upstreams

Nodes need something to talk to before the platform's formats are known. The log stand-in keeps streams with limited retention and can be out, slow or lose answers; the upstream stand-in checks fenced grants, starts cold, drains, sheds and counts its own runs as an oracle.

--- a/verbenadeck/adapters/_upstream_http.py
+++ b/verbenadeck/adapters/_upstream_http.py
@@ -116,7 +116,7 @@
 
     def _take_in(self, announcement: Announcement) -> wire.AnnounceReply:
         known = self._life
-        if known is not None and known.announcement == announcement:
+        if known is not None and known.is_same(announcement):
             return wire.AnnounceReply(is_new=False)
         self._life = UpstreamLife(announcement)
         if known is not None:
--- a/verbenadeck/adapters/_upstream_life.py
+++ b/verbenadeck/adapters/_upstream_life.py
@@ -74,6 +74,15 @@
             self._in_flight -= 1
             self._close_when_idle()
 
+    def is_same(self, announcement: Announcement) -> bool:
+        """Return whether an announcement comes from this life."""
+        own = self.announcement
+        return (own.instance, own.host, own.port) == (
+            announcement.instance,
+            announcement.host,
+            announcement.port,
+        )
+
     def retire(self) -> None:
         """Close once nothing is in flight; another life has taken over."""
         self._is_retired = True
--- a/verbenadeck/standins/__init__.py
+++ b/verbenadeck/standins/__init__.py
@@ -1,1 +1,63 @@
-"""Stand-ins for the platform: the log and an upstream."""
+"""Stand-ins of the platform's log and of upstreams, for tests and demos."""
+
+from verbenadeck.standins._announcer import announce_for_ever
+from verbenadeck.standins._cold_start import ColdStart, Overrun
+from verbenadeck.standins._grants import GrantBook
+from verbenadeck.standins._log_server import ExpireBody, make_log_app
+from verbenadeck.standins._log_store import LogFaults, LogStore, Stream
+from verbenadeck.standins._serving import (
+    Listening,
+    Started,
+    announce_listening,
+    crash,
+    start_app,
+    wait_for_end,
+)
+from verbenadeck.standins._upstream_options import (
+    EchoBody,
+    LoadLie,
+    RunsReport,
+    Served,
+    ServingReport,
+    UpstreamFaults,
+    UpstreamOptions,
+)
+from verbenadeck.standins._upstream_server import (
+    echo_digest,
+    make_upstream_app,
+)
+from verbenadeck.standins._upstream_state import (
+    OrderFields,
+    Refused,
+    UpstreamState,
+)
+
+__all__ = (
+    'ColdStart',
+    'EchoBody',
+    'ExpireBody',
+    'GrantBook',
+    'Listening',
+    'LoadLie',
+    'LogFaults',
+    'LogStore',
+    'OrderFields',
+    'Overrun',
+    'Refused',
+    'RunsReport',
+    'Served',
+    'ServingReport',
+    'Started',
+    'Stream',
+    'UpstreamFaults',
+    'UpstreamOptions',
+    'UpstreamState',
+    'announce_for_ever',
+    'announce_listening',
+    'crash',
+    'echo_digest',
+    'make_log_app',
+    'make_upstream_app',
+    'start_app',
+    'wait_for_end',
+)
--- /dev/null
+++ b/verbenadeck/standins/_serving.py
@@ -0,0 +1,68 @@
+"""Runs a stand-in as a process of its own."""
+
+import asyncio
+import os
+import signal
+import sys
+from typing import NamedTuple
+
+import msgspec
+from aiohttp import web
+
+_CRASH_STATUS = 70
+_BACKLOG = 512
+
+
+class Listening(msgspec.Struct, frozen=True):
+    """What a stand-in prints, as one JSON line, once it listens.
+
+    Parameters
+    ----------
+    host : str
+        IP address.
+    port : int
+        TCP port.
+    """
+
+    host: str
+    port: int
+
+
+class Started(NamedTuple):
+    """A stand-in that listens."""
+
+    runner: web.AppRunner
+    listening: Listening
+
+
+async def start_app(
+    app: web.Application, *, host: str, port: int = 0
+) -> Started:
+    """Start an application; port 0 takes any free port."""
+    runner = web.AppRunner(app, access_log=None, handle_signals=False)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port, backlog=_BACKLOG)
+    await site.start()
+    bound_port = int(runner.addresses[0][1])
+    return Started(runner, Listening(host, bound_port))
+
+
+def announce_listening(listening: Listening) -> None:
+    """Print the bound address as one JSON line."""
+    sys.stdout.write(f'{msgspec.json.encode(listening).decode()}\n')
+    sys.stdout.flush()
+
+
+async def wait_for_end(lifetime_s: float) -> None:
+    """Wait for SIGTERM, SIGINT or the end of the lifetime."""
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.call_later(lifetime_s, ended.set)
+    await ended.wait()
+
+
+def crash() -> None:
+    """End the process at once, as a crash does."""
+    os._exit(_CRASH_STATUS)
