Write the frames of one turn of the loop in one system call

Cause: a call cost 84 to 94 us of processor time for both ends together; the profile showed a write per frame, a timeout context and failure values built for every reply. Change: frames of a turn are joined, the timeout is a plain timer, failure values are built only for failures.

--- a/verbenadeck/peers/_connection.py
+++ b/verbenadeck/peers/_connection.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from verbenadeck.peers._frames import (
+    PART_BYTES,
     READ_BYTES,
     Frame,
     FrameDecoder,
@@ -42,6 +43,8 @@
         self._writer = writer
         self._options = options
         self._now_s = now_s
+        self._unsent: list[bytes] = []
+        self._call_soon = asyncio.get_running_loop().call_soon
 
     async def read(self, on_frame: Callable[[Frame], None]) -> str:
         """Read frames until the connection ends; return why it ended."""
@@ -60,22 +63,30 @@
             self.close()
 
     def write(self, frame: Frame) -> None:
-        """Write one small frame."""
-        if self.is_open:
-            self._writer.write(encode_frame(frame))
+        """Write one frame at the end of this turn of the loop.
+
+        Frames of one turn go out in one system call.
+        """
+        if not self._unsent:
+            self._call_soon(self._flush)
+        self._unsent.append(encode_frame(frame))
 
     async def send(self, kind: FrameKind, call_id: int, body: bytes) -> bool:
         """Write a message; return False when nothing of it was written."""
         if not self.is_open or self._is_backlogged():
             return False
+        if len(body) <= PART_BYTES:
+            self.write(Frame(kind, call_id, True, body))
+            return True
         for frame in split_message(kind, call_id, body):
             self.write(frame)
-            if not frame.is_last:
-                await self._drain()
+            self._flush()
+            await self._drain()
         return True
 
     def close(self) -> None:
         """Close the connection at once."""
+        self._unsent.clear()
         if self.is_open:
             self.is_open = False
             self._writer.transport.abort()
@@ -83,6 +94,7 @@
     async def close_gracefully(self) -> None:
         """Close after all that was written has gone out."""
         if self.is_open:
+            self._flush()
             self.is_open = False
             self._writer.close()
             await self._wait_closed()
@@ -95,6 +107,12 @@
         except (OSError, TimeoutError):
             self._writer.transport.abort()
 
+    def _flush(self) -> None:
+        unsent = b''.join(self._unsent)
+        self._unsent.clear()
+        if unsent and self.is_open:
+            self._writer.write(unsent)
+
     def _take(self, frame: Frame, on_frame: Callable[[Frame], None]) -> None:
         if frame.kind is FrameKind.PING:
             self.write(Frame(FrameKind.PONG))
--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from loguru import logger
 from returns.result import Failure, Result, Success
@@ -28,6 +29,26 @@
     return Failure(PeerError(failure, detail))
 
 
+_TIMEOUT = _failed(PeerFailure.NO_REPLY, 'timeout')
+
+
+def _rejected(reason: bytes) -> CallResult:
+    return _failed(PeerFailure.NOT_SENT, reason.decode())
+
+
+def _failed_there(reason: bytes) -> CallResult:
+    return _failed(PeerFailure.NO_REPLY, reason.decode())
+
+
+_RESULTS: Mapping[FrameKind, Callable[[bytes], CallResult]] = MappingProxyType(
+    {
+        FrameKind.REPLY: Success,
+        FrameKind.REJECT: _rejected,
+        FrameKind.FAIL: _failed_there,
+    }
+)
+
+
 class _Session:
     """One connection of a link with the calls that wait on it."""
 
@@ -147,11 +168,16 @@
         sent = await session.connection.send(FrameKind.CALL, call_id, body)
         if not sent:
             return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
+        timer = asyncio.get_running_loop().call_later(
+            self._clock.remaining_s(deadline_s),
+            session.finish,
+            call_id,
+            _TIMEOUT,
+        )
         try:
-            async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
-                return await waiter
-        except TimeoutError:
-            return _failed(PeerFailure.NO_REPLY, 'timeout')
+            return await waiter
+        finally:
+            timer.cancel()
 
     async def _connected(self, deadline_s: float) -> _Session | None:
         session = self._session
@@ -208,15 +234,9 @@
         reply = session.assembler.add(frame)
         if reply is None:
             return
-        text = reply if frame.kind is FrameKind.REPLY else reply.decode()
-        results: dict[FrameKind, CallResult] = {
-            FrameKind.REPLY: Success(reply),
-            FrameKind.REJECT: _failed(PeerFailure.NOT_SENT, str(text)),
-            FrameKind.FAIL: _failed(PeerFailure.NO_REPLY, str(text)),
-        }
-        found = results.get(frame.kind)
-        if found is not None:
-            session.finish(frame.call_id, found)
+        make_result = _RESULTS.get(frame.kind)
+        if make_result is not None:
+            session.finish(frame.call_id, make_result(reply))
 
     def _drop(self, session: _Session, reason: str) -> None:
         session.connection.close()
