--- a/verbenadeck/peers/_frames.py
+++ b/verbenadeck/peers/_frames.py
@@ -1,6 +1,7 @@
 """Frames of the stream between two nodes.
 
-A stream is a sequence of msgpack arrays. A message that is longer than
+A stream is a sequence of msgpack arrays, each after its length in four bytes,
+big-endian. A message that is longer than
 `PART_BYTES` goes in several frames, so that frames of other calls get
 between them.
 """
@@ -8,14 +9,13 @@
 import enum
 from collections.abc import Iterator
 
-import msgpack
 import msgspec
 
 PROTOCOL_VERSION = 1
 PART_BYTES = 65_536
 READ_BYTES = 262_144
 _ENVELOPE_BYTES = 64
-_FIRST_BUFFER_BYTES = 16_384
+_LENGTH_BYTES = 4
 
 
 class FrameKind(enum.IntEnum):
@@ -69,6 +69,10 @@
     port: int
 
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
 class FrameError(Exception):
     """A peer sent bytes that are no frame."""
 
@@ -83,7 +87,15 @@
     >>> list(decoder.feed(encode_frame(frame))) == [frame]
     True
     """
-    return msgspec.msgpack.encode(frame)
+    body = _encoder.encode(frame)
+    return len(body).to_bytes(_LENGTH_BYTES) + body
+
+
+def _decode_body(body: bytes) -> Frame:
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise FrameError(str(error)) from error
 
 
 def split_message(
@@ -108,11 +120,8 @@
     def __init__(
         self, *, max_frame_bytes: int = PART_BYTES + _ENVELOPE_BYTES
     ) -> None:
-        self._unpacker = msgpack.Unpacker(
-            read_size=_FIRST_BUFFER_BYTES,
-            max_buffer_size=max_frame_bytes + READ_BYTES,
-            max_bin_len=max_frame_bytes,
-        )
+        self._max_frame_bytes = max_frame_bytes
+        self._rest = b''
 
     def feed(self, received: bytes) -> Iterator[Frame]:
         """Yield the frames that are complete.
@@ -122,12 +131,23 @@
         FrameError
             When the bytes are no frame.
         """
-        try:
-            self._unpacker.feed(received)
-            for raw in self._unpacker:
-                yield msgspec.convert(raw, Frame)
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
-            raise FrameError(str(error)) from error
+        buffer = self._rest + received
+        start = 0
+        while len(buffer) >= start + _LENGTH_BYTES:
+            body_start = start + _LENGTH_BYTES
+            stop = body_start + self._read_length(buffer, start)
+            if len(buffer) < stop:
+                break
+            yield _decode_body(buffer[body_start:stop])
+            start = stop
+        self._rest = buffer[start:]
+
+    def _read_length(self, buffer: bytes, start: int) -> int:
+        stop = start + _LENGTH_BYTES
+        length = int.from_bytes(buffer[start:stop])
+        if length > self._max_frame_bytes:
+            raise FrameError(f'frame over {self._max_frame_bytes} bytes')
+        return length
 
 
 class MessageAssembler:
