--- /dev/null
+++ b/verbenadeck/lease/_messages.py
@@ -0,0 +1,36 @@
+"""Messages of a planned move between the earlier and the new owner."""
+
+from verbenadeck.model import Incarnation, Offset
+from verbenadeck.peers import Message
+from verbenadeck.records import ReleasedRange
+
+
+class Release(Message, frozen=True, array_like=True, tag='release'):
+    """An earlier owner serves these shards no more.
+
+    Parameters
+    ----------
+    member : Incarnation
+        Earlier owner.
+    ranges : tuple of ReleasedRange
+        Shards that it has closed.
+    as_of_offset : Offset
+        Position of the log that it had applied; later assignments are not
+        covered.
+    entries : bytes
+        Entries of its door's request ledger for these shards.
+    """
+
+    member: Incarnation
+    ranges: tuple[ReleasedRange, ...]
+    as_of_offset: Offset
+    entries: bytes
+
+
+class ReleaseAck(Message, frozen=True, array_like=True, tag='release-ack'):
+    """The release was noted."""
+
+    as_of_offset: Offset
+
+
+MESSAGES: tuple[type[Message], ...] = (Release, ReleaseAck)
--- /dev/null
+++ b/verbenadeck/lease/_ranges.py
@@ -0,0 +1,42 @@
+"""Ranges of shards."""
+
+from collections.abc import Iterable, Iterator
+from itertools import pairwise
+
+from verbenadeck.model import ServiceName, Shard
+from verbenadeck.records import ReleasedRange
+
+ShardKey = tuple[ServiceName, Shard]
+
+
+def shards_in(ranges: Iterable[ReleasedRange]) -> Iterator[ShardKey]:
+    """Yield every shard of some ranges."""
+    for each in ranges:
+        for shard in range(each.first_shard, each.stop_shard):
+            yield each.service, Shard(shard)
+
+
+def ranges_of(shards: Iterable[ShardKey]) -> tuple[ReleasedRange, ...]:
+    """Return the fewest ranges that cover some shards.
+
+    Examples
+    --------
+    >>> [(r.first_shard, r.stop_shard) for r in ranges_of(
+    ...     [('a', 4), ('a', 1), ('a', 2)])]
+    [(1, 3), (4, 5)]
+    """
+    ordered = sorted(set(shards))
+    if not ordered:
+        return ()
+    breaks = [
+        index
+        for index, (one, two) in enumerate(pairwise(ordered), start=1)
+        if two != (one[0], one[1] + 1)
+    ]
+    bounds = pairwise((0, *breaks, len(ordered)))
+    return tuple(
+        ReleasedRange(
+            ordered[first][0], ordered[first][1], ordered[stop - 1][1] + 1
+        )
+        for first, stop in bounds
+    )
--- /dev/null
+++ b/verbenadeck/lease/_slots.py
@@ -0,0 +1,149 @@
+"""Table of the shards that this node is named owner of."""
+
+import enum
+import math
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from verbenadeck.fleet import FleetView, ShardView
+from verbenadeck.lease._fence_rules import takeover_wait_s
+from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
+from verbenadeck.model import NO_FENCE, NO_MEMBER, Fence, Incarnation, Offset
+from verbenadeck.records import ReleasedRange, ShardMove
+from verbenadeck.utils import Clock
+
+
+class SlotState(enum.Enum):
+    """Step of a shard on its way to being served here."""
+
+    WAITING = 'waiting'
+    SETTLED = 'settled'
+    OPEN = 'open'
+
+
+class Slot(msgspec.Struct):
+    """Shard that this node is named owner of.
+
+    Parameters
+    ----------
+    fence : Fence
+        Fence of the assignment.
+    is_first : bool
+        Whether the shard never had another owner.
+    state : SlotState
+        How far the move has come.
+    not_before_s : float
+        Moment from which it may be served, for services whose upstreams
+        do not check fences.
+    """
+
+    fence: Fence
+    is_first: bool = False
+    state: SlotState = SlotState.WAITING
+    not_before_s: float = -math.inf
+
+
+class ReleaseNote(msgspec.Struct, frozen=True):
+    """What an earlier owner said by message when it released a shard."""
+
+    as_of_offset: Offset
+    entries: bytes
+
+
+class Settled(msgspec.Struct, frozen=True):
+    """Shards that are free of earlier owners, with their entries."""
+
+    ranges: tuple[ReleasedRange, ...]
+    entries: bytes | None
+
+
+class SlotTable:
+    """Follows the shards of one incarnation from assignment to service."""
+
+    def __init__(self, *, clock: Clock, fleet: FleetView) -> None:
+        self._clock = clock
+        self._fleet = fleet
+        self._owner = NO_MEMBER
+        self._slots: dict[ShardKey, Slot] = {}
+        self._notes: dict[ShardKey, dict[Incarnation, ReleaseNote]] = {}
+
+    def get(self, key: ShardKey) -> Slot | None:
+        """Return the slot of a shard."""
+        return self._slots.get(key)
+
+    def items(self) -> Iterable[tuple[ShardKey, Slot]]:
+        """Return all slots."""
+        return self._slots.items()
+
+    def note_move(
+        self, owner: Incarnation, offset: Offset, move: ShardMove
+    ) -> None:
+        """Note an assignment to this node while it is applied."""
+        self._adopt(owner)
+        whole = ReleasedRange(move.service, move.first_shard, move.stop_shard)
+        is_first = move.expected_fence == NO_FENCE
+        for key in shards_in((whole,)):
+            if self._fleet.shard(*key).fence == offset:
+                self._slots[key] = Slot(Fence(offset), is_first)
+
+    def note_release(
+        self,
+        member: Incarnation,
+        ranges: tuple[ReleasedRange, ...],
+        note: ReleaseNote,
+    ) -> None:
+        """Note that an earlier owner released shards by message."""
+        for key in shards_in(ranges):
+            self._notes.setdefault(key, {})[member] = note
+
+    def refresh(self, owner: Incarnation) -> list[Settled]:
+        """Follow the log, and return what is settled since the last time."""
+        self._adopt(owner)
+        named: dict[ShardKey, ShardView] = {}
+        if owner != NO_MEMBER:
+            for key in shards_in(self._fleet.owned_by(owner)):
+                named[key] = self._fleet.shard(*key)
+        for lost in self._slots.keys() - named.keys():
+            self._slots.pop(lost)
+        found: dict[bytes | None, list[ShardKey]] = {}
+        for key, view in named.items():
+            for entries in self._settle(key, view):
+                found.setdefault(entries, []).append(key)
+        return [
+            Settled(ranges_of(keys), entries)
+            for entries, keys in found.items()
+        ]
+
+    def _adopt(self, owner: Incarnation) -> None:
+        if owner != self._owner:
+            self._owner = owner
+            self._slots.clear()
+            self._notes.clear()
+
+    def _settle(
+        self, key: ShardKey, view: ShardView
+    ) -> Iterator[bytes | None]:
+        slot = self._slots.get(key)
+        if slot is None or slot.fence != view.fence:
+            slot = self._slots[key] = Slot(view.fence)
+        if slot.state is not SlotState.WAITING:
+            return
+        notes = {
+            member: note
+            for member, note in self._notes.get(key, {}).items()
+            if note.as_of_offset >= view.fence
+        }
+        if not notes.keys() >= set(view.earlier):
+            return
+        slot.state = SlotState.SETTLED
+        self._notes.pop(key, None)
+        if notes:
+            yield from (note.entries for note in notes.values())
+            return
+        if slot.is_first:
+            yield b''
+            return
+        wait_s = takeover_wait_s(self._fleet.config, key[0])
+        slot.not_before_s = self._clock.now_s() + wait_s if wait_s else -math.inf
+        yield None
--- a/verbenadeck/membership/__init__.py
+++ b/verbenadeck/membership/__init__.py
@@ -1,1 +1,20 @@
-"""Membership of a node."""
+"""Membership: join, witnesses, heartbeats and the lease of this node."""
+
+from verbenadeck.membership._membership import Membership
+from verbenadeck.membership._messages import (
+    MESSAGES,
+    Heartbeat,
+    HeartbeatAck,
+)
+from verbenadeck.membership._quorum import eviction_quorum, renewal_quorum
+from verbenadeck.membership._timing import LeaseTiming
+
+__all__ = (
+    'MESSAGES',
+    'Heartbeat',
+    'HeartbeatAck',
+    'LeaseTiming',
+    'Membership',
+    'eviction_quorum',
+    'renewal_quorum',
+)
--- /dev/null
+++ b/verbenadeck/membership/_membership.py
@@ -0,0 +1,246 @@
+"""Membership of this node: join, heartbeats, leave and joining again."""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+from returns.result import Result, Success
+
+from verbenadeck.fleet import Member, MemberState
+from verbenadeck.journal import Applied, Journal, JournalError
+from verbenadeck.membership._heartbeats import Heartbeats
+from verbenadeck.membership._renewals import Renewals
+from verbenadeck.membership._timing import LeaseTiming
+from verbenadeck.membership._witness_choice import (
+    candidates_for,
+    choose_witnesses,
+)
+from verbenadeck.membership._witness_set import WitnessSetKeeper
+from verbenadeck.model import NO_MEMBER, Incarnation
+from verbenadeck.peers import PeerPort
+from verbenadeck.records import LeavePhase, NodeJoin, NodeLeave, Verdict
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='membership')
+_TICKS_PER_HEARTBEAT = 4
+_RETRY_S = 0.5
+_SMALL_FLEET = 3
+_LEAVE_POLL_S = 0.05
+
+
+class Membership:
+    """Membership and lease of this node.
+
+    Parameters
+    ----------
+    clock : Clock
+        Boot clock of the VM.
+    random_source : random.Random
+        Spreads witnesses and retries.
+    journal : Journal
+        Log client, caught up before `start`.
+    port : PeerPort
+        Peer port; bound before `start`, so that no earlier process of this
+        node can still run.
+    describe : callable returning NodeJoin
+        The node and its upstream as they are now; witnesses are ignored.
+    timing : LeaseTiming
+        Times that the whole fleet shares.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random_source: random.Random,
+        journal: Journal,
+        port: PeerPort,
+        describe: Callable[[], NodeJoin],
+        timing: LeaseTiming | None = None,
+    ) -> None:
+        self.timing = timing or LeaseTiming()
+        self._clock = clock
+        self._random = random_source
+        self._journal = journal
+        self._describe = describe
+        self._incarnation = NO_MEMBER
+        self._is_stopping = False
+        self._renewals = Renewals(clock=clock, timing=self.timing)
+        self._heartbeats = Heartbeats(
+            clock=clock,
+            port=port,
+            fleet=journal.fleet,
+            renewals=self._renewals,
+            incarnation=lambda: self._incarnation,
+        )
+        self._keeper = WitnessSetKeeper(
+            clock=clock,
+            random_source=random_source,
+            journal=journal,
+            renewals=self._renewals,
+            timing=self.timing,
+            is_last_resort=lambda: self.is_last_resort,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """This life of the node, `NO_MEMBER` while it is not joined."""
+        return self._incarnation if self.member else NO_MEMBER
+
+    @property
+    def member(self) -> Member | None:
+        """This node as the log has it, None when evicted or not joined."""
+        return self._journal.fleet.members.get(self._incarnation)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the node has ended its duties as a witness."""
+        return self._is_stopping
+
+    @property
+    def lease_deadline_s(self) -> float:
+        """End of the lease on the boot clock, in the past without one.
+
+        A lone node's end moves along with the clock.
+        """
+        return self._renewed_s + self.timing.held_s
+
+    @property
+    def is_leased(self) -> bool:
+        """Whether the lease is in force now."""
+        return self._clock.now_s() < self.lease_deadline_s
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the lease was renewed lately enough to judge others."""
+        age_s = self._clock.now_s() - self._renewed_s
+        return age_s <= self.timing.fresh_s
+
+    @property
+    def is_last_resort(self) -> bool:
+        """Whether a small fleet left this node without a lease for long."""
+        member = self.member
+        if member is None or len(member.witnesses) > _SMALL_FLEET:
+            return False
+        age_s = self._clock.now_s() - max(self._renewed_s, self._joined_s)
+        others = len(self._candidates())
+        return others <= _SMALL_FLEET and age_s > self.timing.last_resort_s
+
+    async def start(self) -> None:
+        """Join in the background and keep the lease."""
+        self._joined_s = self._clock.now_s()
+        self._started_s = self._joined_s
+        self._tasks = [
+            asyncio.ensure_future(self._stay_joined()),
+            asyncio.ensure_future(self._beat()),
+        ]
+
+    async def leave(self, *, deadline_s: float) -> bool:
+        """Have the shards moved away; return whether all were in time."""
+        own = self.incarnation
+        fleet = self._journal.fleet
+        record = NodeLeave(own, LeavePhase.DRAINING)
+        while self.member and self._clock.now_s() < deadline_s:
+            if self.member.state is not MemberState.DRAINING:
+                await self._propose(record)
+            if not any(fleet.owned_by(own)) and not any(fleet.held_by(own)):
+                return True
+            await asyncio.sleep(_LEAVE_POLL_S)
+        return self.member is None
+
+    async def stop(self) -> None:
+        """End all duties, then say in the log that this life is over."""
+        self._is_stopping = True
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._keeper.stop()
+        if self.member:
+            await self._propose(NodeLeave(self.incarnation, LeavePhase.GONE))
+        _log.info('left as incarnation {}', self._incarnation)
+
+    @property
+    def _renewed_s(self) -> float:
+        member = self.member
+        if member is None or self._is_stopping:
+            return -math.inf
+        return self._renewals.renewed_s(self._keeper.sets(member))
+
+    async def _stay_joined(self) -> None:
+        while True:
+            if self.member is None:
+                await self._join()
+            await self._bury_predecessors()
+            await asyncio.sleep(_RETRY_S * self._random.uniform(0.5, 1))
+
+    async def _join(self) -> None:
+        record = msgspec.structs.replace(
+            self._describe(),
+            witnesses=choose_witnesses(
+                self._candidates(), random_source=self._random
+            ),
+        )
+        self._incarnation = NO_MEMBER
+        self._renewals.reset()
+        self._keeper.reset()
+        match await self._propose(record):
+            case Success(Applied(offset=offset, verdict=Verdict.ACCEPTED)):
+                self._incarnation = Incarnation(offset)
+                self._joined_s = self._clock.now_s()
+                _log.info('joined as incarnation {}', offset)
+
+    async def _bury_predecessors(self) -> None:
+        """State the end of earlier lives of this very process slot.
+
+        The peer port is bound by this process, so an earlier one with the
+        same address runs no more; what it granted has ended a lease later.
+        """
+        own = self.member
+        grants_end_s = self._started_s + self.timing.lease_s
+        if own is None or self._clock.now_s() < grants_end_s:
+            return
+        for each in tuple(self._journal.fleet.members.values()):
+            is_other = each.incarnation != own.incarnation
+            is_same = (each.node_id, each.address) == (
+                own.node_id,
+                own.address,
+            )
+            if is_other and is_same:
+                _log.info('earlier life {} is over', each.incarnation)
+                await self._propose(
+                    NodeLeave(each.incarnation, LeavePhase.GONE)
+                )
+
+    async def _beat(self) -> None:
+        tick_s = self.timing.heartbeat_s / _TICKS_PER_HEARTBEAT
+        tick = 0
+        asked: set[Incarnation] = set()
+        while True:
+            member = self.member
+            if member is not None:
+                self._keeper.maintain(member)
+                wanted = self._keeper.asked(member)
+                is_beat = tick % _TICKS_PER_HEARTBEAT == 0
+                # A new witness is asked at once.
+                self._heartbeats.send(wanted if is_beat else wanted - asked)
+                asked = wanted
+            tick += 1
+            await asyncio.sleep(tick_s)
+
+    def _candidates(self) -> list[Member]:
+        own = self._describe()
+        return candidates_for(
+            self._journal.fleet.members.values(),
+            node_id=own.node_id,
+            region=own.region,
+        )
+
+    async def _propose(
+        self, record: NodeJoin | NodeLeave
+    ) -> Result[Applied, JournalError]:
+        deadline_s = self._clock.now_s() + self.timing.append_timeout_s
+        return await self._journal.propose(record, deadline_s=deadline_s)
--- /dev/null
+++ b/verbenadeck/membership/_witness_choice.py
@@ -0,0 +1,64 @@
+"""Choice of witnesses: three, spread over availability zones."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from verbenadeck.fleet import Member
+from verbenadeck.model import Incarnation, NodeId, Region
+
+WITNESS_COUNT = 3
+
+
+def candidates_for(
+    members: Iterable[Member], *, node_id: NodeId, region: Region
+) -> list[Member]:
+    """Return the members that may be witnesses of a node."""
+    return [
+        member
+        for member in members
+        if member.region == region and member.node_id != node_id
+    ]
+
+
+def choose_witnesses(
+    candidates: Iterable[Member],
+    *,
+    kept: Iterable[Incarnation] = (),
+    random_source: random.Random,
+) -> tuple[Incarnation, ...]:
+    """Return up to three candidates over as many zones as there are.
+
+    Parameters
+    ----------
+    candidates : iterable of Member
+        Members that may be chosen.
+    kept : iterable of Incarnation
+        Candidates to prefer, so that a set changes as little as it can.
+    random_source : random.Random
+        Breaks ties, so that the duty spreads over the fleet.
+    """
+    preferred = set(kept)
+    left = list(candidates)
+    random_source.shuffle(left)
+    chosen: list[Member] = []
+    while left and len(chosen) < WITNESS_COUNT:
+        zones = Counter(member.zone for member in chosen)
+        best = min(
+            left,
+            key=lambda member: (
+                zones[member.zone],
+                member.incarnation not in preferred,
+            ),
+        )
+        chosen.append(best)
+        left.remove(best)
+    return tuple(sorted(member.incarnation for member in chosen))
+
+
+def spread(
+    witnesses: Iterable[Incarnation], live: Mapping[Incarnation, Member]
+) -> tuple[int, int]:
+    """Return how many zones and how many live nodes a set covers."""
+    known = [live[each] for each in witnesses if each in live]
+    return len({member.zone for member in known}), len(known)
