Add the fleet state and a log client that tails and proposes

Cause: services need owners, members and configuration that every node derives alike, and appends that survive lost answers.

LogClient acknowledges by read-back only. Documents are checked field by field, with all problems at once. Ruled out: one append at a time per writer, which costs a log round trip per record and still needs a rule for records that were given up.

--- /dev/null
+++ b/verbenadeck/config/__init__.py
@@ -0,0 +1,30 @@
+"""Checks of the configuration document and the policy it gives.
+
+Operations on the log stand in `verbenadeck.config.operations`, apart from
+here because the fleet state needs the checks and the operations need the
+log client.
+"""
+
+from verbenadeck.config._document_rules import (
+    MAX_EXCEPTIONS,
+    MAX_TOTAL_SHARDS,
+    CheckResult,
+    check_document,
+    decode_document,
+    encode_document,
+)
+from verbenadeck.config._exception_rules import FLEET_WIDE_FIELDS
+from verbenadeck.config._policy_rules import MAX_SHARD_COUNT
+from verbenadeck.config._problems import ConfigProblem
+
+__all__ = (
+    'FLEET_WIDE_FIELDS',
+    'MAX_EXCEPTIONS',
+    'MAX_SHARD_COUNT',
+    'MAX_TOTAL_SHARDS',
+    'CheckResult',
+    'ConfigProblem',
+    'check_document',
+    'decode_document',
+    'encode_document',
+)
--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -1,6 +1,8 @@
 """State of the fleet that every node derives from the log."""
 
+from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
 from verbenadeck.fleet._sharding import shard_of
+from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
     AppliedListener,
     FleetView,
@@ -11,9 +13,12 @@
 
 __all__ = (
     'AppliedListener',
+    'FleetState',
     'FleetView',
     'Member',
     'MemberState',
     'ShardView',
+    'eviction_quorum',
+    'renewal_quorum',
     'shard_of',
 )
--- /dev/null
+++ b/verbenadeck/journal/_proposals.py
@@ -0,0 +1,82 @@
+"""Proposals of this process that wait for their verdict."""
+
+import asyncio
+
+import msgspec
+
+from verbenadeck.journal._port import Applied
+from verbenadeck.model import Offset, WriterId
+from verbenadeck.records import (
+    FORMAT_VERSION,
+    Envelope,
+    Record,
+    Verdict,
+    encode_envelope,
+)
+
+
+class Proposal(msgspec.Struct, frozen=True, eq=False):
+    """A record on its way into the log.
+
+    Parameters
+    ----------
+    sequence : int
+        Its number by this writer.
+    payload : bytes
+        What is appended, the same in every repeat.
+    applied : asyncio.Future of Applied
+        Resolved when the record is read back.
+    """
+
+    sequence: int
+    payload: bytes
+    applied: 'asyncio.Future[Applied]'
+
+
+class Proposals:
+    """Numbers the records of one writer and matches what is read back.
+
+    Appends of several records may be in flight and reach the log in any
+    order, since readers keep a window of numbers per writer.
+    """
+
+    def __init__(self, writer: WriterId) -> None:
+        self._writer = writer
+        self._last_sequence = 0
+        self._open: dict[int, Proposal] = {}
+
+    def open(self, record: Record, seen_offset: Offset) -> Proposal:
+        """Number a record and wait for it."""
+        self._last_sequence += 1
+        envelope = Envelope(
+            format_version=FORMAT_VERSION,
+            writer=self._writer,
+            sequence=self._last_sequence,
+            record=record,
+            seen_offset=seen_offset,
+        )
+        proposal = Proposal(
+            sequence=envelope.sequence,
+            payload=encode_envelope(envelope),
+            applied=asyncio.get_running_loop().create_future(),
+        )
+        self._open[proposal.sequence] = proposal
+        return proposal
+
+    def close(self, proposal: Proposal) -> None:
+        """Stop waiting for a record."""
+        self._open.pop(proposal.sequence, None)
+
+    def settle(
+        self, offset: Offset, envelope: Envelope, verdict: Verdict
+    ) -> None:
+        """Resolve the proposal that was read back, if it is one of ours.
+
+        A repeat is no answer: it means that the first copy was judged in a
+        part of the log that this process skipped by a checkpoint.
+        """
+        if envelope.writer != self._writer or verdict is Verdict.DUPLICATE:
+            return
+        proposal = self._open.get(envelope.sequence)
+        if proposal is not None and not proposal.applied.done():
+            proposal.applied.set_result(Applied(offset, verdict))
