Add membership, witness duty, ownership and planned moves

Cause: nothing decided yet who may serve a shard. Change: witness sets and heartbeats with the lease counted from sending, votes, permits, grants to the upstream and releases of planned moves. The fleet view gives its flat arrays for planning.

--- a/verbenadeck/fleet/_reader.py
+++ b/verbenadeck/fleet/_reader.py
@@ -1,6 +1,6 @@
 """Read access to the fleet state."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from types import MappingProxyType
 
 from verbenadeck.fleet._members import Members
@@ -70,6 +70,21 @@
         """Return the owner of a shard."""
         return self._ownership.shard(service, shard)
 
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        """Return the named owners by shard, in a flat array to read only."""
+        table = self._ownership.tables.get(service)
+        return () if table is None else table.owners
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        """Return the fences by shard, in a flat array to read only."""
+        table = self._ownership.tables.get(service)
+        return () if table is None else table.fences
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        """Return the shards with an earlier owner that has not released."""
+        table = self._ownership.tables.get(service)
+        return () if table is None else table.earlier
+
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield the ranges of shards whose named owner is a member."""
         return self._ownership.owned_by(incarnation)
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -1,7 +1,7 @@
 """Read access to the state that all nodes derive from the log."""
 
 import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -139,6 +139,18 @@
         """Return the owner of a shard."""
         ...
 
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        """Return the named owners by shard, in a flat array to read only."""
+        ...
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        """Return the fences by shard, in a flat array to read only."""
+        ...
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        """Return the shards with an earlier owner that has not released."""
+        ...
+
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield the ranges of shards whose named owner is a member."""
         ...
--- a/verbenadeck/lease/__init__.py
+++ b/verbenadeck/lease/__init__.py
@@ -1,5 +1,25 @@
 """Leases by witnesses and grants by fences."""
 
+from verbenadeck.lease._fence_rules import (
+    checks_fences,
+    longest_timeout_s,
+    takeover_wait_s,
+)
+from verbenadeck.lease._messages import MESSAGES, Release, ReleaseAck
+from verbenadeck.lease._ownership import Ownership
 from verbenadeck.lease._view import DoorHandover, OwnershipView, Permit
+from verbenadeck.lease._witness import WitnessDuty
 
-__all__ = ('DoorHandover', 'OwnershipView', 'Permit')
+__all__ = (
+    'MESSAGES',
+    'DoorHandover',
+    'Ownership',
+    'OwnershipView',
+    'Permit',
+    'Release',
+    'ReleaseAck',
+    'WitnessDuty',
+    'checks_fences',
+    'longest_timeout_s',
+    'takeover_wait_s',
+)
--- a/verbenadeck/lease/_fence_rules.py
+++ b/verbenadeck/lease/_fence_rules.py
@@ -1,6 +1,11 @@
 """Rules for services whose upstreams do not check fences."""
 
-from verbenadeck.model import ConfigDocument, ServiceName, ServicePolicy
+from verbenadeck.model import (
+    ConfigDocument,
+    ExceptionRule,
+    ServiceName,
+    ServicePolicy,
+)
 
 _FENCES = 'checks_fences'
 _TIMEOUT = 'request_timeout_s'
@@ -19,23 +24,33 @@
     >>> takeover_wait_s(ConfigDocument(services={'a': policy}), 'a')
     3
     """
-    policy = config.services.get(service, ServicePolicy())
-    rules = [
-        rule
-        for rule in config.exceptions
-        if rule.service in {service, None}
-    ]
-    is_checked = policy.checks_fences and all(
-        rule.setting for rule in rules if rule.field == _FENCES
-    )
-    if is_checked:
+    if checks_fences(config, service):
         return 0
-    longest_s = [
-        float(rule.setting) for rule in rules if rule.field == _TIMEOUT
-    ]
-    return max(policy.request_timeout_s, *longest_s, 0)
+    return longest_timeout_s(config, service)
 
 
 def checks_fences(config: ConfigDocument, service: ServiceName) -> bool:
     """Return whether every upstream of a service checks fences."""
-    return takeover_wait_s(config, service) == 0
+    policy = config.services.get(service, ServicePolicy())
+    return policy.checks_fences and all(
+        rule.setting for rule in _rules(config, service, _FENCES)
+    )
+
+
+def longest_timeout_s(config: ConfigDocument, service: ServiceName) -> float:
+    """Return the longest request timeout over the default and exceptions."""
+    policy = config.services.get(service, ServicePolicy())
+    exceptional_s = [
+        float(rule.setting) for rule in _rules(config, service, _TIMEOUT)
+    ]
+    return max(policy.request_timeout_s, *exceptional_s, 0)
+
+
+def _rules(
+    config: ConfigDocument, service: ServiceName, field: str
+) -> list[ExceptionRule]:
+    return [
+        rule
+        for rule in config.exceptions
+        if rule.field == field and rule.service in {service, None}
+    ]
--- a/verbenadeck/lease/_grants.py
+++ b/verbenadeck/lease/_grants.py
@@ -18,6 +18,7 @@
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='lease')
+_RETRY_S = 0.05
 
 Wanted = Callable[[], dict[Shard, Fence]]
 
@@ -46,6 +47,7 @@
         self._granted: dict[Shard, Fence] = {}
         self._granted_until_s = -math.inf
         self._asked_until_s = -math.inf
+        self._unsure_until_s = -math.inf
         self._instance = ''
         self._lock = asyncio.Lock()
         self.on_restart: Callable[[], None] = _nothing
@@ -62,28 +64,32 @@
         async with self._lock:
             return await self._push()
 
-    async def revoke(self, shards: set[Shard]) -> None:
-        """Return when the upstream certainly refuses these shards."""
-        while not shards.isdisjoint(self._wanted()):
-            # The shards were assigned back meanwhile; nothing to revoke.
-            shards = shards - self._wanted().keys()
-        end_s = self._asked_until_s
+    async def revoke(self) -> None:
+        """Return when the upstream refuses all that is not wanted now.
+
+        A grant without an answer may still reach the upstream, so then only
+        the end of all earlier grants is certain.
+        """
+        end_s = max(self._asked_until_s, self._unsure_until_s)
         while self._clock.now_s() <= end_s:
-            if await self.push():
+            is_granted = await self.push()
+            if is_granted and self._unsure_until_s < self._clock.now_s():
                 return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_RETRY_S)
 
     async def _push(self) -> bool:
         instance = self._instance
         service, shard_count = self._service()
-        wanted = dict(self._wanted())
+        wanted = self._wanted()
         deadline_s = self._lease_deadline_s()
-        if deadline_s <= self._clock.now_s() and not self._granted:
-            return False
+        is_idle = not wanted and not self._granted
+        if is_idle or deadline_s <= self._clock.now_s():
+            return is_idle
         self._asked_until_s = max(self._asked_until_s, deadline_s)
         grant = Grant(service, shard_count, _ranges(wanted), deadline_s)
         outcome = await self._upstream.grant(grant)
         if not isinstance(outcome, Success) or instance != self._instance:
+            self._unsure_until_s = max(self._unsure_until_s, deadline_s)
             return False
         self._granted = wanted
         self._granted_until_s = deadline_s
--- a/verbenadeck/lease/_slots.py
+++ b/verbenadeck/lease/_slots.py
@@ -2,14 +2,21 @@
 
 import enum
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import msgspec
 
 from verbenadeck.fleet import FleetView, ShardView
 from verbenadeck.lease._fence_rules import takeover_wait_s
 from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
-from verbenadeck.model import NO_FENCE, NO_MEMBER, Fence, Incarnation, Offset
+from verbenadeck.model import (
+    NO_FENCE,
+    NO_MEMBER,
+    Fence,
+    Incarnation,
+    Offset,
+    Shard,
+)
 from verbenadeck.records import ReleasedRange, ShardMove
 from verbenadeck.utils import Clock
 
@@ -18,7 +25,6 @@
     """Step of a shard on its way to being served here."""
 
     WAITING = 'waiting'
-    SETTLED = 'settled'
     OPEN = 'open'
 
 
@@ -72,9 +78,14 @@
         """Return the slot of a shard."""
         return self._slots.get(key)
 
-    def items(self) -> Iterable[tuple[ShardKey, Slot]]:
-        """Return all slots."""
-        return self._slots.items()
+    @property
+    def open_fences(self) -> dict[Shard, Fence]:
+        """Fences of the shards that are open as of the last refresh."""
+        return {
+            key[1]: slot.fence
+            for key, slot in self._slots.items()
+            if slot.state is SlotState.OPEN
+        }
 
     def note_move(
         self, owner: Incarnation, offset: Offset, move: ShardMove
@@ -82,10 +93,11 @@
         """Note an assignment to this node while it is applied."""
         self._adopt(owner)
         whole = ReleasedRange(move.service, move.first_shard, move.stop_shard)
+        fence = Fence(offset)
         is_first = move.expected_fence == NO_FENCE
         for key in shards_in((whole,)):
-            if self._fleet.shard(*key).fence == offset:
-                self._slots[key] = Slot(Fence(offset), is_first)
+            if self._fleet.shard(*key).fence == fence:
+                self._slots[key] = Slot(fence, is_first)
 
     def note_release(
         self,
@@ -106,13 +118,14 @@
                 named[key] = self._fleet.shard(*key)
         for lost in self._slots.keys() - named.keys():
             self._slots.pop(lost)
+        for stale in self._notes.keys() - named.keys():
+            self._notes.pop(stale)
         found: dict[bytes | None, list[ShardKey]] = {}
         for key, view in named.items():
             for entries in self._settle(key, view):
                 found.setdefault(entries, []).append(key)
         return [
-            Settled(ranges_of(keys), entries)
-            for entries, keys in found.items()
+            Settled(ranges_of(keys), entries) for entries, keys in found.items()
         ]
 
     def _adopt(self, owner: Incarnation) -> None:
@@ -121,9 +134,7 @@
             self._slots.clear()
             self._notes.clear()
 
-    def _settle(
-        self, key: ShardKey, view: ShardView
-    ) -> Iterator[bytes | None]:
+    def _settle(self, key: ShardKey, view: ShardView) -> Iterator[bytes | None]:
         slot = self._slots.get(key)
         if slot is None or slot.fence != view.fence:
             slot = self._slots[key] = Slot(view.fence)
@@ -136,7 +147,7 @@
         }
         if not notes.keys() >= set(view.earlier):
             return
-        slot.state = SlotState.SETTLED
+        slot.state = SlotState.OPEN
         self._notes.pop(key, None)
         if notes:
             yield from (note.entries for note in notes.values())
@@ -145,5 +156,7 @@
             yield b''
             return
         wait_s = takeover_wait_s(self._fleet.config, key[0])
-        slot.not_before_s = self._clock.now_s() + wait_s if wait_s else -math.inf
+        slot.not_before_s = (
+            self._clock.now_s() + wait_s if wait_s else -math.inf
+        )
         yield None
--- a/verbenadeck/membership/__init__.py
+++ b/verbenadeck/membership/__init__.py
@@ -6,7 +6,6 @@
     Heartbeat,
     HeartbeatAck,
 )
-from verbenadeck.membership._quorum import eviction_quorum, renewal_quorum
 from verbenadeck.membership._timing import LeaseTiming
 
 __all__ = (
@@ -15,6 +14,4 @@
     'HeartbeatAck',
     'LeaseTiming',
     'Membership',
-    'eviction_quorum',
-    'renewal_quorum',
 )
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -68,6 +68,8 @@
         self._describe = describe
         self._incarnation = NO_MEMBER
         self._is_stopping = False
+        self._joined_s = -math.inf
+        self._started_s = -math.inf
         self._renewals = Renewals(clock=clock, timing=self.timing)
         self._heartbeats = Heartbeats(
             clock=clock,
@@ -88,12 +90,12 @@
 
     @property
     def incarnation(self) -> Incarnation:
-        """This life of the node, `NO_MEMBER` while it is not joined."""
+        """Present life of the node, `NO_MEMBER` while it is not joined."""
         return self._incarnation if self.member else NO_MEMBER
 
     @property
     def member(self) -> Member | None:
-        """This node as the log has it, None when evicted or not joined."""
+        """Node as the log has it, None when evicted or not joined."""
         return self._journal.fleet.members.get(self._incarnation)
 
     @property
--- a/verbenadeck/membership/_renewals.py
+++ b/verbenadeck/membership/_renewals.py
@@ -2,7 +2,7 @@
 
 import math
 
-from verbenadeck.membership._quorum import renewal_quorum
+from verbenadeck.fleet import renewal_quorum
 from verbenadeck.membership._timing import LeaseTiming
 from verbenadeck.model import Incarnation
 from verbenadeck.utils import Clock
--- a/verbenadeck/membership/_witness_set.py
+++ b/verbenadeck/membership/_witness_set.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from verbenadeck.fleet import Member
+from verbenadeck.fleet import Member, renewal_quorum
 from verbenadeck.journal import (
     Applied,
     Journal,
@@ -15,7 +15,6 @@
     JournalFailure,
 )
 from verbenadeck.membership._probes import Probes
-from verbenadeck.membership._quorum import renewal_quorum
 from verbenadeck.membership._renewals import Renewals, WitnessSet
 from verbenadeck.membership._set_rules import is_change_allowed
 from verbenadeck.membership._timing import LeaseTiming
@@ -95,9 +94,7 @@
         is_idle = self._changing is None or self._changing.done()
         is_ready = all(map(self.probes.is_answering, target))
         if is_idle and is_ready and self._is_due(member):
-            self._changing = asyncio.ensure_future(
-                self._change(member, target)
-            )
+            self._changing = asyncio.ensure_future(self._change(member, target))
 
     def _needs_look(self, member: Member) -> bool:
         now_s = self._clock.now_s()
@@ -149,9 +146,7 @@
         return is_fresh or age_s > self._timing.witness_timeout_s
 
     def _silent(self, member: Member) -> set[Incarnation]:
-        ages_s = {
-            each: self._renewals.age_s(each) for each in member.witnesses
-        }
+        ages_s = {each: self._renewals.age_s(each) for each in member.witnesses}
         limit_s = self._timing.probe_after_s
         answering = sum(age_s <= limit_s for age_s in ages_s.values())
         if answering >= renewal_quorum(len(ages_s)):
