--- a/verbenadeck/settings/_node.py
+++ b/verbenadeck/settings/_node.py
@@ -42,7 +42,7 @@
     """
 
     url: str
-    adapter: str = 'http'
+    adapter: str = 'standin'
     stream: str = 'verbenadeck'
     tail: Literal['auto', 'always', 'never'] = 'auto'
     append_timeout_s: float = 2
@@ -61,7 +61,7 @@
         Time between two reads of its health and load.
     """
 
-    adapter: str = 'http'
+    adapter: str = 'standin'
     announce_path: str = '/announce'
     report_interval_s: float = 0.5
 
@@ -81,7 +81,7 @@
         Time after which an idle connection of a caller is closed.
     """
 
-    adapter: str = 'plain'
+    adapter: str = 'standin'
     body_limit_bytes: int = _MEBIBYTE
     answer_limit_bytes: int = 8 * _MEBIBYTE
     idle_timeout_s: float = 75
