Add metrics with bounded label sets in the Prometheus format

Callers' requests count by service, zone, outcome and reason; latencies go to hdrhistogram (1.3 us a record here). Services that the configuration does not name share one label, so callers can't grow the memory. prometheus-client writes the text: on top of the node's other imports it adds 1.0 MB resident (49.2 to 50.2 MB), although alone it costs 12 MB over bare Python, most of it shared with the HTTP libraries.

--- a/verbenadeck/metrics/__init__.py
+++ b/verbenadeck/metrics/__init__.py
@@ -1,1 +1,22 @@
-"""Metrics of a node."""
+"""Metrics: counters, latency histograms and their text format."""
+
+from verbenadeck.metrics._exposition import CONTENT_TYPE, make_exposition
+from verbenadeck.metrics._registry import (
+    Latency,
+    LatencyLabels,
+    Metrics,
+    OutcomeLabel,
+    RequestLabels,
+    outcome_label,
+)
+
+__all__ = (
+    'CONTENT_TYPE',
+    'Latency',
+    'LatencyLabels',
+    'Metrics',
+    'OutcomeLabel',
+    'RequestLabels',
+    'make_exposition',
+    'outcome_label',
+)
--- /dev/null
+++ b/verbenadeck/metrics/_exposition.py
@@ -0,0 +1,103 @@
+"""Metrics in the Prometheus text format."""
+
+import math
+from collections.abc import Callable, Iterator
+
+from loguru import logger
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from verbenadeck.metrics._registry import (
+    LatencyLabels,
+    Metrics,
+    RequestLabels,
+)
+
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+"""Content type of the text format."""
+
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_REQUESTS = 'verbenadeck_requests'
+_LATENCY = 'verbenadeck_request_seconds'
+_log = logger.bind(part='metrics')
+
+
+def make_exposition(metrics: Metrics) -> Callable[[], bytes]:
+    """Return a function that writes all metrics in the text format.
+
+    Examples
+    --------
+    >>> metrics = Metrics(zone='suva', known_services=tuple)
+    >>> metrics.count('hedges')
+    >>> print(make_exposition(metrics)().decode().splitlines()[-1])
+    verbenadeck_hedges_total 1.0
+    """
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_MetricsCollector(metrics))
+
+    def write() -> bytes:
+        return generate_latest(registry)
+
+    return write
+
+
+class _MetricsCollector(Collector):
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def describe(self) -> tuple[Metric, ...]:
+        """Return nothing, so that registering does not read the metrics."""
+        return ()
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metric families."""
+        yield self._requests()
+        yield self._latencies()
+        yield from self._gauges()
+        for name, total in self._metrics.counters.items():
+            yield CounterMetricFamily(f'verbenadeck_{name}', name, value=total)
+
+    def _requests(self) -> Metric:
+        family = CounterMetricFamily(
+            _REQUESTS,
+            "Callers' requests by outcome.",
+            labels=RequestLabels._fields,
+        )
+        for labels, total in self._metrics.requests.items():
+            family.add_metric(labels, total)
+        return family
+
+    def _latencies(self) -> Metric:
+        family = Metric(_LATENCY, "Time of callers' requests.", 'summary')
+        for series, latency in self._metrics.latencies.items():
+            labels = dict(zip(LatencyLabels._fields, series, strict=True))
+            for quantile in _QUANTILES:
+                quantile_label = {'quantile': str(quantile)}
+                family.add_sample(
+                    _LATENCY,
+                    labels | quantile_label,
+                    latency.quantile_s(quantile),
+                )
+            family.add_sample(f'{_LATENCY}_count', labels, latency.count)
+            family.add_sample(f'{_LATENCY}_sum', labels, latency.sum_s)
+        return family
+
+    def _gauges(self) -> Iterator[Metric]:
+        for name, read in self._metrics.gauges.items():
+            family = GaugeMetricFamily(f'verbenadeck_{name}', name)
+            family.add_metric((), _read(name, read))
+            yield family
+
+
+def _read(name: str, read: Callable[[], float]) -> float:
+    """Return a gauge; a broken one must not hide all the others."""
+    try:
+        return read()
+    except Exception as error:
+        _log.warning('gauge {} failed: {!r}', name, error)
+        return math.nan
--- /dev/null
+++ b/verbenadeck/metrics/_registry.py
@@ -0,0 +1,173 @@
+"""Counters and latency histograms of a node, with bounded label sets."""
+
+import re
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from returns.result import Success
+
+from verbenadeck.model import AnswerResult, Refusal, ServiceName, Zone
+
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+_SIGNIFICANT_DIGITS = 2
+_US_PER_S = 1_000_000
+_MAX_SERVICES = 32
+_MAX_NAMES = 256
+_NAME = re.compile('[a-z][a-z0-9_]{0,80}')
+_OTHER = 'other'
+
+
+class OutcomeLabel(NamedTuple):
+    """Outcome of a request as metrics show it."""
+
+    outcome: str
+    reason: str
+
+
+class LatencyLabels(NamedTuple):
+    """Labels of one latency histogram."""
+
+    service: str
+    zone: str
+    outcome: str
+
+
+class RequestLabels(NamedTuple):
+    """Labels of one request counter."""
+
+    service: str
+    zone: str
+    outcome: str
+    reason: str
+
+
+class Latency:
+    """Latency histogram from a microsecond to ten minutes, to 1%."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(
+            _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
+        )
+        self.sum_s = 0.0
+
+    def record(self, latency_s: float) -> None:
+        """Count one latency; times out of range count at the limit."""
+        latency_us = int(latency_s * _US_PER_S)
+        bounded_us = min(max(latency_us, _LOWEST_US), _HIGHEST_US)
+        self._histogram.record_value(bounded_us)
+        self.sum_s += latency_s
+
+    @property
+    def count(self) -> int:
+        """Number of recorded latencies."""
+        return int(self._histogram.total_count)
+
+    def quantile_s(self, quantile: float) -> float:
+        """Return a quantile in seconds, 0 when nothing was recorded.
+
+        Examples
+        --------
+        >>> latency = Latency()
+        >>> for latency_ms in range(1, 101):
+        ...     latency.record(latency_ms / 1000)
+        >>> round(latency.quantile_s(0.5), 3)
+        0.05
+        """
+        percentile = quantile * 100
+        found_us = self._histogram.get_value_at_percentile(percentile)
+        return float(found_us) / _US_PER_S
+
+
+class Metrics:
+    """Metrics of a node.
+
+    Callers' requests are counted by service, zone of the entry, outcome
+    and reason. Label sets are bounded: names come from the configuration
+    and enums, services beyond a limit share one label, and names and
+    kinds of other counters are fixed in code.
+
+    Parameters
+    ----------
+    zone : Zone
+        Zone of this node.
+    known_services : callable
+        Returns the names of the configured services; a request that names
+        another one is counted under `other`.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: Zone,
+        known_services: Callable[[], Collection[ServiceName]],
+    ) -> None:
+        self.requests: dict[RequestLabels, int] = {}
+        self.latencies: dict[LatencyLabels, Latency] = {}
+        self.counters: dict[str, int] = {}
+        self.gauges: dict[str, Callable[[], float]] = {}
+        self._zone = zone
+        self._known_services = known_services
+
+    def observe(
+        self, service: ServiceName, result: AnswerResult, latency_s: float
+    ) -> None:
+        """Count a caller's request with its result and latency."""
+        refusal = None if isinstance(result, Success) else result.failure()
+        label = outcome_label(refusal)
+        name = self._service_label(service)
+        labels = RequestLabels(name, self._zone, *label)
+        self.requests[labels] = self.requests.get(labels, 0) + 1
+        series = LatencyLabels(name, self._zone, label.outcome)
+        if series not in self.latencies:
+            self.latencies[series] = Latency()
+        self.latencies[series].record(latency_s)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter; names are literals in the code.
+
+        Raises
+        ------
+        ValueError
+            When the name is malformed or there are too many.
+        """
+        if name not in self.counters:
+            _check_name(name, self.counters)
+            self.counters[name] = 0
+        self.counters[name] += amount
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Register a gauge that is read when metrics are served.
+
+        Raises
+        ------
+        ValueError
+            When the name is malformed or there are too many.
+        """
+        _check_name(name, self.gauges)
+        self.gauges[name] = read
+
+    def _service_label(self, service: ServiceName) -> str:
+        known = self._known_services()
+        if service in known and len(known) <= _MAX_SERVICES:
+            return service
+        return _OTHER
+
+
+def _check_name(name: str, taken: Collection[str]) -> None:
+    if _NAME.fullmatch(name) is None or len(taken) >= _MAX_NAMES:
+        raise ValueError(f'bad metric name or too many: {name}')
+
+
+def outcome_label(refusal: Refusal | None) -> OutcomeLabel:
+    """Return the labels of a refusal, or of an answer.
+
+    Examples
+    --------
+    >>> outcome_label(None)
+    OutcomeLabel(outcome='answered', reason='')
+    """
+    if refusal is None:
+        return OutcomeLabel('answered', '')
+    return OutcomeLabel(refusal.outcome.value, refusal.reason.value)
--- /dev/null
+++ b/verbenadeck/metrics/tests/test_metrics.py
@@ -0,0 +1,92 @@
+import math
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+from returns.result import Failure, Success
+
+from verbenadeck.metrics import Metrics, make_exposition
+from verbenadeck.model import (
+    Answer,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    ServiceName,
+    Zone,
+)
+
+_SUVA = Zone('suva')
+_CATALOGUE = ServiceName('catalogue')
+
+
+def _metrics() -> Metrics:
+    return Metrics(zone=_SUVA, known_services=lambda: (_CATALOGUE,))
+
+
+def _samples(metrics: Metrics) -> dict[tuple[str, str], float]:
+    text = make_exposition(metrics)().decode()
+    return {
+        (
+            sample.name,
+            ' '.join(sample.labels[one] for one in sorted(sample.labels)),
+        ): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def test_requests_count_by_service_zone_outcome_and_reason() -> None:
+    metrics = _metrics()
+    refusal = Refusal(Outcome.NOT_RUN, RefusalReason.SHED)
+    metrics.observe(_CATALOGUE, Success(Answer(200)), 0.01)
+    metrics.observe(_CATALOGUE, Failure(refusal), 0.002)
+    metrics.observe(_CATALOGUE, Failure(refusal), 0.002)
+    samples = _samples(metrics)
+    name = 'verbenadeck_requests_total'
+    assert samples[name, 'answered  catalogue suva'] == 1
+    assert samples[name, 'not-run shed catalogue suva'] == 2
+
+
+def test_latency_quantiles_keep_to_one_percent() -> None:
+    metrics = _metrics()
+    for latency_ms in range(1, 1001):
+        answered = Success(Answer(200))
+        metrics.observe(_CATALOGUE, answered, latency_ms / 1000)
+    samples = _samples(metrics)
+    name = 'verbenadeck_request_seconds'
+    found_s = samples[name, 'answered 0.99 catalogue suva']
+    assert math.isclose(found_s, 0.99, rel_tol=0.01)
+    assert samples[f'{name}_count', 'answered catalogue suva'] == 1000
+    assert math.isclose(
+        samples[f'{name}_sum', 'answered catalogue suva'], 500.5
+    )
+
+
+def test_unknown_services_share_one_label() -> None:
+    metrics = _metrics()
+    for index in range(1000):
+        name = ServiceName(f'guess-{index}')
+        metrics.observe(name, Success(Answer(200)), 0.01)
+    assert len(metrics.requests) == 1
+    assert len(metrics.latencies) == 1
+
+
+def test_latencies_out_of_range_do_not_raise() -> None:
+    metrics = _metrics()
+    for latency_s in (0.0, -1.0, 1e9):
+        metrics.observe(_CATALOGUE, Success(Answer(200)), latency_s)
+    assert [one.count for one in metrics.latencies.values()] == [3]
+
+
+def test_a_broken_gauge_hides_no_other() -> None:
+    metrics = _metrics()
+    metrics.gauge('broken', lambda: math.sqrt(-1))
+    metrics.gauge('owned_shards', lambda: 12)
+    samples = _samples(metrics)
+    assert samples['verbenadeck_owned_shards', ''] == 12
+    assert math.isnan(samples['verbenadeck_broken', ''])
+
+
+@pytest.mark.parametrize('name', ['', 'Bad', 'a-b', 'a b', 'a\n'])
+def test_malformed_names_are_refused(name: str) -> None:
+    with pytest.raises(ValueError, match='bad metric name'):
+        _metrics().count(name)
