--- a/verbenadeck/door/__init__.py
+++ b/verbenadeck/door/__init__.py
@@ -1,5 +1,38 @@
 """Door: admission, limits, queue, request ledger and drain."""
 
+from verbenadeck.door._door import UpstreamDoor
+from verbenadeck.door._ledger import Ledger
+from verbenadeck.door._limit import (
+    Adapt,
+    ConcurrencyLimit,
+    gradient_limit,
+)
+from verbenadeck.door._messages import (
+    MESSAGES,
+    Cancel,
+    Forward,
+    ForwardAnswer,
+)
+from verbenadeck.door._policy import PolicyReader, effective_policy
 from verbenadeck.door._port import Door, DoorLoad
+from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
 
-__all__ = ('Door', 'DoorLoad')
+__all__ = (
+    'MESSAGES',
+    'Adapt',
+    'Cancel',
+    'ConcurrencyLimit',
+    'Door',
+    'DoorLoad',
+    'Forward',
+    'ForwardAnswer',
+    'Ledger',
+    'PolicyReader',
+    'UpstreamDoor',
+    'effective_policy',
+    'gradient_limit',
+    'not_run',
+    'refusal_of',
+    'refuse',
+    'unknown',
+)
--- /dev/null
+++ b/verbenadeck/door/_admission.py
@@ -0,0 +1,203 @@
+"""Path of one request through the door."""
+
+import asyncio
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from verbenadeck.door._ledger import Entry, EntryState
+from verbenadeck.door._parts import Parts
+from verbenadeck.door._pipeline import Pipeline
+from verbenadeck.door._poison import fingerprint_of
+from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
+from verbenadeck.door._runs import NO_SHARD, Run
+from verbenadeck.fleet import shard_of
+from verbenadeck.model import (
+    AnswerResult,
+    AttemptId,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Request,
+    ServicePolicy,
+)
+
+_log = logger.bind(part='door')
+
+
+class Admission:
+    """Admits requests, each of which runs at most once per attempt.
+
+    Parameters
+    ----------
+    parts : Parts
+        Parts of the door.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._clock = parts.around.clock
+        self._pipeline = Pipeline(parts)
+        self._gate = parts.gate
+        self._runs = parts.runs
+        self._ledger = parts.ledger
+
+    async def admit(
+        self, attempt_id: AttemptId, request: Request
+    ) -> AnswerResult:
+        """Answer a request, or join its run, or repeat its kept answer."""
+        if self._runs.is_buried(attempt_id):
+            return refuse(
+                not_run(RefusalReason.CANCELLED, 'the attempt was given up')
+            )
+        result = await self._find_or_run(attempt_id, request)
+        refusal = refusal_of(result)
+        if refusal is not None:
+            self._note_refusal(attempt_id, request, refusal)
+        return result
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Give up an attempt that nobody waits for."""
+        run = self._runs.find(attempt_id)
+        if run is None:
+            self._runs.bury(attempt_id)
+        else:
+            self._pipeline.abandon(run)
+
+    async def _find_or_run(
+        self, attempt_id: AttemptId, request: Request
+    ) -> AnswerResult:
+        run = self._runs.find(attempt_id)
+        if run is not None:
+            return await self._join(run, request)
+        policy = self._gate.policy
+        if policy is None:
+            return refuse(self._unready_refusal(request))
+        shard = _shard_of(request, policy)
+        if request.is_repeatable:
+            return await self._run_inline(Run(attempt_id, request, shard))
+        return await self._run_once(attempt_id, request, shard)
+
+    async def _run_inline(self, run: Run) -> AnswerResult:
+        refusal = self._gate.refusal(run.request, run.shard)
+        if refusal is not None:
+            return refuse(refusal)
+        self._runs.add(run)
+        result = refuse(
+            unknown(RefusalReason.CANCELLED, 'the run was given up')
+        )
+        try:
+            result = await self._pipeline.run(run)
+        finally:
+            self._runs.remove(run)
+            run.settle(result)
+        return result
+
+    async def _run_once(
+        self, attempt_id: AttemptId, request: Request, shard: int
+    ) -> AnswerResult:
+        now_s = self._clock.now_s()
+        fingerprint = fingerprint_of(request)
+        entry = self._ledger.find(request.request_id, now_s=now_s)
+        if entry is not None:
+            return await self._repeat(entry, fingerprint, request)
+        refusal = self._gate.refusal(request, shard)
+        if refusal is not None:
+            return refuse(refusal)
+        entry = self._ledger.open(
+            request.request_id, fingerprint, shard, now_s=now_s
+        )
+        if entry is None:
+            return refuse(
+                not_run(
+                    RefusalReason.QUEUE_FULL,
+                    'the request ledger is full',
+                    retry_after_s=1,
+                )
+            )
+        run = Run(attempt_id, request, shard)
+        run.waiting = 0
+        entry.run = run
+        self._runs.add(run)
+        run.task = asyncio.create_task(self._run_entry(run, entry))
+        return await self._join(run, request)
+
+    async def _run_entry(self, run: Run, entry: Entry) -> None:
+        result = refuse(unknown(RefusalReason.CANCELLED, 'the door stopped'))
+        try:
+            result = await self._pipeline.run(run)
+        finally:
+            self._close_entry(entry, result)
+            self._runs.remove(run)
+            run.settle(result)
+
+    def _close_entry(self, entry: Entry, result: AnswerResult) -> None:
+        entry.run = None
+        expires_at_s = self._clock.now_s() + self._parts.keep_s()
+        match result:
+            case Success(answer):
+                self._ledger.keep(entry, answer, expires_at_s=expires_at_s)
+            case Failure(Refusal(outcome=Outcome.NOT_RUN)):
+                self._ledger.drop(entry)
+            case Failure(Refusal(reason=RefusalReason.LEDGER_LOST)):
+                self._ledger.drop(entry)
+            case _:
+                self._ledger.keep(entry, None, expires_at_s=expires_at_s)
+
+    async def _repeat(
+        self, entry: Entry, fingerprint: int, request: Request
+    ) -> AnswerResult:
+        if entry.fingerprint != fingerprint:
+            return refuse(
+                not_run(
+                    RefusalReason.BAD_REQUEST,
+                    'the idempotency key belongs to another request',
+                )
+            )
+        if entry.state is EntryState.RUNNING and entry.run is not None:
+            return await self._join(entry.run, request)
+        return entry.result()
+
+    async def _join(self, run: Run, request: Request) -> AnswerResult:
+        run.waiting += 1
+        left_s = self._clock.remaining_s(request.deadline_s)
+        joined = run.joined()
+        try:
+            async with asyncio.timeout(left_s):
+                return await asyncio.shield(joined)
+        except TimeoutError:
+            return refuse(
+                unknown(RefusalReason.DEADLINE, 'it still runs at the deadline')
+            )
+        finally:
+            run.waiting -= 1
+            if run.waiting == 0 and not joined.done():
+                self._pipeline.abandon(run)
+
+    def _unready_refusal(self, request: Request) -> Refusal:
+        refusal = self._gate.refusal(request, NO_SHARD)
+        return refusal or not_run(
+            RefusalReason.NO_CONFIG, 'the service has no policy yet'
+        )
+
+    def _note_refusal(
+        self, attempt_id: AttemptId, request: Request, refusal: Refusal
+    ) -> None:
+        if refusal.outcome is Outcome.NOT_RUN:
+            self._runs.bury(attempt_id)
+        _log.info(
+            'refused {} {}: {} {}, {}',
+            request.service,
+            request.request_id,
+            refusal.outcome.value,
+            refusal.reason.value,
+            refusal.detail,
+        )
+
+
+def _shard_of(request: Request, policy: ServicePolicy) -> int:
+    if policy.is_keyed:
+        return shard_of(request.key or '', policy.shard_count)
+    if request.is_repeatable:
+        return NO_SHARD
+    return shard_of(request.request_id, policy.shard_count)
--- /dev/null
+++ b/verbenadeck/door/_crashes.py
@@ -0,0 +1,98 @@
+"""Attributes crashes of the upstream to requests."""
+
+import asyncio
+
+from loguru import logger
+
+from verbenadeck.door._messages import PoisonNotice
+from verbenadeck.door._poison import Quarantine, fingerprint_of
+from verbenadeck.door._runs import Run
+from verbenadeck.fleet import FleetView
+from verbenadeck.model import NodeId
+from verbenadeck.peers import PeerAddress, PeerPort
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='door')
+
+_CRASH_WINDOW_S = 10.0
+_NOTICE_DELAYS_S = (0.0, 0.5, 1.5)
+
+
+class CrashWatch:
+    """Attributes crashes of the upstream to the requests it was running.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        Name of this node, which gets no notice of its own.
+    fleet : FleetView
+        Members that are told.
+    peers : PeerPort
+        Way to them.
+    clock : Clock
+        Clock of this VM.
+    quarantine : Quarantine
+        Where suspects are kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        fleet: FleetView,
+        peers: PeerPort,
+        clock: Clock,
+        quarantine: Quarantine,
+    ) -> None:
+        self._node_id = node_id
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._quarantine = quarantine
+        self._broken: list[tuple[float, Run]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def on_broken(self, run: Run) -> None:
+        """Remember a run that ended without an answer."""
+        oldest_s = self._clock.now_s() - _CRASH_WINDOW_S
+        self._broken = [one for one in self._broken if one[0] >= oldest_s]
+        self._broken.append((self._clock.now_s(), run))
+
+    def on_crash(self, crash_id: str, running: tuple[Run, ...]) -> None:
+        """Mark what ran when a life of the upstream ended."""
+        oldest_s = self._clock.now_s() - _CRASH_WINDOW_S
+        broken = [run for at_s, run in self._broken if at_s >= oldest_s]
+        self._broken.clear()
+        suspects = [run for run in running if run.is_sent] + broken
+        if not suspects:
+            return
+        fingerprints = tuple({fingerprint_of(one.request) for one in suspects})
+        self.take(PoisonNotice(fingerprints, crash_id))
+        _log.warning(
+            'crash of {}: {} requests are suspect',
+            crash_id,
+            len(fingerprints),
+        )
+        notice = PoisonNotice(fingerprints, crash_id)
+        task = asyncio.create_task(self._tell(notice))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def take(self, notice: PoisonNotice) -> None:
+        """Mark the requests of a notice."""
+        now_s = self._clock.now_s()
+        for fingerprint in notice.fingerprints:
+            self._quarantine.mark(fingerprint, notice.crash_id, now_s=now_s)
+
+    async def _tell(self, notice: PoisonNotice) -> None:
+        for delay_s in _NOTICE_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            for address in self._others():
+                self._peers.notify(address, notice)
+
+    def _others(self) -> list[PeerAddress]:
+        return [
+            member.address
+            for member in self._fleet.members.values()
+            if member.node_id != self._node_id
+        ]
--- /dev/null
+++ b/verbenadeck/door/_door.py
@@ -0,0 +1,167 @@
+"""Door: the only sender to the upstream beside this node."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from verbenadeck.adapters import UpstreamAdapter
+from verbenadeck.door._admission import Admission
+from verbenadeck.door._endpoint import Endpoint
+from verbenadeck.door._handover import Handover
+from verbenadeck.door._ledger import Ledger
+from verbenadeck.door._limit import Adapt, gradient_limit
+from verbenadeck.door._monitor import UpstreamMonitor
+from verbenadeck.door._parts import Parts, Surroundings
+from verbenadeck.door._port import DoorLoad
+from verbenadeck.door._refusals import not_run
+from verbenadeck.fleet import FleetView
+from verbenadeck.lease import OwnershipView
+from verbenadeck.model import (
+    AnswerResult,
+    AttemptId,
+    Incarnation,
+    NodeId,
+    RefusalReason,
+    Request,
+    Zone,
+)
+from verbenadeck.peers import PeerPort
+from verbenadeck.records import ReleasedRange
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='door')
+_POLL_S = 0.01
+_DRAIN_S = 15.0
+
+
+class UpstreamDoor:
+    """Admits requests to the upstream beside this node.
+
+    It implements `Door` for routers and `DoorHandover` for planned moves.
+
+    Parameters
+    ----------
+    node_id, zone : str
+        Place of the door.
+    incarnation : callable returning Incarnation
+        Incarnation of this node, `NO_MEMBER` before it has joined.
+    upstream : UpstreamAdapter
+        The upstream.
+    ownership : OwnershipView
+        Leases of this node.
+    fleet : FleetView
+        Members, shards and configuration.
+    peers : PeerPort
+        Way to other nodes; handlers are registered at once.
+    clock : Clock
+        Clock of this VM.
+    random_source : random.Random
+        Source of jitter.
+    ledger : Ledger or None
+        Request ledger; None makes one with the default bounds.
+    adapt : Adapt
+        Step of the adaptive concurrency limit.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        zone: Zone,
+        incarnation: Callable[[], Incarnation],
+        upstream: UpstreamAdapter,
+        ownership: OwnershipView,
+        fleet: FleetView,
+        peers: PeerPort,
+        clock: Clock,
+        random_source: random.Random,
+        ledger: Ledger | None = None,
+        adapt: Adapt = gradient_limit,
+    ) -> None:
+        around = Surroundings(
+            node_id=node_id,
+            zone=zone,
+            incarnation=incarnation,
+            upstream=upstream,
+            ownership=ownership,
+            fleet=fleet,
+            peers=peers,
+            clock=clock,
+            random_source=random_source,
+        )
+        self._clock = clock
+        self._parts = Parts(around, ledger=ledger or Ledger(), adapt=adapt)
+        self._admission = Admission(self._parts)
+        self._handover = Handover(self._parts)
+        self._monitor = UpstreamMonitor(self._parts)
+        endpoint = Endpoint(self._parts, door=self, admission=self._admission)
+        endpoint.register(peers)
+
+    @property
+    def load(self) -> DoorLoad:
+        """Load of the door now."""
+        parts = self._parts
+        return DoorLoad(
+            parts.slots.in_use,
+            parts.slots.queued,
+            parts.limit.limit,
+            parts.limit.service_time_s,
+            parts.gate.is_admitting,
+        )
+
+    async def start(self) -> None:
+        """Follow the log and the upstream's reports."""
+        self._parts.history.start()
+        await self._monitor.start()
+
+    async def stop(self) -> None:
+        """Drain, then stop."""
+        deadline_s = self._clock.now_s() + _DRAIN_S
+        await self.drain(deadline_s=deadline_s)
+        await self._monitor.stop()
+
+    async def drain(self, *, deadline_s: float) -> None:
+        """Refuse new work and wait until what was admitted has ended.
+
+        Requests that still wait for a slot at the deadline are refused as
+        not run; those that run are waited for until their own deadlines.
+        """
+        parts = self._parts
+        if parts.gate.is_draining:
+            return
+        parts.gate.is_draining = True
+        _log.info('draining {} requests', len(parts.runs))
+        while len(parts.runs) and self._clock.now_s() < deadline_s:
+            await asyncio.sleep(_POLL_S)
+        parts.slots.refuse(
+            not_run(RefusalReason.DRAINING, 'the node is leaving'),
+            shards=None,
+        )
+        while len(parts.runs):
+            await asyncio.sleep(_POLL_S)
+        await parts.around.upstream.drain()
+        _log.info('drained')
+
+    async def admit(
+        self, attempt_id: AttemptId, request: Request
+    ) -> AnswerResult:
+        """Answer a request; the same attempt or id never runs twice."""
+        return await self._admission.admit(attempt_id, request)
+
+    async def cancel(self, attempt_id: AttemptId) -> None:
+        """Give up an attempt that nobody waits for."""
+        self._admission.cancel(attempt_id)
+
+    async def close_shards(
+        self, moved: tuple[ReleasedRange, ...], *, deadline_s: float
+    ) -> bytes:
+        """Stop admitting shards and return their ledger entries."""
+        return await self._handover.close(moved, deadline_s=deadline_s)
+
+    def open_shards(
+        self, moved: tuple[ReleasedRange, ...], entries: bytes | None
+    ) -> None:
+        """Admit shards again with the earlier owner's ledger entries."""
+        self._handover.open(moved, entries)
--- /dev/null
+++ b/verbenadeck/door/_limit.py
@@ -0,0 +1,154 @@
+"""Concurrency limit of a door: slots, cold start and adaptation."""
+
+import math
+from collections.abc import Callable
+
+_SHORT_WEIGHT = 0.1
+_LONG_WEIGHT = 0.005
+_FIRST_SERVICE_TIME_S = 0.05
+_JUMP_RATIO = 4.0
+_JUMP_SAMPLES = 16
+_JUMP_CUT = 4
+_SLOW_START_STEP = 0.5
+_CAUTION_S = 2.0
+_LEAST_GRADIENT = 0.5
+_TOLERANCE = 1.5
+_SMOOTHING = 0.2
+
+Adapt = Callable[[float, float, float], float]
+"""From limit, short and long service time in seconds to the next limit."""
+
+
+def gradient_limit(limit: float, short_s: float, long_s: float) -> float:
+    """Return the next limit from the ratio of long to short service time.
+
+    Examples
+    --------
+    >>> gradient_limit(10, 0.05, 0.05) > 10
+    True
+    >>> gradient_limit(10, 0.5, 0.05) < 10
+    True
+    """
+    gradient = max(_LEAST_GRADIENT, min(1.0, _TOLERANCE * long_s / short_s))
+    target = limit * gradient + math.sqrt(limit)
+    return limit + _SMOOTHING * (target - limit) / limit
+
+
+class ConcurrencyLimit:
+    """Requests that a door may run at once.
+
+    The limit is the least of four: the slots that the upstream announced,
+    what it says it can bear, a ramp that starts low after each sign of a
+    cold upstream, and an adaptive limit that follows service times.
+
+    Parameters
+    ----------
+    adapt : Adapt
+        Step of the adaptive limit.
+    """
+
+    def __init__(self, *, adapt: Adapt = gradient_limit) -> None:
+        self.slots = 0
+        self.service_time_s = _FIRST_SERVICE_TIME_S
+        self._long_s = _FIRST_SERVICE_TIME_S
+        self._samples = 0
+        self._adapt = adapt
+        self._bearable = 0
+        self._ramp = 0.0
+        self._safe_ramp = 0.0
+        self._adaptive = 0.0
+        self._cut_at_s = -math.inf
+        self._caution_until_s = -math.inf
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at once now."""
+        if self._bearable == 0:
+            return 0
+        low = min(self.slots, self._bearable, self._ramp, self._adaptive)
+        return max(1, int(low))
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether something other than slots and adaptation limits."""
+        return min(self._bearable, self._ramp) < self.slots
+
+    def announce(self, slots: int, bearable: int, *, now_s: float) -> None:
+        """Start over with a new life of the upstream."""
+        self.slots = slots
+        self._bearable = max(0, min(slots, bearable))
+        self._ramp = float(max(1, self._bearable))
+        self._safe_ramp = float(slots)
+        self._adaptive = float(slots)
+        self._samples = 0
+        self._cut_at_s = now_s
+        self._caution_until_s = -math.inf
+
+    def report(self, bearable: int, *, is_healthy: bool, now_s: float) -> None:
+        """Take a report; it lowers the limit at once, raises it carefully."""
+        stated = max(0, min(self.slots, bearable))
+        if not is_healthy:
+            stated = min(stated, 1)
+        if stated < self._bearable:
+            self._cut_to(stated, now_s)
+        elif now_s >= self._caution_until_s:
+            self._bearable = stated
+
+    def shed(
+        self, bearable: int | None, *, sent_at_s: float, now_s: float
+    ) -> None:
+        """Take an answer that says the upstream had too much."""
+        if bearable is not None:
+            self._caution_until_s = now_s + _CAUTION_S
+            if bearable < self._bearable:
+                self._cut_to(max(0, bearable), now_s)
+                return
+        if sent_at_s > self._cut_at_s:
+            self._cut_ramp(min(self._ramp, self.limit) / 2, now_s)
+
+    def answer(self, service_time_s: float, *, now_s: float) -> None:
+        """Take the service time of a complete answer."""
+        self._measure(service_time_s)
+        if self._has_jumped():
+            self._samples = 0
+            self._long_s = self.service_time_s
+            self._cut_ramp(self.limit / _JUMP_CUT, now_s)
+            return
+        self._grow()
+        self._adaptive = min(
+            float(self.slots),
+            self._adapt(self._adaptive, self.service_time_s, self._long_s),
+        )
+
+    def _measure(self, service_time_s: float) -> None:
+        if self._samples == 0:
+            self.service_time_s = service_time_s
+            self._long_s = service_time_s
+        self._samples += 1
+        weight = max(1 / self._samples, _SHORT_WEIGHT)
+        self.service_time_s += weight * (service_time_s - self.service_time_s)
+        weight = max(1 / self._samples, _LONG_WEIGHT)
+        self._long_s += weight * (service_time_s - self._long_s)
+
+    def _has_jumped(self) -> bool:
+        if self._samples < _JUMP_SAMPLES:
+            return False
+        return self.service_time_s > _JUMP_RATIO * self._long_s
+
+    def _grow(self) -> None:
+        ceiling = float(self.slots)
+        if self._ramp >= ceiling:
+            return
+        step = _SLOW_START_STEP
+        if self._ramp >= self._safe_ramp:
+            step /= self._ramp
+        self._ramp = min(ceiling, self._ramp + step, 2.0 * self._bearable)
+
+    def _cut_to(self, bearable: int, now_s: float) -> None:
+        self._bearable = bearable
+        self._cut_ramp(float(bearable), now_s)
+
+    def _cut_ramp(self, ramp: float, now_s: float) -> None:
+        self._ramp = max(1.0, ramp)
+        self._safe_ramp = self._ramp
+        self._cut_at_s = now_s
--- /dev/null
+++ b/verbenadeck/door/_monitor.py
@@ -0,0 +1,94 @@
+"""Follows the life, health and crashes of the upstream."""
+
+import asyncio
+
+from loguru import logger
+from returns.result import Success
+
+from verbenadeck.adapters import Announcement, LoadReport
+from verbenadeck.door._parts import Parts
+
+_log = logger.bind(part='door')
+
+_REPORT_EVERY_S = 0.5
+_JITTER = 0.2
+
+
+class UpstreamMonitor:
+    """Feeds announcements and reports to the limit and finds crashes.
+
+    Parameters
+    ----------
+    parts : Parts
+        Parts of the door.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._upstream = parts.around.upstream
+        self._clock = parts.around.clock
+        self._random = parts.around.random_source
+        self._gate = parts.gate
+        self._limit = parts.limit
+        self._slots = parts.slots
+        self._sender = parts.sender
+        self._runs = parts.runs
+        self._crashes = parts.crashes
+        self._instance: str | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._upstream.on_announce(self._on_announce)
+
+    async def start(self) -> None:
+        """Start to poll reports."""
+        self._task = asyncio.create_task(self._poll())
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+
+    def _on_announce(self, announcement: Announcement) -> None:
+        self._gate.service = announcement.service
+        self._on_life(
+            announcement.instance,
+            announcement.slots,
+            announcement.bearable,
+        )
+
+    def _on_life(self, instance: str, slots: int, bearable: int) -> None:
+        if instance == self._instance:
+            self._limit.slots = slots
+            return
+        earlier = self._instance
+        self._instance = instance
+        _log.info(
+            'upstream {} came up, bears {} of {}', instance, bearable, slots
+        )
+        self._limit.announce(slots, bearable, now_s=self._clock.now_s())
+        if earlier is not None:
+            self._crashes.on_crash(earlier, self._runs.all())
+        self._sender.forget_held()
+        self._slots.pump()
+
+    async def _poll(self) -> None:
+        while True:
+            spread = 1 + _JITTER * (self._random.random() - 0.5)
+            await asyncio.sleep(_REPORT_EVERY_S * spread)
+            result = await self._upstream.report()
+            if isinstance(result, Success):
+                self._on_report(result.unwrap())
+
+    def _on_report(self, report: LoadReport) -> None:
+        if self._instance is None:
+            return
+        before = self._limit.limit
+        if report.instance != self._instance:
+            self._on_life(report.instance, self._limit.slots, report.bearable)
+        self._limit.report(
+            report.bearable,
+            is_healthy=report.is_healthy,
+            now_s=self._clock.now_s(),
+        )
+        if self._limit.limit != before:
+            _log.info('limit {} after a report', self._limit.limit)
+        self._slots.pump()
--- /dev/null
+++ b/verbenadeck/door/_once.py
@@ -0,0 +1,149 @@
+"""Makes sure, before it is sent, that a request can't run a second time."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from verbenadeck.door._copies import CopyClient
+from verbenadeck.door._history import WitnessSet
+from verbenadeck.door._ledger import KeptEntry
+from verbenadeck.door._messages import LedgerCopy
+from verbenadeck.door._refusals import not_run, unknown
+from verbenadeck.door._runs import Run
+from verbenadeck.door._takeovers import Takeovers
+from verbenadeck.fleet import FleetView
+from verbenadeck.model import (
+    AttemptId,
+    Incarnation,
+    Refusal,
+    RefusalReason,
+    RequestId,
+    Shard,
+)
+
+_log = logger.bind(part='door')
+_HANDOVER_TOKEN = AttemptId('handover')
+
+
+class OnceGuard:
+    """Asks about earlier owners' runs and leaves copies with witnesses.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Witness sets.
+    incarnation : callable returning Incarnation
+        This node's incarnation.
+    copies : CopyClient
+        Way to the witnesses.
+    takeovers : Takeovers
+        Shards whose earlier owner was lost.
+    keep_s : callable returning float
+        Time in seconds for which copies stay.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetView,
+        incarnation: Callable[[], Incarnation],
+        copies: CopyClient,
+        takeovers: Takeovers,
+        keep_s: Callable[[], float],
+    ) -> None:
+        self._fleet = fleet
+        self._incarnation = incarnation
+        self._copies = copies
+        self._takeovers = takeovers
+        self._keep_s = keep_s
+
+    async def refusal(self, run: Run) -> Refusal | None:
+        """Return why a request must not be sent, None when it may be.
+
+        `UNKNOWN` stands for a request that an earlier owner may have run.
+        """
+        earlier = await self._earlier_refusal(run)
+        if earlier is not None:
+            return earlier
+        witnesses = self._witnesses()
+        if not witnesses:
+            return None
+        is_left = await self._copies.leave(
+            witnesses,
+            self._copy((run.request.request_id,), run.attempt_id),
+            deadline_s=run.request.deadline_s,
+        )
+        if is_left:
+            return None
+        return not_run(
+            RefusalReason.LEDGER_LOST,
+            'too few witnesses keep a copy of the ledger entry',
+        )
+
+    def withdraw(self, run: Run) -> None:
+        """Take the copies back: the request did not run."""
+        witnesses = self._witnesses()
+        if witnesses:
+            self._copies.withdraw(
+                witnesses, run.request.request_id, run.attempt_id
+            )
+
+    async def copy_to_new_owners(
+        self, entries: list[KeptEntry], *, deadline_s: float
+    ) -> None:
+        """Leave copies with the witnesses of those who get the entries.
+
+        So a loss of the new owner right after the move loses nothing.
+        """
+        by_set: dict[WitnessSet, list[RequestId]] = {}
+        for entry in entries:
+            witnesses = self._new_witnesses(entry.shard)
+            by_set.setdefault(witnesses, []).append(entry.request_id)
+        for witnesses, request_ids in by_set.items():
+            is_left = await self._copies.leave(
+                witnesses,
+                self._copy(tuple(request_ids), _HANDOVER_TOKEN),
+                deadline_s=deadline_s,
+            )
+            if not is_left:
+                _log.warning('no copies of {} entries', len(request_ids))
+
+    async def _earlier_refusal(self, run: Run) -> Refusal | None:
+        request_id = run.request.request_id
+        owners = self._takeovers.sets_to_ask(request_id, run.shard)
+        if owners is None:
+            return None
+        was_left = None
+        if owners:
+            was_left = await self._copies.was_left(
+                [one for sets in owners for one in sets],
+                request_id,
+                asker=self._incarnation(),
+                deadline_s=run.request.deadline_s,
+            )
+        if was_left is False:
+            return None
+        detail = (
+            'an earlier owner was lost and may have run it'
+            if was_left
+            else 'no witness can tell whether an earlier owner ran it'
+        )
+        return unknown(RefusalReason.LEDGER_LOST, detail)
+
+    def _witnesses(self) -> WitnessSet:
+        member = self._fleet.members.get(self._incarnation())
+        return () if member is None else member.witnesses
+
+    def _new_witnesses(self, shard: int) -> WitnessSet:
+        me = self._fleet.members.get(self._incarnation())
+        if me is None:
+            return ()
+        owner = self._fleet.shard(me.service, Shard(shard)).owner
+        member = self._fleet.members.get(owner)
+        return () if member is None else member.witnesses
+
+    def _copy(
+        self, request_ids: tuple[RequestId, ...], token: AttemptId
+    ) -> LedgerCopy:
+        owner = self._incarnation()
+        return LedgerCopy(owner, owner, request_ids, token, self._keep_s())
--- /dev/null
+++ b/verbenadeck/door/_pipeline.py
@@ -0,0 +1,134 @@
+"""From admission to the answer of the upstream."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from verbenadeck.adapters import Order
+from verbenadeck.door._parts import Parts
+from verbenadeck.door._poison import fingerprint_of
+from verbenadeck.door._refusals import not_run, refusal_of, refuse
+from verbenadeck.door._runs import NO_SHARD, Run
+from verbenadeck.lease import Permit
+from verbenadeck.model import (
+    NO_FENCE,
+    AnswerResult,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Shard,
+)
+
+_LEASE_MARGIN_S = 0.05
+
+
+class Pipeline:
+    """Takes an admitted request through ownership, queue and upstream.
+
+    Parameters
+    ----------
+    parts : Parts
+        Parts of the door.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._clock = parts.around.clock
+        self._ownership = parts.around.ownership
+        self._gate = parts.gate
+        self._slots = parts.slots
+
+    async def run(self, run: Run) -> AnswerResult:
+        """Return the answer, or why there is none."""
+        refusal = await self._prepare(run)
+        if refusal is None:
+            refusal = await self._slots.acquire(run.waiter)
+        if refusal is not None:
+            return self._end_unsent(run, refusal)
+        order = self._order(run)
+        match order:
+            case Success(ready):
+                return await self._send(run, ready)
+            case Failure(late):
+                self._slots.release()
+                return self._end_unsent(run, late)
+        raise AssertionError('a result is a success or a failure')
+
+    async def _send(self, run: Run, order: Order) -> AnswerResult:
+        result = await self._parts.sender.send(run, order)
+        match result:
+            case Success(_):
+                if not self._parts.quarantine.is_empty:
+                    self._parts.quarantine.clear(fingerprint_of(run.request))
+            case Failure(Refusal(outcome=Outcome.NOT_RUN)):
+                self._withdraw(run)
+        return result
+
+    def _end_unsent(self, run: Run, refusal: Refusal) -> AnswerResult:
+        if refusal.outcome is Outcome.NOT_RUN:
+            self._withdraw(run)
+        return refuse(refusal)
+
+    def _withdraw(self, run: Run) -> None:
+        if not run.request.is_repeatable:
+            self._parts.once.withdraw(run)
+
+    async def _prepare(self, run: Run) -> Refusal | None:
+        refusal = await self._wait_permit(run)
+        if refusal is not None:
+            return refusal
+        policy = self._gate.policy
+        queue_limit = 0 if policy is None else policy.queue_limit
+        refusal = self._slots.full_refusal(run.request.deadline_s, queue_limit)
+        if refusal is None and not run.request.is_repeatable:
+            refusal = await self._parts.once.refusal(run)
+        return refusal
+
+    async def _wait_permit(self, run: Run) -> Refusal | None:
+        if run.shard == NO_SHARD:
+            return None
+        service, shard = run.request.service, Shard(run.shard)
+        refusal = refusal_of(self._ownership.permit(service, shard))
+        if refusal is None or refusal.reason is not RefusalReason.MOVING:
+            return refusal
+        waited = await self._ownership.wait_permit(
+            service, shard, deadline_s=run.request.deadline_s
+        )
+        return refusal_of(waited)
+
+    def _order(self, run: Run) -> Result[Order, Refusal]:
+        """Check all again that may have changed, right before sending."""
+        request = run.request
+        if run.is_abandoned:
+            return Failure(
+                not_run(RefusalReason.CANCELLED, 'nobody waits for it')
+            )
+        if self._clock.now_s() >= request.deadline_s:
+            return Failure(
+                not_run(RefusalReason.DEADLINE, 'the deadline has passed')
+            )
+        if run.shard == NO_SHARD:
+            return Success(Order(request, NO_FENCE, NO_SHARD))
+        refusal = self._gate.shard_refusal(run.shard)
+        if refusal is not None:
+            return Failure(refusal)
+        permit = self._ownership.permit(request.service, Shard(run.shard))
+        return permit.map(lambda given: self._fenced(run, given))
+
+    def _fenced(self, run: Run, permit: Permit) -> Order:
+        policy = self._gate.policy
+        request = run.request
+        if policy is None or not policy.is_keyed:
+            return Order(request, NO_FENCE, NO_SHARD)
+        end_s = permit.deadline_s - _LEASE_MARGIN_S
+        if not policy.checks_fences and end_s < request.deadline_s:
+            request = msgspec.structs.replace(request, deadline_s=end_s)
+        return Order(request, permit.fence, run.shard)
+
+    def abandon(self, run: Run) -> None:
+        """Stop a run that nobody waits for, if that is still possible."""
+        refusal = not_run(RefusalReason.CANCELLED, 'nobody waits for it')
+        if not run.is_sent:
+            run.is_abandoned = True
+            run.waiter.settle(refusal)
+        else:
+            self._parts.sender.cancel(run)
--- /dev/null
+++ b/verbenadeck/door/_sender.py
@@ -0,0 +1,168 @@
+"""Sends admitted requests to the upstream and keeps count of slots."""
+
+import asyncio
+from collections.abc import Callable
+from types import MappingProxyType
+
+from returns.result import Failure, Result, Success
+
+from verbenadeck.adapters import (
+    Order,
+    UpstreamAdapter,
+    UpstreamError,
+    UpstreamFailure,
+)
+from verbenadeck.door._limit import ConcurrencyLimit
+from verbenadeck.door._runs import Run
+from verbenadeck.door._slots import SlotQueue
+from verbenadeck.model import (
+    Answer,
+    AnswerResult,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
+from verbenadeck.utils import Clock
+
+_LEAST_HOLD_S = 0.2
+_MOST_HOLD_S = 5.0
+_HOLD_RATIO = 2.0
+_LATE_ANSWER_S = 5.0
+
+_FAILURES = MappingProxyType(
+    {
+        UpstreamFailure.NOT_SENT: (Outcome.NOT_RUN, RefusalReason.NO_UPSTREAM),
+        UpstreamFailure.REFUSED: (
+            Outcome.NOT_RUN,
+            RefusalReason.UPSTREAM_FAILED,
+        ),
+        UpstreamFailure.SHED: (Outcome.NOT_RUN, RefusalReason.SHED),
+        UpstreamFailure.FENCED: (Outcome.NOT_RUN, RefusalReason.NOT_OWNER),
+        UpstreamFailure.COLD: (Outcome.NOT_RUN, RefusalReason.COLD),
+        UpstreamFailure.BROKEN: (
+            Outcome.UNKNOWN,
+            RefusalReason.UPSTREAM_FAILED,
+        ),
+    }
+)
+_OVERLOADS = frozenset((UpstreamFailure.SHED, UpstreamFailure.COLD))
+_TIMED_OUT = UpstreamError(UpstreamFailure.BROKEN, 'no answer in time')
+
+
+class Sender:
+    """Sends orders and feeds the concurrency limit with what comes back.
+
+    A slot whose request ended without an answer stays in use for a while,
+    since the upstream may still be running it.
+
+    Parameters
+    ----------
+    upstream : UpstreamAdapter
+        The upstream.
+    clock : Clock
+        Clock of this VM.
+    limit : ConcurrencyLimit
+        Limit to feed.
+    slots : SlotQueue
+        Slots to give back.
+    on_broken : callable
+        Called with a run that ended without an answer before its deadline.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: UpstreamAdapter,
+        clock: Clock,
+        limit: ConcurrencyLimit,
+        slots: SlotQueue,
+        on_broken: Callable[[Run], None],
+    ) -> None:
+        self._upstream = upstream
+        self._clock = clock
+        self._limit = limit
+        self._slots = slots
+        self._on_broken = on_broken
+        self._held: set[asyncio.TimerHandle] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def send(self, run: Run, order: Order) -> AnswerResult:
+        """Send an order and give back the slot of its run."""
+        run.is_sent = True
+        run.sent_at_s = self._clock.now_s()
+        try:
+            result = await self._exchange(run, order)
+        except asyncio.CancelledError:
+            self._hold_slot()
+            self.cancel(run)
+            raise
+        match result:
+            case Success(answer):
+                return self._on_answer(run, answer)
+            case Failure(error):
+                return self._on_error(run, error)
+        raise AssertionError('a result is a success or a failure')
+
+    def cancel(self, run: Run) -> None:
+        """Ask the upstream to stop a request that may run again."""
+        if not run.request.is_repeatable:
+            return
+        request_id = run.request.request_id
+        task = asyncio.create_task(self._upstream.cancel(request_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def forget_held(self) -> None:
+        """Free the slots of requests that died with an earlier life."""
+        held = tuple(self._held)
+        self._held.clear()
+        for timer in held:
+            timer.cancel()
+            self._slots.release()
+
+    async def _exchange(
+        self, run: Run, order: Order
+    ) -> Result[Answer, UpstreamError]:
+        left_s = self._clock.remaining_s(order.request.deadline_s)
+        if not run.request.is_repeatable:
+            left_s += _LATE_ANSWER_S
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._upstream.send(order)
+        except TimeoutError:
+            self.cancel(run)
+            return Failure(_TIMED_OUT)
+
+    def _on_answer(self, run: Run, answer: Answer) -> AnswerResult:
+        now_s = self._clock.now_s()
+        self._limit.answer(now_s - run.sent_at_s, now_s=now_s)
+        self._slots.release()
+        return Success(answer)
+
+    def _on_error(self, run: Run, error: UpstreamError) -> AnswerResult:
+        now_s = self._clock.now_s()
+        if error.failure in _OVERLOADS:
+            self._limit.shed(
+                error.bearable, sent_at_s=run.sent_at_s, now_s=now_s
+            )
+        if error.failure is UpstreamFailure.BROKEN:
+            self._hold_slot()
+            if now_s < run.request.deadline_s:
+                self._on_broken(run)
+        else:
+            self._slots.release()
+        outcome, reason = _FAILURES[error.failure]
+        return Failure(
+            Refusal(outcome, reason, error.retry_after_s, error.detail)
+        )
+
+    def _hold_slot(self) -> None:
+        hold_s = _HOLD_RATIO * self._limit.service_time_s
+        hold_s = min(_MOST_HOLD_S, max(_LEAST_HOLD_S, hold_s))
+
+        def free() -> None:
+            self._held.discard(timer)
+            self._slots.release()
+
+        timer = asyncio.get_running_loop().call_later(hold_s, free)
+        self._held.add(timer)
--- /dev/null
+++ b/verbenadeck/door/_slots.py
@@ -0,0 +1,158 @@
+"""Slots of an upstream and the queue for them."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from verbenadeck.door._refusals import not_run
+from verbenadeck.model import Refusal, RefusalReason
+from verbenadeck.utils import Clock
+
+
+class Waiter:
+    """One request that waits for a slot.
+
+    Parameters
+    ----------
+    deadline_s : float
+        Moment after which no answer is of use.
+    """
+
+    __slots__ = ('deadline_s', 'future', 'shard')
+
+    def __init__(self, deadline_s: float, shard: int) -> None:
+        self.deadline_s = deadline_s
+        self.shard = shard
+        self.future: asyncio.Future[Refusal | None] | None = None
+
+    def settle(self, refusal: Refusal | None) -> bool:
+        """End the wait; false when it has ended already."""
+        if self.future is None or self.future.done():
+            return False
+        self.future.set_result(refusal)
+        return True
+
+
+class SlotQueue:
+    """Counts slots in use and keeps a bounded, deadline-aware queue.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of this VM.
+    limit : callable returning int
+        Slots that may be in use now.
+    service_time_s : callable returning float
+        Expected time of one request.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        limit: Callable[[], int],
+        service_time_s: Callable[[], float],
+    ) -> None:
+        self.in_use = 0
+        self._clock = clock
+        self._limit = limit
+        self._service_time_s = service_time_s
+        self._waiting: deque[Waiter] = deque()
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    def expected_wait_s(self) -> float:
+        """Return the expected wait of a request that comes now."""
+        limit = self._limit()
+        if self.in_use < limit and not self._waiting:
+            return 0
+        rounds = (len(self._waiting) + 1) / max(1, limit)
+        return rounds * self._service_time_s()
+
+    def full_refusal(self, deadline_s: float, limit: int) -> Refusal | None:
+        """Return why a request that comes now can't wait, if so."""
+        wait_s = self.expected_wait_s()
+        if wait_s == 0:
+            return None
+        if len(self._waiting) >= limit:
+            return not_run(
+                RefusalReason.QUEUE_FULL,
+                'the queue is full',
+                retry_after_s=wait_s,
+            )
+        if self._clock.now_s() + wait_s > deadline_s:
+            return not_run(
+                RefusalReason.DEADLINE,
+                'the queue is longer than the deadline allows',
+                retry_after_s=wait_s,
+            )
+        return None
+
+    async def acquire(self, waiter: Waiter) -> Refusal | None:
+        """Take a slot, in order of arrival; a refusal when that failed."""
+        if self.in_use < self._limit() and not self._waiting:
+            self.in_use += 1
+            return None
+        loop = asyncio.get_running_loop()
+        waiter.future = loop.create_future()
+        self._waiting.append(waiter)
+        left_s = self._clock.remaining_s(waiter.deadline_s)
+        timer = loop.call_later(left_s, self._expire, waiter)
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            timer.cancel()
+
+    def release(self) -> None:
+        """Give a slot back and let the next waiter go."""
+        self.in_use -= 1
+        self.pump()
+
+    def pump(self) -> None:
+        """Give free slots to waiters that can still meet their deadlines."""
+        while self._waiting and self.in_use < self._limit():
+            waiter = self._waiting.popleft()
+            if self._is_late(waiter):
+                waiter.settle(_late())
+            elif waiter.settle(None):
+                self.in_use += 1
+
+    def refuse(
+        self, refusal: Refusal, *, shards: frozenset[int] | None
+    ) -> None:
+        """Refuse all waiters, or those of some shards."""
+        kept: deque[Waiter] = deque()
+        for waiter in self._waiting:
+            if shards is None or waiter.shard in shards:
+                waiter.settle(refusal)
+            else:
+                kept.append(waiter)
+        self._waiting = kept
+
+    def _is_late(self, waiter: Waiter) -> bool:
+        return self._clock.now_s() >= waiter.deadline_s
+
+    def _expire(self, waiter: Waiter) -> None:
+        if waiter.settle(_late()):
+            self._forget(waiter)
+
+    def _abandon(self, waiter: Waiter) -> None:
+        future = waiter.future
+        if future is None or future.cancelled():
+            self._forget(waiter)
+        elif future.done() and future.result() is None:
+            self.release()
+
+    def _forget(self, waiter: Waiter) -> None:
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+
+def _late() -> Refusal:
+    return not_run(RefusalReason.DEADLINE, 'the deadline passed in the queue')
--- /dev/null
+++ b/verbenadeck/door/_takeovers.py
@@ -0,0 +1,133 @@
+"""Shards taken over from owners whose ledgers are lost."""
+
+import uuid
+
+import msgspec
+
+from verbenadeck.door._history import EvictionHistory, WitnessSet
+from verbenadeck.model import RequestId, ServiceName
+from verbenadeck.utils import Clock
+
+CLOCK_BOUND_S = 10.0
+"""Most by which the clocks that mint UUIDv7 ids may be wrong, in seconds."""
+
+_MILLISECONDS_SHIFT = 80
+_MILLISECONDS = 1000
+_TIMED_VERSION = 7
+
+
+def minted_at_s(request_id: RequestId) -> float | None:
+    """Return the Unix time that a UUIDv7 carries, None for other ids.
+
+    Examples
+    --------
+    >>> minted_at_s(RequestId('01890a5d-ac96-774b-bcce-b302099a8057'))
+    1688096058.518
+    >>> minted_at_s(RequestId('deposit-17')) is None
+    True
+    """
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != _TIMED_VERSION:
+        return None
+    return (parsed.int >> _MILLISECONDS_SHIFT) / _MILLISECONDS
+
+
+class KeptTakeover(msgspec.Struct, frozen=True, array_like=True):
+    """A takeover as it travels with a shard that moves on."""
+
+    shard: int
+    wall_s: float
+    remaining_s: float
+
+
+class _Takeover:
+    __slots__ = ('sets', 'until_s', 'wall_s')
+
+    def __init__(
+        self, wall_s: float, until_s: float, sets: list[list[WitnessSet]]
+    ) -> None:
+        self.wall_s = wall_s
+        self.until_s = until_s
+        self.sets = sets
+
+
+class Takeovers:
+    """Tells which ids an earlier, lost owner may have run.
+
+    Parameters
+    ----------
+    history : EvictionHistory
+        Evicted owners.
+    clock : Clock
+        Clock of this VM; its wall clock counts as right.
+    """
+
+    def __init__(self, *, history: EvictionHistory, clock: Clock) -> None:
+        self._history = history
+        self._clock = clock
+        self._shards: dict[int, _Takeover] = {}
+
+    def open(
+        self, service: ServiceName, shards: frozenset[int], *, keep_s: float
+    ) -> None:
+        """Note that the earlier owner's entries of some shards are lost."""
+        takeover = _Takeover(
+            self._clock.wall_s(),
+            self._clock.now_s() + keep_s,
+            self._history.evicted(service, keep_s=keep_s),
+        )
+        for shard in shards:
+            if not self._history.is_first(service, shard):
+                self._shards[shard] = takeover
+
+    def export(self, shards: frozenset[int]) -> list[KeptTakeover]:
+        """Return the takeovers of some shards."""
+        now_s = self._clock.now_s()
+        return [
+            KeptTakeover(shard, one.wall_s, one.until_s - now_s)
+            for shard, one in self._shards.items()
+            if shard in shards
+        ]
+
+    def load(self, service: ServiceName, kept: list[KeptTakeover]) -> None:
+        """Take over the doubts of an earlier owner."""
+        now_s = self._clock.now_s()
+        wall_s = self._clock.wall_s()
+        for one in kept:
+            keep_s = one.remaining_s + max(0.0, wall_s - one.wall_s)
+            self._shards[one.shard] = _Takeover(
+                one.wall_s,
+                now_s + one.remaining_s,
+                self._history.evicted(service, keep_s=keep_s),
+            )
+
+    def close(self, shards: frozenset[int]) -> None:
+        """Forget about shards that this node gives away."""
+        for shard in shards & self._shards.keys():
+            self._shards.pop(shard)
+
+    def sets_to_ask(
+        self, request_id: RequestId, shard: int
+    ) -> list[list[WitnessSet]] | None:
+        """Return the witness sets to ask, None when the id is surely new.
+
+        The list has an element for each earlier owner; it is empty when
+        nobody is known who could tell.
+        """
+        takeover = self._shards.get(shard)
+        if takeover is None:
+            return None
+        if self._clock.now_s() >= takeover.until_s:
+            self._shards.pop(shard)
+            return None
+        minted_s = minted_at_s(request_id)
+        if minted_s is not None and self._is_new(minted_s, takeover):
+            return None
+        return takeover.sets
+
+    def _is_new(self, minted_s: float, takeover: _Takeover) -> bool:
+        latest_s = self._clock.wall_s() + CLOCK_BOUND_S
+        return takeover.wall_s + CLOCK_BOUND_S < minted_s <= latest_s
--- /dev/null
+++ b/verbenadeck/door/tests/builders.py
@@ -0,0 +1,182 @@
+"""Builders for tests of doors and routers."""
+
+import asyncio
+import itertools
+import random
+
+from verbenadeck.door import Ledger, UpstreamDoor
+from verbenadeck.door.tests.fakes import (
+    SERVICE,
+    SHARDS,
+    FakeFleet,
+    FakeOwnership,
+    FakeUpstream,
+)
+from verbenadeck.fleet import (
+    Member,
+    MemberState,
+)
+from verbenadeck.model import (
+    Epoch,
+    Incarnation,
+    NodeId,
+    Region,
+    Request,
+    RequestId,
+    ServiceName,
+    Zone,
+)
+from verbenadeck.peers import PeerAddress
+from verbenadeck.records import (
+    ReleasedRange,
+)
+from verbenadeck.testing import FakeNetwork, FakePort, virtual_clock
+from verbenadeck.utils import Clock
+
+ZONES = ('suva', 'nadi', 'lautoka')
+
+_numbers = itertools.count(1)
+
+
+def make_request(
+    *,
+    request_id: str | None = None,
+    service: ServiceName = SERVICE,
+    key: str | None = None,
+    method: str = 'GET',
+    path: str = '/',
+    body: bytes = b'',
+    is_repeatable: bool | None = None,
+    timeout_s: float = 5,
+    now_s: float | None = None,
+) -> Request:
+    if now_s is None:
+        now_s = asyncio.get_running_loop().time()
+    return Request(
+        RequestId(request_id or f'request-{next(_numbers)}'),
+        service,
+        key,
+        method,
+        path,
+        (),
+        body,
+        method != 'POST' if is_repeatable is None else is_repeatable,
+        now_s + timeout_s,
+    )
+
+
+def make_deposit(
+    request_id: str | None = None,
+    *,
+    service: ServiceName = SERVICE,
+    key: str | None = None,
+    path: str = '/',
+    body: bytes = b'deposit',
+    timeout_s: float = 5,
+) -> Request:
+    return make_request(
+        request_id=request_id,
+        service=service,
+        key=key,
+        method='POST',
+        path=path,
+        body=body,
+        timeout_s=timeout_s,
+    )
+
+
+class Node:
+    """One door with its fakes."""
+
+    def __init__(
+        self,
+        site: 'Site',
+        number: int,
+        upstream: FakeUpstream,
+        *,
+        zone: str,
+        ledger: Ledger | None = None,
+    ) -> None:
+        self.upstream = upstream
+        self.incarnation = Incarnation(number)
+        self.node_id = NodeId(f'node-{number}')
+        self.zone = Zone(zone)
+        self.address = PeerAddress('127.0.0.1', 7000 + number)
+        self.port: FakePort = site.network.port(self.address, site.clock)
+        self.ownership = FakeOwnership(site.fleet, self.incarnation)
+        self.random = random.Random(number)
+        self.door = UpstreamDoor(
+            node_id=self.node_id,
+            zone=self.zone,
+            incarnation=lambda: self.incarnation,
+            upstream=upstream,
+            ownership=self.ownership,
+            fleet=site.fleet,
+            peers=self.port,
+            clock=site.clock,
+            random_source=self.random,
+            ledger=ledger,
+        )
+
+    def member(self, witnesses: tuple[Incarnation, ...] = ()) -> Member:
+        return Member(
+            self.incarnation,
+            self.node_id,
+            self.zone,
+            Region('fiji'),
+            self.upstream.service,
+            self.upstream.slots,
+            self.address,
+            0,
+            self.upstream.instance,
+            witnesses,
+            Epoch(self.incarnation),
+            MemberState.JOINED,
+        )
+
+
+class Site:
+    """Doors of one service over a fake network in virtual time."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.clock: Clock = virtual_clock()
+        self.network = FakeNetwork(seed=seed)
+        self.fleet = FakeFleet()
+        self.nodes: list[Node] = []
+
+    async def add(
+        self,
+        upstream: FakeUpstream | None = None,
+        *,
+        zone: str | None = None,
+        ledger: Ledger | None = None,
+        witnesses: tuple[Incarnation, ...] = (),
+    ) -> Node:
+        number = len(self.nodes) + 1
+        node = Node(
+            self,
+            number,
+            upstream or FakeUpstream(),
+            zone=zone or ZONES[number % len(ZONES)],
+            ledger=ledger,
+        )
+        self.nodes.append(node)
+        self.fleet.join(node.member(witnesses))
+        await node.door.start()
+        node.upstream.announce()
+        return node
+
+    def own_all(self, node: Node) -> None:
+        """Give all shards of the node's service to it."""
+        self.fleet.assign(
+            node.upstream.service, node.incarnation, range(SHARDS)
+        )
+
+    def lose(self, node: Node) -> None:
+        """Lose a node for good and let the fleet evict it."""
+        node.port.is_up = False
+        self.fleet.evict(node.incarnation)
+
+
+def all_shards(service: ServiceName = SERVICE) -> tuple[ReleasedRange, ...]:
+    return (ReleasedRange(service, 0, SHARDS),)
--- /dev/null
+++ b/verbenadeck/door/tests/fakes.py
@@ -0,0 +1,298 @@
+"""Fakes at the interfaces, for tests of doors and routers."""
+
+import asyncio
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from verbenadeck.adapters import (
+    Announcement,
+    Grant,
+    LoadReport,
+    Order,
+    UpstreamError,
+    UpstreamFailure,
+)
+from verbenadeck.fleet import (
+    AppliedListener,
+    Member,
+    MemberState,
+    ShardView,
+)
+from verbenadeck.lease import Permit
+from verbenadeck.model import (
+    NO_MEMBER,
+    Answer,
+    ConfigDocument,
+    ConfigVersion,
+    Fence,
+    Incarnation,
+    Offset,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    RequestId,
+    ServiceName,
+    ServicePolicy,
+    Shard,
+)
+from verbenadeck.records import (
+    NodeJoin,
+    Record,
+    ReleasedRange,
+    Suspect,
+    Verdict,
+    Vote,
+)
+
+SERVICE = ServiceName('holds')
+KEYED = ServiceName('catalogue')
+SHARDS = 16
+
+
+def make_policy(**changes: object) -> ServicePolicy:
+    base = ServicePolicy(shard_count=SHARDS)
+    return msgspec.structs.replace(base, **changes)
+
+
+def make_config(**changes: object) -> ConfigDocument:
+    services = {
+        SERVICE: make_policy(),
+        KEYED: make_policy(is_keyed=True),
+    }
+    base = ConfigDocument(services=services)
+    return msgspec.structs.replace(base, **changes)
+
+
+class FakeUpstream:
+    """Upstream that counts what it runs and fails on demand."""
+
+    def __init__(
+        self,
+        *,
+        slots: int = 4,
+        service: ServiceName = SERVICE,
+        service_time_s: float = 0.05,
+        seed: int = 1,
+    ) -> None:
+        self.service = service
+        self.slots = slots
+        self.bearable = slots
+        self.service_time_s = service_time_s
+        self.draw_s: Callable[[random.Random], float] | None = None
+        self.random = random.Random(seed)
+        self.reported_bearable: Callable[[], int] = lambda: self.bearable
+        self.is_silent = False
+        self.sheds_above: int | None = None
+        self.sheds_with_hint = True
+        self.is_connected = True
+        self.poison: set[bytes] = set()
+        self.runs: Counter[str] = Counter()
+        self.orders: list[Order] = []
+        self.cancelled: list[RequestId] = []
+        self.running = 0
+        self.most_running = 0
+        self.over_bearable = 0
+        self.life = 0
+        self.is_drained = False
+        self._listeners: list[Callable[[Announcement], None]] = []
+        self._crash: asyncio.Event = asyncio.Event()
+
+    @property
+    def instance(self) -> str:
+        return f'life-{self.life}'
+
+    def on_announce(self, listener: Callable[[Announcement], None]) -> None:
+        self._listeners.append(listener)
+
+    def announce(self) -> None:
+        announcement = Announcement(
+            self.service,
+            self.instance,
+            '127.0.0.1',
+            1,
+            self.slots,
+            100,
+            self.bearable,
+        )
+        for listener in self._listeners:
+            listener(announcement)
+
+    def crash(self, *, bearable: int | None = None) -> None:
+        """End this life with all that runs and begin a new one."""
+        self._crash.set()
+        self._crash = asyncio.Event()
+        self.life += 1
+        self.running = 0
+        if bearable is not None:
+            self.bearable = bearable
+
+    async def send(self, order: Order) -> Result[Answer, UpstreamError]:
+        if not self.is_connected:
+            return Failure(UpstreamError(UpstreamFailure.NOT_SENT, 'down'))
+        if self._is_shedding():
+            hint = self.bearable if self.sheds_with_hint else None
+            return Failure(
+                UpstreamError(UpstreamFailure.SHED, 'shed', 0.1, hint)
+            )
+        self.orders.append(order)
+        self.runs[order.request.request_id] += 1
+        if order.request.body in self.poison:
+            self.crash()
+            asyncio.get_running_loop().call_later(0.1, self.announce)
+            return Failure(UpstreamError(UpstreamFailure.BROKEN, 'crashed'))
+        return await self._serve(order)
+
+    async def cancel(self, request_id: RequestId) -> None:
+        self.cancelled.append(request_id)
+
+    async def grant(self, grant: Grant) -> Result[None, UpstreamError]:
+        return Success(None)
+
+    async def drain(self) -> Result[None, UpstreamError]:
+        self.is_drained = True
+        return Success(None)
+
+    async def report(self) -> Result[LoadReport, UpstreamError]:
+        return Success(
+            LoadReport(
+                True, self.running, self.reported_bearable(), self.instance
+            )
+        )
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def _is_shedding(self) -> bool:
+        return self.sheds_above is not None and self.running >= self.sheds_above
+
+    async def _serve(self, order: Order) -> Result[Answer, UpstreamError]:
+        life, crash = self.life, self._crash
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        self.over_bearable += self.running > self.bearable
+        try:
+            async with asyncio.timeout(self._time_s()):
+                await crash.wait()
+            return Failure(UpstreamError(UpstreamFailure.BROKEN, 'crashed'))
+        except TimeoutError:
+            body = str(order.request.request_id).encode()
+            return Success(Answer(200, (), body))
+        finally:
+            if life == self.life:
+                self.running -= 1
+
+    def _time_s(self) -> float:
+        if self.is_silent:
+            return math.inf
+        if self.draw_s is not None:
+            return self.draw_s(self.random)
+        return self.service_time_s
+
+
+class FakeFleet:
+    """Fleet state that a test changes at will."""
+
+    def __init__(self) -> None:
+        self.applied_offset = Offset(0)
+        self.members: dict[Incarnation, Member] = {}
+        self.config = make_config()
+        self.config_version = ConfigVersion(1)
+        self.owners: dict[tuple[ServiceName, int], Incarnation] = {}
+        self.evicted: set[Incarnation] = set()
+        self.listeners: list[AppliedListener] = []
+
+    def state_of(self, incarnation: Incarnation) -> MemberState | None:
+        if incarnation in self.evicted:
+            return MemberState.EVICTED
+        member = self.members.get(incarnation)
+        return None if member is None else member.state
+
+    def shard_count(self, service: ServiceName) -> int:
+        policy = self.config.services.get(service)
+        return 0 if policy is None else policy.shard_count
+
+    def shard(self, service: ServiceName, shard: Shard) -> ShardView:
+        owner = self.owners.get((service, shard), NO_MEMBER)
+        return ShardView(owner, Fence(7), ())
+
+    def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+        return iter(())
+
+    def held_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+        return iter(())
+
+    def subscribe(self, listener: AppliedListener) -> None:
+        self.listeners.append(listener)
+
+    def join(self, member: Member) -> None:
+        self.members[member.incarnation] = member
+        record = NodeJoin(
+            member.node_id,
+            member.zone,
+            member.region,
+            member.service,
+            member.slots,
+            member.address.host,
+            member.address.port,
+            0,
+        )
+        self._tell(Offset(member.incarnation), record)
+
+    def evict(self, incarnation: Incarnation) -> None:
+        member = self.members.pop(incarnation)
+        self.evicted.add(incarnation)
+        vote = Vote(incarnation, member.epoch, NO_MEMBER)
+        self._tell(Offset(10_000), Suspect((vote,)))
+
+    def publish(self, **changes: object) -> None:
+        self.config = msgspec.structs.replace(self.config, **changes)
+        self.config_version = ConfigVersion(self.config_version + 1)
+
+    def assign(
+        self, service: ServiceName, owner: Incarnation, shards: range
+    ) -> None:
+        for shard in shards:
+            self.owners[service, shard] = owner
+
+    def _tell(self, offset: Offset, record: Record) -> None:
+        for listener in self.listeners:
+            listener(offset, record, Verdict.ACCEPTED)
+
+
+class FakeOwnership:
+    """Ownership that follows the fleet, with a switch for the lease."""
+
+    def __init__(self, fleet: FakeFleet, incarnation: Incarnation) -> None:
+        self.fleet = fleet
+        self.incarnation = incarnation
+        self.lease_deadline_s = math.inf
+        self.moving: set[int] = set()
+
+    def permit(
+        self, service: ServiceName, shard: Shard
+    ) -> Result[Permit, Refusal]:
+        view = self.fleet.shard(service, shard)
+        if view.owner != self.incarnation:
+            return _refused(RefusalReason.NOT_OWNER)
+        if shard in self.moving:
+            return _refused(RefusalReason.MOVING)
+        if self.lease_deadline_s <= asyncio.get_running_loop().time():
+            return _refused(RefusalReason.NO_LEASE)
+        return Success(Permit(view.fence, self.lease_deadline_s))
+
+    async def wait_permit(
+        self, service: ServiceName, shard: Shard, *, deadline_s: float
+    ) -> Result[Permit, Refusal]:
+        loop = asyncio.get_running_loop()
+        while shard in self.moving and loop.time() < deadline_s:
+            await asyncio.sleep(0.005)
+        return self.permit(service, shard)
+
+
+def _refused(reason: RefusalReason) -> Result[Permit, Refusal]:
+    return Failure(Refusal(Outcome.NOT_RUN, reason))
--- /dev/null
+++ b/verbenadeck/router/_outcomes.py
@@ -0,0 +1,83 @@
+"""What a router does after a refusal."""
+
+import enum
+from types import MappingProxyType
+
+from verbenadeck.model import Outcome, Refusal, RefusalReason
+
+
+class Step(enum.Enum):
+    """Next step after a refusal.
+
+    `WAIT` asks the owner of the moment again and costs nothing, since the
+    doors did no work. `RETRY` costs a token of the retry budget. `STOP`
+    gives the refusal to the caller.
+    """
+
+    WAIT = 'wait'
+    RETRY = 'retry'
+    STOP = 'stop'
+
+
+_STEPS = MappingProxyType(
+    {
+        RefusalReason.NO_CONFIG: Step.WAIT,
+        RefusalReason.UNKNOWN_SERVICE: Step.WAIT,
+        RefusalReason.BAD_REQUEST: Step.STOP,
+        RefusalReason.TOO_LARGE: Step.STOP,
+        RefusalReason.NO_OWNER: Step.WAIT,
+        RefusalReason.NOT_OWNER: Step.WAIT,
+        RefusalReason.MOVING: Step.WAIT,
+        RefusalReason.NO_LEASE: Step.WAIT,
+        RefusalReason.NO_UPSTREAM: Step.WAIT,
+        RefusalReason.ZONE_OUT: Step.WAIT,
+        RefusalReason.DRAINING: Step.WAIT,
+        RefusalReason.QUEUE_FULL: Step.RETRY,
+        RefusalReason.COLD: Step.RETRY,
+        RefusalReason.SHED: Step.RETRY,
+        RefusalReason.DEADLINE: Step.RETRY,
+        RefusalReason.POISON: Step.STOP,
+        RefusalReason.CANCELLED: Step.RETRY,
+        RefusalReason.UPSTREAM_FAILED: Step.RETRY,
+        RefusalReason.PEER_LOST: Step.WAIT,
+        RefusalReason.LEDGER_LOST: Step.RETRY,
+    }
+)
+
+
+def next_step(refusal: Refusal, *, is_repeatable: bool) -> Step:
+    """Return what to do after a refusal.
+
+    A request that may have run goes on only when it may run again, and
+    always at the cost of a token. The one exception is a request that must
+    not run twice whose door was lost: its id is safe with the next owner,
+    which knows or asks whether it ran.
+
+    Examples
+    --------
+    >>> broken = Refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_FAILED)
+    >>> next_step(broken, is_repeatable=False)
+    <Step.STOP: 'stop'>
+    >>> next_step(broken, is_repeatable=True)
+    <Step.RETRY: 'retry'>
+    """
+    if refusal.outcome is Outcome.NOT_RUN:
+        return _STEPS[refusal.reason]
+    if is_repeatable:
+        return Step.RETRY
+    if refusal.reason is RefusalReason.PEER_LOST:
+        return Step.WAIT
+    return Step.STOP
+
+
+def merge(last: Refusal, *, is_uncertain: bool) -> Refusal:
+    """Return the refusal for the caller after all attempts.
+
+    "Not run" of the last attempt doesn't hold for the request when an
+    earlier attempt may have run.
+    """
+    if not is_uncertain or last.outcome is Outcome.UNKNOWN:
+        return last
+    return Refusal(
+        Outcome.UNKNOWN, last.reason, last.retry_after_s, last.detail
+    )
--- /dev/null
+++ b/verbenadeck/router/_router.py
@@ -0,0 +1,249 @@
+"""Router: from a request to the answer of the right door."""
+
+import asyncio
+import random
+from functools import partial
+
+from loguru import logger
+
+from verbenadeck.door import (
+    Door,
+    PolicyReader,
+    not_run,
+    refusal_of,
+    refuse,
+)
+from verbenadeck.fleet import FleetView, shard_of
+from verbenadeck.model import (
+    AnswerResult,
+    NodeId,
+    Outcome,
+    RefusalReason,
+    Request,
+    ServiceName,
+    ServicePolicy,
+    Shard,
+    Zone,
+)
+from verbenadeck.peers import PeerPort
+from verbenadeck.router._attempts import Attempts
+from verbenadeck.router._budget import TokenBudget
+from verbenadeck.router._choice import Choice, Choose, choose_by_wait
+from verbenadeck.router._directory import Directory
+from verbenadeck.router._hedges import Send, send_hedged
+from verbenadeck.router._outcomes import Step, merge, next_step
+from verbenadeck.router._quantile import LatencyQuantile
+from verbenadeck.router._stats import DoorStats
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='router')
+
+_FIRST_PAUSE_S = 0.005
+_MOST_PAUSE_S = 0.05
+_READS = frozenset(('GET', 'HEAD'))
+
+
+class _ServiceState:
+    """Budgets and latency of one service."""
+
+    __slots__ = ('hedges', 'latency', 'retries')
+
+    def __init__(self) -> None:
+        self.retries = TokenBudget()
+        self.hedges = TokenBudget()
+        self.latency = LatencyQuantile()
+
+
+class DoorRouter:
+    """Routes requests to doors, with retries, hedges and waiting.
+
+    Parameters
+    ----------
+    node_id, zone : str
+        Place of this node.
+    door : Door
+        Door of this process.
+    fleet : FleetView
+        Members, shards and configuration.
+    peers : PeerPort
+        Way to other doors.
+    clock : Clock
+        Clock of this VM.
+    random_source : random.Random
+        Source of choices.
+    choose : Choose
+        Choice among doors that may all serve a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        zone: Zone,
+        door: Door,
+        fleet: FleetView,
+        peers: PeerPort,
+        clock: Clock,
+        random_source: random.Random,
+        choose: Choose = choose_by_wait,
+    ) -> None:
+        self._clock = clock
+        self._random = random_source
+        self._choose = choose
+        self._directory = Directory(fleet=fleet, node_id=node_id, zone=zone)
+        self._policies = PolicyReader(
+            fleet=fleet, clock=clock, zone=zone, upstream=node_id
+        )
+        self._attempts = Attempts(
+            door=door,
+            peers=peers,
+            clock=clock,
+            random_source=random_source,
+            is_member=self._directory.is_member,
+        )
+        self._services: dict[ServiceName, _ServiceState] = {}
+
+    async def route(self, request: Request) -> AnswerResult:
+        """Return the complete answer or a refusal with its outcome."""
+        policy = self._policies.policy(request.service)
+        if policy is None:
+            return refuse(
+                not_run(
+                    RefusalReason.UNKNOWN_SERVICE,
+                    'no such service is configured',
+                )
+            )
+        if policy.is_keyed and request.key is None:
+            return refuse(
+                not_run(RefusalReason.BAD_REQUEST, 'the service needs a key')
+            )
+        state = self._services.setdefault(request.service, _ServiceState())
+        state.retries.earn(policy.retry_ratio)
+        state.hedges.earn(policy.hedge_ratio)
+        return await self._try(_Route(request, policy, state))
+
+    async def _try(self, route: '_Route') -> AnswerResult:
+        pause_s = _FIRST_PAUSE_S
+        is_uncertain = False
+        while True:
+            result = await self._attempt(route)
+            refusal = refusal_of(result)
+            if refusal is None:
+                return result
+            is_uncertain |= refusal.outcome is Outcome.UNKNOWN
+            final = refuse(merge(refusal, is_uncertain=is_uncertain))
+            if self._clock.now_s() + pause_s >= route.request.deadline_s:
+                return final
+            step = next_step(refusal, is_repeatable=route.request.is_repeatable)
+            if step is Step.STOP:
+                return final
+            if step is Step.RETRY and not route.state.retries.spend():
+                return final
+            await asyncio.sleep(self._pause_s(route, step, pause_s))
+            pause_s = min(_MOST_PAUSE_S, pause_s * 2)
+
+    def _pause_s(self, route: '_Route', step: Step, pause_s: float) -> float:
+        if step is Step.RETRY and route.shard is None:
+            return 0
+        return pause_s * (1 + self._random.random()) / 2
+
+    async def _attempt(self, route: '_Route') -> AnswerResult:
+        if route.shard is not None:
+            return await self._attempt_bound(route, route.shard)
+        choice = self._pick(route, ())
+        if choice is None:
+            return refuse(
+                not_run(RefusalReason.NO_UPSTREAM, 'no door takes new work')
+            )
+        route.tried.append(choice.door)
+        _log_choice(route.request, choice)
+        if not self._may_hedge(route):
+            return await self._attempts.send(
+                choice.door, route.request, is_bound=False
+            )
+        return await self._send_hedged(route, choice.door)
+
+    async def _attempt_bound(
+        self, route: '_Route', shard: Shard
+    ) -> AnswerResult:
+        owner = self._directory.owner(route.request.service, shard)
+        if owner is None:
+            return refuse(
+                not_run(
+                    RefusalReason.NO_OWNER, f'shard {shard} has no live owner'
+                )
+            )
+        _log_choice(route.request, Choice(owner, f'owner of shard {shard}'))
+        return await self._attempts.send(owner, route.request, is_bound=True)
+
+    def _pick(
+        self, route: '_Route', excluded: tuple[DoorStats, ...]
+    ) -> Choice | None:
+        doors = self._directory.open_doors(route.request.service)
+        fresh = [
+            door
+            for door in doors
+            if door not in route.tried and door not in excluded
+        ]
+        if not fresh and not excluded:
+            fresh = doors
+        if not fresh:
+            return None
+        return self._choose(fresh, self._clock.now_s(), self._random)
+
+    def _may_hedge(self, route: '_Route') -> bool:
+        return route.request.method in _READS and route.policy.hedge_ratio > 0
+
+    async def _send_hedged(
+        self, route: '_Route', door: DoorStats
+    ) -> AnswerResult:
+        started_s = self._clock.now_s()
+        result = await send_hedged(
+            partial(self._attempts.send, door, route.request, is_bound=False),
+            partial(self._second, route, door),
+            delay_s=route.state.latency.estimate_s,
+        )
+        if refusal_of(result) is None:
+            route.state.latency.add(
+                self._clock.now_s() - started_s, route.policy.hedge_quantile
+            )
+        return result
+
+    def _second(self, route: '_Route', first: DoorStats) -> Send | None:
+        choice = self._pick(route, (first,))
+        if choice is None or not route.state.hedges.spend():
+            return None
+        route.tried.append(choice.door)
+        _log_choice(route.request, Choice(choice.door, 'hedge'))
+        return partial(
+            self._attempts.send, choice.door, route.request, is_bound=False
+        )
+
+
+class _Route:
+    """One request on its way."""
+
+    __slots__ = ('policy', 'request', 'shard', 'state', 'tried')
+
+    def __init__(
+        self, request: Request, policy: ServicePolicy, state: _ServiceState
+    ) -> None:
+        self.request = request
+        self.policy = policy
+        self.state = state
+        self.tried: list[DoorStats] = []
+        self.shard: Shard | None = None
+        if policy.is_keyed:
+            self.shard = shard_of(request.key or '', policy.shard_count)
+        elif not request.is_repeatable:
+            self.shard = shard_of(request.request_id, policy.shard_count)
+
+
+def _log_choice(request: Request, choice: Choice) -> None:
+    _log.info(
+        '{} {} to {}: {}',
+        request.service,
+        request.request_id,
+        choice.door.member.node_id,
+        choice.why,
+    )
--- /dev/null
+++ b/verbenadeck/router/_stats.py
@@ -0,0 +1,93 @@
+"""What this entry has measured of one door."""
+
+import math
+
+from verbenadeck.door import DoorLoad
+from verbenadeck.fleet import Member
+
+_WEIGHT = 0.2
+_FIRST_LATENCY_S = 0.02
+_LEAST_AVOID_S = 0.05
+_MOST_AVOID_S = 1.0
+
+
+class DoorStats:
+    """Latency, requests in flight and last load of one door.
+
+    Parameters
+    ----------
+    member : Member
+        Node of the door.
+    is_local : bool
+        Whether the door is in this process.
+    is_near : bool
+        Whether it is in this node's zone.
+    """
+
+    __slots__ = (
+        'avoid_s',
+        'avoid_until_s',
+        'in_flight',
+        'is_local',
+        'is_near',
+        'latency_s',
+        'load',
+        'member',
+        'sent_at_s',
+        'sequence',
+    )
+
+    def __init__(
+        self, member: Member, *, is_local: bool, is_near: bool
+    ) -> None:
+        self.member = member
+        self.is_local = is_local
+        self.is_near = is_near
+        self.latency_s = _FIRST_LATENCY_S
+        self.in_flight: dict[int, float] = {}
+        self.load: DoorLoad | None = None
+        self.sent_at_s = -math.inf
+        self.sequence = 0
+        self.avoid_s = 0.0
+        self.avoid_until_s = -math.inf
+
+    def begin(self, now_s: float) -> int:
+        """Note a request that is sent now and return its ticket."""
+        self.sequence += 1
+        self.in_flight[self.sequence] = now_s
+        self.sent_at_s = now_s
+        return self.sequence
+
+    def end(self, ticket: int) -> None:
+        """Note that a request has ended in whatever way."""
+        self.in_flight.pop(ticket, None)
+
+    def measure(self, latency_s: float) -> None:
+        """Take the latency of an answered request."""
+        self.latency_s += _WEIGHT * (latency_s - self.latency_s)
+        self.avoid_s = 0
+
+    def avoid(self, now_s: float) -> None:
+        """Leave the door alone for a while, longer each time."""
+        self.avoid_s = min(_MOST_AVOID_S, max(_LEAST_AVOID_S, self.avoid_s * 2))
+        self.avoid_until_s = now_s + self.avoid_s
+
+    def expected_wait_s(self, now_s: float) -> float:
+        """Return how long a request sent now is expected to take.
+
+        A request that has been out for longer than the usual latency says
+        more than the answers of earlier ones.
+        """
+        wait_s = self.latency_s
+        if self.in_flight:
+            oldest_s = next(iter(self.in_flight.values()))
+            wait_s = max(wait_s, now_s - oldest_s)
+        if now_s < self.avoid_until_s:
+            wait_s += _MOST_AVOID_S
+        load = self.load
+        if load is None:
+            return wait_s * (1 + len(self.in_flight))
+        if not load.is_admitting:
+            wait_s += _MOST_AVOID_S
+        busy = max(len(self.in_flight), load.running + load.queued) + 1
+        return wait_s * max(1, busy / max(1, load.limit))
--- /dev/null
+++ b/verbenadeck/router/tests/test_routes.py
@@ -0,0 +1,36 @@
+from returns.result import Success
+
+from verbenadeck.door.tests.builders import Site, make_deposit, make_request
+from verbenadeck.door.tests.fakes import KEYED, FakeUpstream
+from verbenadeck.model import Answer
+from verbenadeck.router.tests.builders import make_router
+from verbenadeck.testing import run_virtual
+
+
+def test_a_keyed_request_goes_to_the_owner() -> None:
+    async def scenario() -> None:
+        site = Site()
+        entry = await site.add(FakeUpstream(service=KEYED))
+        owner = await site.add(FakeUpstream(service=KEYED))
+        site.own_all(owner)
+        router = make_router(site, entry)
+        request = make_request(request_id='r1', service=KEYED, key='oven')
+        assert await router.route(request) == Success(Answer(200, (), b'r1'))
+        assert owner.upstream.runs['r1'] == 1
+        assert entry.upstream.runs['r1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_one_deposit_through_two_entries_runs_once() -> None:
+    async def scenario() -> None:
+        site = Site()
+        nodes = [await site.add() for _ in range(3)]
+        site.own_all(nodes[2])
+        deposit = make_deposit('d1')
+        for node in nodes:
+            result = await make_router(site, node).route(deposit)
+            assert result == Success(Answer(200, (), b'd1'))
+        assert sum(node.upstream.runs['d1'] for node in nodes) == 1
+
+    run_virtual(scenario())
