--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -1,7 +1,7 @@
 """Read access to the state that all nodes derive from the log."""
 
 import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -57,6 +57,8 @@
         Offset of the record that installed the witness set.
     state : MemberState
         State.
+    admin_port : int
+        Port for operators; 0 when not told.
     """
 
     incarnation: Incarnation
@@ -71,6 +73,7 @@
     witnesses: tuple[Incarnation, ...]
     epoch: Epoch
     state: MemberState
+    admin_port: int = 0
 
 
 class ShardView(msgspec.Struct, frozen=True):
@@ -118,6 +121,15 @@
         """Version of the document, 0 before the first."""
         ...
 
+    @property
+    def config_author(self) -> str:
+        """Author of the document in force, empty before the first."""
+        ...
+
+    def member(self, incarnation: Incarnation) -> Member | None:
+        """Return a member, also one that left not long ago."""
+        ...
+
     def state_of(self, incarnation: Incarnation) -> MemberState | None:
         """Return the state of an incarnation, None when never joined."""
         ...
@@ -130,6 +142,18 @@
         """Return the owner of a shard."""
         ...
 
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        """Return the named owners by shard, in a flat array to read only."""
+        ...
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        """Return the fences by shard, in a flat array to read only."""
+        ...
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        """Return the shards with an earlier owner that has not released."""
+        ...
+
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield the ranges of shards whose named owner is a member."""
         ...
@@ -139,5 +163,9 @@
         ...
 
     def subscribe(self, listener: AppliedListener) -> None:
-        """Call a listener after each record is applied."""
+        """Call a listener after each record is applied.
+
+        After the state was replaced by a checkpoint, the listener gets a
+        `CheckpointChunk` with a `count` of 0: anything may have changed.
+        """
         ...
