--- a/verbenadeck/admin/__init__.py
+++ b/verbenadeck/admin/__init__.py
@@ -1,1 +1,43 @@
-"""Admin of a node."""
+"""Admin server of a node: status, metrics, owners and drain."""
+
+from verbenadeck.admin._options import AdminOptions
+from verbenadeck.admin._owners import OwnerError, OwnerStatus, find_owner
+from verbenadeck.admin._server import (
+    AdminError,
+    AdminNotice,
+    AdminServer,
+    AdminViews,
+)
+from verbenadeck.admin._status import (
+    MemberStatus,
+    NodeIdentity,
+    NodeStatus,
+    StatusReader,
+    UpstreamStatus,
+    ZoneStatus,
+    make_status_reader,
+    members_of,
+    upstream_status,
+    zones_of,
+)
+
+__all__ = (
+    'AdminError',
+    'AdminNotice',
+    'AdminOptions',
+    'AdminServer',
+    'AdminViews',
+    'MemberStatus',
+    'NodeIdentity',
+    'NodeStatus',
+    'OwnerError',
+    'OwnerStatus',
+    'StatusReader',
+    'UpstreamStatus',
+    'ZoneStatus',
+    'find_owner',
+    'make_status_reader',
+    'members_of',
+    'upstream_status',
+    'zones_of',
+)
