--- a/verbenadeck/fleet/_members.py
+++ b/verbenadeck/fleet/_members.py
@@ -195,7 +195,7 @@
 
 def _is_sound(record: NodeJoin) -> bool:
     names = (record.node_id, record.zone, record.region, record.service)
-    ports = (record.peer_port, record.entry_port)
+    ports = (record.peer_port, record.entry_port, record.admin_port)
     return (
         all(names)
         and record.slots >= 0
@@ -217,4 +217,5 @@
         witnesses=record.witnesses,
         epoch=Epoch(incarnation),
         state=MemberState.JOINED,
+        admin_port=record.admin_port,
     )
