--- /dev/null
+++ b/verbenadeck/admin/tests/builders.py
@@ -0,0 +1,75 @@
+"""An admin server over a small fleet."""
+
+from functools import partial
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from verbenadeck.adapters import AnnounceError, wire
+from verbenadeck.admin import (
+    AdminOptions,
+    AdminServer,
+    AdminViews,
+    NodeIdentity,
+    find_owner,
+    make_status_reader,
+    upstream_status,
+)
+from verbenadeck.fleet import FleetState
+from verbenadeck.fleet.tests.builders import HOLDS, make_fleet
+from verbenadeck.metrics import Metrics, make_exposition
+from verbenadeck.model import Incarnation, NodeId, Region, Zone
+from verbenadeck.utils import Clock
+
+
+class Board(msgspec.Struct):
+    """What tests change and read behind an admin server."""
+
+    fleet: FleetState
+    own: Incarnation | None
+    why_unready: str = ''
+    lease_deadline_s: float = 101.5
+    drains: list[str] = msgspec.field(default_factory=list)
+
+
+def make_board() -> Board:
+    """Return a board of a fleet whose first node owns all shards."""
+    recorder, nodes = make_fleet(3)
+    recorder.assign(nodes[0])
+    return Board(recorder.state, nodes[0])
+
+
+def make_views(board: Board) -> AdminViews:
+    """Return the views of a board's first node."""
+    identity = NodeIdentity(
+        NodeId('node-0'), Zone('suva'), Region('viti-levu'), HOLDS
+    )
+    metrics = Metrics(zone=Zone('suva'), known_services=lambda: (HOLDS,))
+    metrics.count('hedges')
+    return AdminViews(
+        read_status=make_status_reader(
+            identity=identity,
+            fleet=board.fleet,
+            clock=Clock(now_s=lambda: 100),
+            incarnation=lambda: board.own,
+            lease_deadline_s=lambda: board.lease_deadline_s,
+            upstream=lambda: upstream_status('life-1', None),
+            why_unready=lambda: board.why_unready,
+        ),
+        read_metrics=make_exposition(metrics),
+        find_owner=partial(find_owner, board.fleet),
+        announce=_announce,
+        drain=partial(board.drains.append, 'drain'),
+    )
+
+
+def make_server(board: Board, *, port: int = 0) -> AdminServer:
+    """Return an admin server on a free port."""
+    options = AdminOptions(port=port, body_limit_bytes=1000)
+    return AdminServer(views=make_views(board), options=options)
+
+
+def _announce(body: bytes) -> Result[wire.AnnounceReply, AnnounceError]:
+    if body != b'{}':
+        return Failure(AnnounceError('service is empty'))
+    return Success(wire.AnnounceReply(is_new=True))
--- a/verbenadeck/logs/_setup.py
+++ b/verbenadeck/logs/_setup.py
@@ -67,7 +67,13 @@
     writer = LineWriter(stream or sys.stderr, _RENDERERS[line_format]())
     logger.remove()
     logger.add(
-        _sink_to(writer), level=level, format='{message}', colorize=False
+        _sink_to(writer),
+        level=level,
+        format='{message}',
+        colorize=False,
+        # Tracebacks with values would put callers' data into the log.
+        backtrace=False,
+        diagnose=False,
     )
     _Current.writer = writer
     _Current.is_deciding = logger.level(level).no <= logger.level(_INFO).no
--- a/verbenadeck/logs/tests/test_logs.py
+++ b/verbenadeck/logs/tests/test_logs.py
@@ -146,3 +146,15 @@
     decision_log('router')('route {}', 'r1')
     logger.remove(sink)
     assert 'route r1' in seen[0]
+
+
+def test_tracebacks_carry_no_values() -> None:
+    out = io.StringIO()
+    setup_logs(stream=out)
+    deposit = 'card 4111'
+    try:
+        int(deposit[:0])
+    except ValueError as error:
+        logger.bind(part='admin').opt(exception=error).error('failed')
+    assert 'ValueError' in out.getvalue()
+    assert deposit not in out.getvalue()
