Assemble the node and relay header names as plain text

Cause: the parts had no process that runs them. The first run of three nodes showed that header names of the HTTP libraries are subclasses of str and can't be encoded; every request to another node's door failed. Change: core services, joining once the upstream has announced itself, admin and entry, signals and planned stop; names become plain text.

--- a/verbenadeck/adapters/_http_headers.py
+++ b/verbenadeck/adapters/_http_headers.py
@@ -38,4 +38,10 @@
     for name, text in pairs:
         if name.lower() == 'connection':
             dropped.update(part.strip().lower() for part in text.split(','))
-    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
+    # Header names of HTTP libraries may be subclasses of `str`, which the
+    # codec of the peers' streams refuses.
+    return tuple(
+        (str(name), str(text))
+        for name, text in pairs
+        if name.lower() not in dropped
+    )
--- a/verbenadeck/kernel/_kernel.py
+++ b/verbenadeck/kernel/_kernel.py
@@ -33,6 +33,7 @@
         self._services: dict[str, object] = {}
         self._needs: dict[str, tuple[str, ...]] = {}
         self._started: list[str] = []
+        self._started_elsewhere: set[str] = set()
 
     def register(
         self,
@@ -40,6 +41,7 @@
         service: object,
         *,
         needs: Iterable[str] = (),
+        is_started_here: bool = True,
     ) -> None:
         """Add a service under a name.
 
@@ -51,6 +53,9 @@
             The service; its `start` and `stop` are called when it has them.
         needs : iterable of str
             Names of services that start before this one.
+        is_started_here : bool
+            False for a service that another one starts when its time comes;
+            it is stopped here all the same.
 
         Raises
         ------
@@ -61,6 +66,8 @@
             raise KernelError(f'service {name} is registered twice')
         self._services[name] = service
         self._needs[name] = tuple(needs)
+        if not is_started_here:
+            self._started_elsewhere.add(name)
 
     def find(self, name: str, kind: type[_Found]) -> _Found:
         """Return the service of a name.
@@ -79,7 +86,8 @@
         """Start all services, each after those that it needs."""
         for name in self._start_order():
             service = self._services[name]
-            if isinstance(service, Service):
+            is_started_here = name not in self._started_elsewhere
+            if is_started_here and isinstance(service, Service):
                 await service.start()
             self._started.append(name)
             _log.debug('started {}', name)
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -1,1 +1,29 @@
-"""Node of a node."""
+"""Assembly of the services of a node and its daemon."""
+
+from verbenadeck.node._assembly import build_node
+from verbenadeck.node._core import (
+    MESSAGES,
+    NodeEdges,
+    NodePlace,
+    register_core,
+)
+from verbenadeck.node._daemon import (
+    NodeReady,
+    StartError,
+    run_node,
+    stop_node,
+)
+from verbenadeck.node._joining import Joining
+
+__all__ = (
+    'MESSAGES',
+    'Joining',
+    'NodeEdges',
+    'NodePlace',
+    'NodeReady',
+    'StartError',
+    'build_node',
+    'register_core',
+    'run_node',
+    'stop_node',
+)
--- /dev/null
+++ b/verbenadeck/node/_daemon.py
@@ -0,0 +1,106 @@
+"""Daemon of one node: start, signals and planned stop."""
+
+import asyncio
+import signal
+import sys
+
+import msgspec
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from verbenadeck.admin import AdminServer
+from verbenadeck.entry import Entry
+from verbenadeck.kernel import Kernel
+from verbenadeck.logs import setup_logs
+from verbenadeck.membership import Membership
+from verbenadeck.node._assembly import build_node
+from verbenadeck.peers import StreamPort
+from verbenadeck.settings import NodeSettings
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='node')
+
+
+class NodeReady(msgspec.Struct, frozen=True):
+    """Line on standard output once a node listens.
+
+    Parameters
+    ----------
+    node_id : str
+        Name of the node.
+    host : str
+        IP address.
+    peer_port, entry_port, admin_port : int
+        Ports that were taken.
+    """
+
+    node_id: str
+    host: str
+    peer_port: int
+    entry_port: int
+    admin_port: int
+
+
+class StartError(msgspec.Struct, frozen=True):
+    """A node could not start."""
+
+    detail: str
+
+
+async def run_node(settings: NodeSettings) -> Result[None, StartError]:
+    """Run a node until SIGTERM, SIGINT or an operator's drain.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    """
+    writer = setup_logs(
+        level=settings.logging.level, line_format=settings.logging.format
+    )
+    stopping = asyncio.Event()
+    kernel = build_node(settings, drain=stopping.set)
+    try:
+        await kernel.start()
+    except OSError as error:
+        await kernel.stop()
+        return Failure(StartError(f'{settings.node_id}: {error}'))
+    _announce_ready(kernel, settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await stopping.wait()
+    await stop_node(kernel, timeout_s=settings.stop_timeout_s)
+    writer.flush()
+    return Success(None)
+
+
+async def stop_node(kernel: Kernel, *, timeout_s: float) -> None:
+    """Stop a node as planned: hand shards over, finish work, leave.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Kernel of the node.
+    timeout_s : float
+        Longest time for handing shards over.
+    """
+    _log.info('planned stop begins')
+    deadline_s = Clock().now_s() + timeout_s
+    membership = kernel.find('membership', Membership)
+    is_handed_over = await membership.leave(deadline_s=deadline_s)
+    _log.info('shards handed over: {}', is_handed_over)
+    await kernel.stop()
+
+
+def _announce_ready(kernel: Kernel, settings: NodeSettings) -> None:
+    ready = NodeReady(
+        node_id=settings.node_id,
+        host=settings.host,
+        peer_port=kernel.find('peers', StreamPort).address.port,
+        entry_port=kernel.find('entry', Entry).port,
+        admin_port=kernel.find('admin', AdminServer).port,
+    )
+    sys.stdout.write(msgspec.json.encode(ready).decode())
+    sys.stdout.write('\n')
+    sys.stdout.flush()
--- /dev/null
+++ b/verbenadeck/node/_joining.py
@@ -0,0 +1,70 @@
+"""Joins the fleet once the upstream has announced itself."""
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from verbenadeck.adapters import Announcement, UpstreamAdapter
+from verbenadeck.kernel import Kernel
+from verbenadeck.membership import Membership
+from verbenadeck.records import NodeJoin
+
+_log = logger.bind(part='node')
+
+DescribeNode = Callable[[Announcement], NodeJoin]
+
+
+class Joining:
+    """Keeps what the upstream announced and starts the membership with it.
+
+    Parameters
+    ----------
+    upstream : UpstreamAdapter
+        Upstream beside the node.
+    describe_node : callable
+        Returns the record with which the node joins.
+    """
+
+    def __init__(
+        self, *, upstream: UpstreamAdapter, describe_node: DescribeNode
+    ) -> None:
+        self.announcement: Announcement | None = None
+        self._describe_node = describe_node
+        self._announced = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._kernel: Kernel | None = None
+        upstream.on_announce(self._on_announce)
+
+    def attach(self, kernel: Kernel) -> None:
+        """Name the kernel in which the membership is found."""
+        self._kernel = kernel
+
+    def describe(self) -> NodeJoin:
+        """Return the record with which the node joins."""
+        announcement = self.announcement
+        assert announcement is not None
+        return self._describe_node(announcement)
+
+    async def start(self) -> None:
+        """Wait for the upstream in the background, then join."""
+        self._task = asyncio.create_task(self._join())
+
+    async def stop(self) -> None:
+        """Wait no longer."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _join(self) -> None:
+        await self._announced.wait()
+        assert self._kernel is not None
+        await self._kernel.find('membership', Membership).start()
+
+    def _on_announce(self, announcement: Announcement) -> None:
+        _log.info(
+            'upstream {} announced, {} slots',
+            announcement.instance,
+            announcement.slots,
+        )
+        self.announcement = announcement
+        self._announced.set()
