--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
 from verbenadeck.fleet._sharding import shard_of
+from verbenadeck.fleet._snapshot import pack_pieces
 from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
     AppliedListener,
@@ -19,6 +20,7 @@
     'MemberState',
     'ShardView',
     'eviction_quorum',
+    'pack_pieces',
     'renewal_quorum',
     'shard_of',
 )
--- a/verbenadeck/fleet/_members.py
+++ b/verbenadeck/fleet/_members.py
@@ -1,6 +1,6 @@
 """Members, their witness sets and the votes about them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -20,7 +20,7 @@
 MAX_WITNESSES = 5
 """Most witnesses of one member."""
 
-ENDED_KEPT = 1_024
+ENDED_KEPT = 512
 """Members that have left and are still known, the newest ones."""
 
 _MAX_PORT = 65_535
@@ -148,6 +148,18 @@
             return self.ended[incarnation].member
         return member
 
+    def load(
+        self,
+        live: Iterable[Member],
+        ended: Iterable[Ended],
+        votes: Mapping[Incarnation, tuple[Incarnation, ...]],
+    ) -> None:
+        """Replace all members."""
+        self.live.clear()
+        self.live.update({member.incarnation: member for member in live})
+        self.ended = {last.member.incarnation: last for last in ended}
+        self.votes = dict(votes)
+
     def _judge_witnesses(
         self, incarnation: Incarnation, witnesses: tuple[Incarnation, ...]
     ) -> Verdict:
--- a/verbenadeck/fleet/_ownership.py
+++ b/verbenadeck/fleet/_ownership.py
@@ -1,8 +1,13 @@
 """Ownership of the shards of all services."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from verbenadeck.fleet._shard_table import ShardTable
+from verbenadeck.fleet._snapshot import (
+    TableSnapshot,
+    table_of,
+    table_snapshot,
+)
 from verbenadeck.fleet._view import Member, MemberState, ShardView
 from verbenadeck.model import (
     NO_FENCE,
@@ -72,6 +77,19 @@
             if service not in self.tables:
                 self.tables[service] = ShardTable(policy.shard_count)
 
+    def snapshots(self) -> tuple[TableSnapshot, ...]:
+        """Return the encoded form of all tables."""
+        return tuple(
+            table_snapshot(service, table)
+            for service, table in self.tables.items()
+        )
+
+    def load(self, snapshots: Iterable[TableSnapshot]) -> None:
+        """Replace all tables."""
+        self.tables = {
+            snapshot.service: table_of(snapshot) for snapshot in snapshots
+        }
+
     def assign(
         self, offset: Offset, record: Assign, live: _FindMember
     ) -> list[Verdict]:
--- a/verbenadeck/fleet/_state.py
+++ b/verbenadeck/fleet/_state.py
@@ -3,14 +3,27 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from verbenadeck.config import MAX_TOTAL_SHARDS, decode_document
+from returns.result import Failure, Result, Success
+
+from verbenadeck.config import (
+    MAX_TOTAL_SHARDS,
+    decode_document,
+    encode_document,
+)
 from verbenadeck.fleet._reader import FleetReader
+from verbenadeck.fleet._snapshot import (
+    SNAPSHOT_VERSION,
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
 from verbenadeck.fleet._view import AppliedListener
 from verbenadeck.fleet._writers import WriterWindows
 from verbenadeck.model import ConfigDocument, ConfigVersion, Offset
 from verbenadeck.records import (
     Assign,
     CheckpointChunk,
+    CodecError,
     ConfigPublished,
     Envelope,
     NodeJoin,
@@ -104,6 +117,45 @@
         self._tell(offset, envelope.record, verdict)
         return verdict
 
+    def snapshot(self) -> bytes:
+        """Return the encoded state, for `pack_pieces`."""
+        return encode_snapshot(
+            Snapshot(
+                version=SNAPSHOT_VERSION,
+                applied_offset=self._applied_offset,
+                config_version=self._config_version,
+                config_author=self._config_author,
+                document=encode_document(self._config),
+                live=tuple(self._members.live.values()),
+                ended=tuple(self._members.ended.values()),
+                votes=self._members.votes,
+                tables=self._ownership.snapshots(),
+                writers=tuple(self._writers.items()),
+            ),
+        )
+
+    def restore(self, packed: bytes) -> Result[Offset, CodecError]:
+        """Replace the state by a packed snapshot and return its offset.
+
+        A damaged snapshot is a failure and changes nothing.
+        """
+        return decode_snapshot(packed).bind(self._load)
+
+    def _load(self, snapshot: Snapshot) -> Result[Offset, CodecError]:
+        document = decode_document(snapshot.document).value_or(None)
+        if document is None:
+            return Failure(CodecError('snapshot has an invalid document'))
+        self._applied_offset = snapshot.applied_offset
+        self._config = document
+        self._config_version = snapshot.config_version
+        self._config_author = snapshot.config_author
+        self._members.load(snapshot.live, snapshot.ended, snapshot.votes)
+        self._ownership.load(snapshot.tables)
+        self._writers.load(snapshot.writers)
+        replaced = CheckpointChunk(self._applied_offset, 0, 0, b'')
+        self._tell(self._applied_offset, replaced, Verdict.ACCEPTED)
+        return Success(self._applied_offset)
+
     def _judge(self, offset: Offset, envelope: Envelope) -> Verdict:
         verdict = self._writers.judge(envelope, offset)
         if verdict is not None:
