Add checkpoints and the relay to the log client

Cause: a new node had to read the whole log, every node read it itself, and one that lost its way to the log got nothing.

Change: the oldest member writes checkpoints in chunks; a start takes one only when the log continues it and never begins empty over lost history. Two nodes per zone read the log, the others take records from a tree of peers with a fan-out of 4; pages carry the age of the news, so a peer that is cut off is left. Appends alternate between the log and a peer.

They found that the oldest node of a zone had no neighbour to fall back on; it has one now.

--- a/verbenadeck/fleet/tests/builders.py
+++ b/verbenadeck/fleet/tests/builders.py
@@ -128,6 +128,7 @@
     witnesses: Iterable[Incarnation] = (),
     zone: str = 'suva',
     service: ServiceName = HOLDS,
+    peer_port: int = 7000,
 ) -> NodeJoin:
     return NodeJoin(
         node_id=NodeId(node_id),
@@ -136,7 +137,7 @@
         service=service,
         slots=20,
         host='127.0.0.1',
-        peer_port=7000,
+        peer_port=peer_port,
         entry_port=8000,
         witnesses=tuple(witnesses),
     )
--- /dev/null
+++ b/verbenadeck/journal/_follower.py
@@ -0,0 +1,198 @@
+"""Follows the log into a fleet state."""
+
+import asyncio
+import random
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from verbenadeck.adapters import LogAdapter, LogFailure, LogPage
+from verbenadeck.fleet import FleetState
+from verbenadeck.journal._base import BaseLoader
+from verbenadeck.journal._checkpoint_search import CheckpointSearch
+from verbenadeck.journal._intake import Intake
+from verbenadeck.journal._proposals import Proposals
+from verbenadeck.journal._reader import PageReader, ReadOptions
+from verbenadeck.journal._sources import Source, plan_sources
+from verbenadeck.journal._waiters import OffsetWaiters, finishes
+from verbenadeck.model import Incarnation, Offset
+from verbenadeck.peers import PeerPort
+from verbenadeck.records import (
+    CheckpointChunk,
+    NodeJoin,
+    NodeLeave,
+    Record,
+    Suspect,
+    Verdict,
+)
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='journal')
+_CHANGES_MEMBERS = (NodeJoin, NodeLeave, Suspect, CheckpointChunk)
+
+
+class LogFollower:
+    """Tails the log, directly or through peers.
+
+    Parameters
+    ----------
+    adapter : LogAdapter
+        Way to the log.
+    clock : Clock
+        Clock of this VM.
+    random_source : random.Random
+        For waits and for the choice of peers.
+    proposals : Proposals
+        Records of this process that wait for their verdict.
+    port : PeerPort or None
+        Way to peers; None for a process that only uses the log.
+    options : ReadOptions
+        Options.
+
+    Attributes
+    ----------
+    intake : Intake
+        What is known of the log beside the fleet state.
+    """
+
+    def __init__(
+        self,
+        *,
+        adapter: LogAdapter,
+        clock: Clock,
+        random_source: random.Random,
+        proposals: Proposals,
+        port: PeerPort | None,
+        options: ReadOptions,
+    ) -> None:
+        self._adapter = adapter
+        self._clock = clock
+        self._random = random_source
+        self._page_limit = options.page_limit
+        self._fleet = FleetState()
+        self._waiters = OffsetWaiters(clock)
+        self.intake = Intake(
+            fleet=self._fleet, proposals=proposals, waiters=self._waiters
+        )
+        self._base = BaseLoader(
+            search=CheckpointSearch(
+                adapter=adapter, clock=clock, page_limit=options.page_limit
+            ),
+            fleet=self._fleet,
+            clock=clock,
+            random_source=random_source,
+        )
+        self._reader = PageReader(
+            adapter=adapter,
+            port=port,
+            clock=clock,
+            random_source=random_source,
+            plan=self._plan,
+            options=options,
+        )
+        self._ready = asyncio.Event()
+        self._are_members_changed = False
+        self._task: asyncio.Task[None] | None = None
+        self._fleet.subscribe(self._on_applied)
+
+    @property
+    def fleet(self) -> FleetState:
+        """State derived from the records read so far."""
+        return self._fleet
+
+    @property
+    def incarnation(self) -> Incarnation | None:
+        """Own incarnation, None before the join was accepted."""
+        return self.intake.incarnation
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the state follows the log and reached its end once."""
+        return self._ready.is_set()
+
+    @property
+    def waits_for(self) -> str:
+        """What the start waits for, empty when it waits for nothing."""
+        return self._base.waits_for
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the end of the log was last known."""
+        return self._reader.age_s
+
+    async def start(self) -> None:
+        """Start tailing; `wait_ready` tells when the state has caught up."""
+        self._task = asyncio.create_task(self._tail())
+        self._task.add_done_callback(_report_broken)
+
+    async def stop(self) -> None:
+        """Stop tailing and close the way to the log."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._adapter.close()
+
+    async def wait_ready(self, *, deadline_s: float) -> bool:
+        """Wait until the state has caught up; False at the deadline."""
+        return await finishes(self._ready.wait(), self._clock, deadline_s)
+
+    async def wait_applied(self, offset: Offset, *, deadline_s: float) -> bool:
+        """Wait until a record is applied; return False at the deadline."""
+        if self._fleet.applied_offset >= offset:
+            return True
+        return await self._waiters.wait(offset, deadline_s=deadline_s)
+
+    async def _tail(self) -> None:
+        await self._load_base()
+        while True:
+            if self._are_members_changed:
+                self._are_members_changed = False
+                self._reader.replan()
+            next_offset = Offset(self._fleet.applied_offset + 1)
+            match await self._reader.read(next_offset):
+                case Success(page):
+                    self._take(page)
+                case Failure(error):
+                    _log.warning('read failed: {}', error.detail)
+                    await self._recover(error.failure)
+
+    async def _recover(self, failure: LogFailure) -> None:
+        if failure is LogFailure.EXPIRED:
+            await self._load_base()
+
+    async def _load_base(self) -> None:
+        self._ready.clear()
+        await self._base.load()
+        self.intake.restart()
+
+    def _take(self, page: LogPage) -> None:
+        self.intake.apply_page(page)
+        if len(page.records) < self._page_limit:
+            self._ready.set()
+
+    def _on_applied(
+        self, _offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        """Choose sources anew when the members may have changed."""
+        if verdict is not Verdict.ACCEPTED:
+            return
+        if isinstance(record, CheckpointChunk) and record.count:
+            return
+        if isinstance(record, _CHANGES_MEMBERS):
+            self._are_members_changed = True
+
+    def _plan(self) -> tuple[Source, ...]:
+        members = self._fleet.members
+        return plan_sources(members, self.intake.incarnation, self._random)
+
+
+def _report_broken(task: 'asyncio.Task[None]') -> None:
+    """Report a tail that broke an invariant; the node must not go on."""
+    if not task.cancelled() and task.exception() is not None:
+        _log.critical('tail broke: {}', task.exception())
+        task.get_loop().call_exception_handler(
+            {
+                'message': 'the log client broke an invariant',
+                'exception': task.exception(),
+            }
+        )
--- a/verbenadeck/journal/_proposals.py
+++ b/verbenadeck/journal/_proposals.py
@@ -41,7 +41,7 @@
     """
 
     def __init__(self, writer: WriterId) -> None:
-        self._writer = writer
+        self.writer = writer
         self._last_sequence = 0
         self._open: dict[int, Proposal] = {}
 
@@ -50,7 +50,7 @@
         self._last_sequence += 1
         envelope = Envelope(
             format_version=FORMAT_VERSION,
-            writer=self._writer,
+            writer=self.writer,
             sequence=self._last_sequence,
             record=record,
             seen_offset=seen_offset,
@@ -67,16 +67,14 @@
         """Stop waiting for a record."""
         self._open.pop(proposal.sequence, None)
 
-    def settle(
-        self, offset: Offset, envelope: Envelope, verdict: Verdict
-    ) -> None:
-        """Resolve the proposal that was read back, if it is one of ours.
+    def settle(self, offset: Offset, sequence: int, verdict: Verdict) -> None:
+        """Resolve the proposal of this writer that was read back.
 
         A repeat is no answer: it means that the first copy was judged in a
         part of the log that this process skipped by a checkpoint.
         """
-        if envelope.writer != self._writer or verdict is Verdict.DUPLICATE:
+        proposal = self._open.get(sequence)
+        if proposal is None or verdict is Verdict.DUPLICATE:
             return
-        proposal = self._open.get(envelope.sequence)
-        if proposal is not None and not proposal.applied.done():
+        if not proposal.applied.done():
             proposal.applied.set_result(Applied(offset, verdict))
--- a/verbenadeck/journal/_waiters.py
+++ b/verbenadeck/journal/_waiters.py
@@ -1,6 +1,7 @@
 """Tasks that wait for a position of the log."""
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any
 
 from verbenadeck.model import Offset
@@ -40,3 +41,15 @@
     while not future.done() and clock.now_s() < deadline_s:
         await asyncio.wait((future,), timeout=clock.remaining_s(deadline_s))
     return future.done()
+
+
+async def finishes(
+    step: Coroutine[Any, Any, Any], clock: Clock, deadline_s: float
+) -> bool:
+    """Run a step; cancel it and return False at the deadline."""
+    try:
+        async with asyncio.timeout(clock.remaining_s(deadline_s)):
+            await step
+    except TimeoutError:
+        return False
+    return True
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -1,10 +1,162 @@
+import asyncio
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
+from returns.result import Failure, Result
+
+from verbenadeck.adapters import LogError, LogFailure, LogPage
+from verbenadeck.fleet.tests.builders import make_join
 from verbenadeck.journal import JournalOptions, LogClient
-from verbenadeck.model import NodeId
-from verbenadeck.testing import MemoryLog, MemoryLogAdapter
+from verbenadeck.model import Incarnation, NodeId, Offset, Zone
+from verbenadeck.peers import PeerAddress
+from verbenadeck.records import NodeJoin
+from verbenadeck.testing import (
+    FakeNetwork,
+    FakePort,
+    MemoryLog,
+    MemoryLogAdapter,
+    virtual_clock,
+)
 from verbenadeck.utils import Clock
 
+FIRST_PORT = 7000
+
+
+class FaultyAdapter(MemoryLogAdapter):
+    """Way to a `MemoryLog` that can be cut in one direction or go silent."""
+
+    def __init__(self, log: MemoryLog, clock: Clock) -> None:
+        super().__init__(log, clock)
+        self.cut_reads = False
+        self.cut_appends = False
+        self.is_silent = False
+        self.reads = 0
+
+    async def append(
+        self, record: bytes, *, deadline_s: float
+    ) -> Result[Offset, LogError]:
+        if self.cut_appends:
+            await asyncio.sleep(0.01)
+            return Failure(LogError(LogFailure.NOT_APPENDED, 'cut'))
+        if self.is_silent:
+            await self._clock.sleep_until(deadline_s)
+            return Failure(LogError(LogFailure.UNKNOWN, 'silent'))
+        return await super().append(record, deadline_s=deadline_s)
+
+    async def read(
+        self, start_offset: Offset, *, limit: int, deadline_s: float
+    ) -> Result[LogPage, LogError]:
+        self.reads += 1
+        if self.is_silent:
+            await self._clock.sleep_until(deadline_s)
+        if self.cut_reads or self.is_silent:
+            await asyncio.sleep(0.01)
+            return Failure(LogError(LogFailure.UNAVAILABLE, 'cut'))
+        return await super().read(
+            start_offset, limit=limit, deadline_s=deadline_s
+        )
+
+
+class Node:
+    """Log client with its adapter, peer port and clock."""
+
+    def __init__(
+        self,
+        log: MemoryLog,
+        network: FakeNetwork,
+        index: int,
+        *,
+        zone: str = 'suva',
+        life: int = 1,
+        options: JournalOptions | None = None,
+    ) -> None:
+        self.clock = virtual_clock(offset_s=index * 1000)
+        self.node_id = NodeId(f'node-{index}')
+        self.zone = Zone(zone)
+        self.address = PeerAddress('127.0.0.1', FIRST_PORT + index)
+        self.adapter = FaultyAdapter(log, self.clock)
+        self.port: FakePort = network.port(self.address, self.clock)
+        self.client = LogClient(
+            adapter=self.adapter,
+            clock=self.clock,
+            random_source=random.Random(f'{index}/{life}'),
+            node_id=self.node_id,
+            port=self.port,
+            options=options,
+        )
+
+    def join_record(self) -> NodeJoin:
+        return make_join(
+            self.node_id, zone=self.zone, peer_port=self.address.port
+        )
+
+    async def join(self) -> Incarnation:
+        answer = await self.client.propose(
+            self.join_record(), deadline_s=self.in_s(20)
+        )
+        return Incarnation(answer.unwrap().offset)
+
+    def in_s(self, wait_s: float) -> float:
+        """Return the deadline that is some seconds away."""
+        return self.clock.now_s() + wait_s
+
+    async def stop(self) -> None:
+        """Stop at once, as a lost process does for others."""
+        self.port.is_up = False
+        await self.client.stop()
+
+
+class Site:
+    """Nodes around one log."""
+
+    def __init__(self, *, options: JournalOptions | None = None) -> None:
+        self.log = MemoryLog()
+        self.network = FakeNetwork()
+        self.nodes: list[Node] = []
+        self._options = options
+
+    async def add(self, *, zone: str = 'suva', joins: bool = True) -> Node:
+        node = Node(
+            self.log,
+            self.network,
+            len(self.nodes),
+            zone=zone,
+            options=self._options,
+        )
+        self.nodes.append(node)
+        await node.client.start()
+        if joins:
+            await node.join()
+        return node
+
+    async def settle(self, wait_s: float = 1) -> None:
+        await asyncio.sleep(wait_s)
+
+    def expire(self, *, keep: int = 0) -> None:
+        """Let the log forget all but its newest records."""
+        self.log.first_offset = len(self.log.records) - keep
+
+    def agree(self) -> bool:
+        states = {node.client.fleet.snapshot() for node in self.nodes}
+        return len(states) == 1
+
+
+@asynccontextmanager
+async def make_site(
+    *zones: str, options: JournalOptions | None = None
+) -> AsyncIterator[Site]:
+    """Make a site with one joined node for each named zone."""
+    site = Site(options=options)
+    try:
+        for zone in zones:
+            await site.add(zone=zone)
+        await site.settle()
+        yield site
+    finally:
+        for node in site.nodes:
+            await node.client.stop()
+
 
 def make_client(
     log: MemoryLog,
--- /dev/null
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -0,0 +1,218 @@
+import asyncio
+
+import pytest
+
+from verbenadeck.fleet.tests.builders import make_join, make_published
+from verbenadeck.journal import JournalFailure
+from verbenadeck.journal._messages import RelayAppend, RelayFetch, RelayPage
+from verbenadeck.journal._sources import (
+    DIRECT_PER_ZONE,
+    FAN_OUT,
+    LOG,
+    plan_sources,
+)
+from verbenadeck.journal.tests.builders import Node, Site, make_site
+from verbenadeck.model import Offset
+from verbenadeck.records import Verdict
+from verbenadeck.testing import run_virtual
+
+_IN_FORCE_S = 7
+_ONE_ZONE = ('suva',) * 8
+
+
+async def _publish(node: Node) -> Offset:
+    version = node.client.fleet.config_version
+    published = make_published(expected_version=version)
+    answer = await node.client.propose(published, deadline_s=node.in_s(10))
+    assert answer.unwrap().verdict is Verdict.ACCEPTED
+    return answer.unwrap().offset
+
+
+async def _assert_in_force(site: Site, offset: Offset) -> None:
+    """Fail unless all nodes apply a position within the stated time."""
+    arrived = await asyncio.gather(
+        *(
+            node.client.wait_applied(offset, deadline_s=node.in_s(_IN_FORCE_S))
+            for node in site.nodes
+            if node.port.is_up
+        )
+    )
+    assert all(arrived)
+
+
+def test_most_nodes_of_a_zone_leave_the_log_alone() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE) as site:
+            await site.settle(10)
+            before = [node.adapter.reads for node in site.nodes]
+            await _assert_in_force(site, await _publish(site.nodes[5]))
+            await site.settle(20)
+            after = [node.adapter.reads for node in site.nodes]
+            readers = sum(
+                later > earlier + 1
+                for earlier, later in zip(before, after, strict=True)
+            )
+            assert readers == DIRECT_PER_ZONE
+            assert site.agree()
+
+    run_virtual(scenario())
+
+
+def test_sources_form_a_tree_of_bounded_width() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE, *_ONE_ZONE, *_ONE_ZONE) as site:
+            node = site.nodes[0]
+            members = node.client.fleet.members
+            preferred = [
+                plan_sources(
+                    members, own.client.incarnation, node.client._random
+                )
+                for own in site.nodes
+            ]
+            firsts = [sources[0] for sources in preferred]
+            assert firsts.count(LOG) == DIRECT_PER_ZONE
+            for source in set(firsts) - {LOG}:
+                assert firsts.count(source) <= FAN_OUT
+            assert all(LOG in sources for sources in preferred)
+            assert all(len(sources) > 1 for sources in preferred)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize('cut', ('is_cut', 'cut_reads', 'is_silent'))
+def test_nodes_without_the_log_get_records_from_peers(cut: str) -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi', 'lautoka') as site:
+            for node in site.nodes[:2]:
+                setattr(node.adapter, cut, True)
+            await site.settle(20)
+            await _assert_in_force(site, await _publish(site.nodes[2]))
+
+    run_virtual(scenario())
+
+
+def test_nodes_without_peers_read_the_log() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE) as site:
+            for node in site.nodes[3:]:
+                site.network.isolate(node.address)
+            await site.settle(20)
+            await _assert_in_force(site, await _publish(site.nodes[0]))
+
+    run_virtual(scenario())
+
+
+def test_losing_the_readers_of_a_zone_delays_records_only_briefly() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE, 'nadi') as site:
+            await site.settle(10)
+            for node in site.nodes[:DIRECT_PER_ZONE]:
+                await node.stop()
+            await _assert_in_force(site, await _publish(site.nodes[-1]))
+
+    run_virtual(scenario())
+
+
+def test_a_peer_without_news_of_the_log_is_left() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE, 'nadi') as site:
+            await site.settle(10)
+            far = site.nodes[-1].address
+            for node in site.nodes[:DIRECT_PER_ZONE]:
+                node.adapter.is_silent = True
+                site.network.cut.add((node.address, far))
+                site.network.cut.add((far, node.address))
+            await site.settle(5)
+            await _assert_in_force(site, await _publish(site.nodes[-1]))
+
+    run_virtual(scenario())
+
+
+def test_a_log_that_comes_back_reaches_all_in_time() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE, 'nadi', 'nadi') as site:
+            site.log.is_up = False
+            await site.settle(300)
+            site.log.is_up = True
+            await _assert_in_force(site, await _publish(site.nodes[-1]))
+            assert site.agree()
+
+    run_virtual(scenario())
+
+
+def test_reads_stay_few_while_the_log_is_down() -> None:
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE) as site:
+            site.log.is_up = False
+            await site.settle(10)
+            before = sum(node.adapter.reads for node in site.nodes)
+            await site.settle(100)
+            after = sum(node.adapter.reads for node in site.nodes)
+            assert after - before <= 100 * len(site.nodes)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize('cut', ('is_cut', 'cut_appends', 'is_silent'))
+def test_a_peer_appends_for_a_node_that_can_not(cut: str) -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi', 'lautoka') as site:
+            setattr(site.nodes[0].adapter, cut, True)
+            await _assert_in_force(site, await _publish(site.nodes[0]))
+            assert site.agree()
+
+    run_virtual(scenario())
+
+
+def test_a_record_that_several_peers_append_takes_effect_once() -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi', 'lautoka') as site:
+            first, second, third = site.nodes
+            proposal = first.client._proposals.open(
+                make_join('once'), first.client.fleet.applied_offset
+            )
+            for helper in (second, third, second):
+                await first.port.call(
+                    helper.address,
+                    RelayAppend(proposal.payload),
+                    deadline_s=first.in_s(5),
+                )
+            await site.settle()
+            assert len(first.client.fleet.members) == 4
+            assert proposal.applied.result().verdict is Verdict.ACCEPTED
+            assert site.agree()
+
+    run_virtual(scenario())
+
+
+def test_a_node_without_log_and_peers_knows_that_nothing_happened() -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi') as site:
+            node = site.nodes[0]
+            site.network.ports.pop(site.nodes[1].address)
+            node.adapter.cut_appends = True
+            answer = await node.client.propose(
+                make_join('never'), deadline_s=node.in_s(0.1)
+            )
+            assert answer.failure().failure is JournalFailure.NOT_APPENDED
+
+    run_virtual(scenario())
+
+
+def test_a_peer_says_when_it_no_longer_keeps_a_record() -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi') as site:
+            asker, peer = site.nodes
+            await _publish(peer)
+            await _publish(peer)
+            peer.client.intake.recent.restart(peer.client.fleet.applied_offset)
+            answer = await asker.port.call(
+                peer.address,
+                RelayFetch(Offset(1), 0),
+                deadline_s=asker.in_s(3),
+            )
+            page = answer.unwrap()
+            assert isinstance(page, RelayPage)
+            assert not page.is_kept
+
+    run_virtual(scenario())
