--- /dev/null
+++ b/verbenadeck/config/_text.py
@@ -0,0 +1,26 @@
+"""Reads documents as operators write them: JSON with comments."""
+
+import json5
+from returns.result import Failure
+
+from verbenadeck.config._document_rules import CheckResult, check_document
+from verbenadeck.config._problems import ConfigProblem
+
+
+def parse_document(text: str) -> CheckResult:
+    """Read and check a document in JSON with comments.
+
+    A key that stands twice is an error, since one of both would be lost.
+
+    Examples
+    --------
+    >>> parse_document('{moves_per_minute: 5 /* slow */}').map(
+    ...     lambda document: document.moves_per_minute
+    ... )
+    <Success: 5>
+    """
+    try:
+        raw = json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        return Failure((ConfigProblem('(document)', str(error)),))
+    return check_document(raw)
--- /dev/null
+++ b/verbenadeck/config/tests/test_operations.py
@@ -0,0 +1,215 @@
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from verbenadeck.config import (
+    Change,
+    add_exception,
+    remove_exception,
+    upstream_in,
+    upstream_out,
+    zone_in,
+    zone_out,
+)
+from verbenadeck.config.operations import (
+    PublishFailure,
+    PublishResult,
+    apply_change,
+    publish_document,
+)
+from verbenadeck.config.tests.builders import (
+    HOLDS,
+    make_document,
+    make_rule,
+)
+from verbenadeck.journal.tests.builders import Node, Site, make_site
+from verbenadeck.model import (
+    ConfigDocument,
+    ConfigVersion,
+    NodeId,
+    ServicePolicy,
+    Zone,
+)
+from verbenadeck.testing import run_virtual
+
+_SUVA = Zone('suva')
+_NADI = Zone('nadi')
+
+
+async def _publish(
+    node: Node, document: ConfigDocument, version: int, author: str = 'ana'
+) -> PublishResult:
+    return await publish_document(
+        node.client,
+        document,
+        expected_version=ConfigVersion(version),
+        author=author,
+        deadline_s=node.in_s(10),
+    )
+
+
+async def _apply(
+    node: Node, change: Change, *, author: str = 'ana', wait_s: float = 10
+) -> PublishResult:
+    return await apply_change(
+        node.client, change, author=author, deadline_s=node.in_s(wait_s)
+    )
+
+
+def _out(zone: Zone, reason: str = 'flood') -> Change:
+    return zone_out(zone, reason=reason, since_s=5)
+
+
+@asynccontextmanager
+async def _configured() -> AsyncIterator[Site]:
+    async with make_site('suva', 'nadi') as site:
+        published = await _publish(site.nodes[0], make_document(), 0)
+        assert published.unwrap() == 1
+        await site.settle()
+        yield site
+
+
+def test_the_loser_of_a_race_learns_who_won() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            answers = await asyncio.gather(
+                _publish(site.nodes[0], make_document(), 1, 'ana'),
+                _publish(site.nodes[1], make_document(), 1, 'ben'),
+            )
+            errors = [a.failure() for a in answers if a.value_or(None) is None]
+            assert len(errors) == 1
+            assert errors[0].failure is PublishFailure.CONFLICT
+            assert errors[0].winner_version == 2
+            winner = site.nodes[0].client.fleet.config_author
+            assert errors[0].winner_author == winner
+            assert winner in errors[0].detail
+
+    run_virtual(scenario())
+
+
+def test_two_deltas_at_once_both_hold() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            first, second = site.nodes
+            answers = await asyncio.gather(
+                _apply(first, _out(_SUVA), author='ana'),
+                _apply(second, _out(_NADI), author='ben'),
+                _apply(first, add_exception(make_rule()), author='ana'),
+                _apply(
+                    second,
+                    upstream_out(NodeId('n'), reason='disk', since_s=1),
+                    author='ben',
+                ),
+            )
+            versions = sorted(answer.unwrap() for answer in answers)
+            assert versions == [2, 3, 4, 5]
+            await site.settle()
+            for node in site.nodes:
+                config = node.client.fleet.config
+                assert set(config.zones_out) == {_SUVA, _NADI}
+                assert config.exceptions == (make_rule(),)
+                assert list(config.upstreams_out) == ['n']
+
+    run_virtual(scenario())
+
+
+def test_deltas_are_undone_by_their_opposites_alone() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            out = upstream_out(NodeId('n'), reason='disk', since_s=1)
+            for change in (_out(_SUVA), _out(_NADI), out, zone_in(_SUVA)):
+                assert (await _apply(node, change)).unwrap()
+            assert list(node.client.fleet.config.zones_out) == [_NADI]
+            for change in (upstream_in(NodeId('n')), zone_in(_NADI)):
+                assert (await _apply(node, change)).unwrap()
+            assert node.client.fleet.config == make_document()
+
+    run_virtual(scenario())
+
+
+def test_a_repeated_out_keeps_its_time() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            await _apply(node, _out(_SUVA))
+            later = zone_out(_SUVA, reason='still', since_s=99)
+            await _apply(node, later)
+            state = node.client.fleet.config.zones_out[_SUVA]
+            assert (state.reason, state.since_s) == ('still', 5)
+
+    run_virtual(scenario())
+
+
+def test_exceptions_of_one_name_are_not_replaced() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            assert (await _apply(node, add_exception(make_rule()))).unwrap()
+            assert (await _apply(node, add_exception(make_rule()))).unwrap()
+            other = make_rule(setting=9)
+            clash = (await _apply(node, add_exception(other))).failure()
+            assert clash.failure is PublishFailure.INVALID
+            assert 'differs' in clash.detail
+            removed = remove_exception('slow-nadi')
+            assert (await _apply(node, removed)).unwrap()
+            missing = (await _apply(node, removed)).failure()
+            assert 'is not there' in missing.detail
+
+    run_virtual(scenario())
+
+
+def test_an_invalid_document_never_reaches_the_log() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            count = len(site.log.records)
+            blank = (await _apply(node, _out(_SUVA, ' '))).failure()
+            assert blank.problems[0].path == 'zones_out.suva.reason'
+            nobody = (await _apply(node, _out(_SUVA), author='')).failure()
+            assert nobody.problems[0].path == 'author'
+            larger = ConfigDocument(
+                services={HOLDS: ServicePolicy(shard_count=16)}
+            )
+            fixed = (await _publish(node, larger, 1)).failure()
+            assert fixed.problems[0].detail == 'is fixed at 8'
+            assert len(site.log.records) == count
+
+    run_virtual(scenario())
+
+
+def test_a_log_that_is_down_during_a_change_is_told_apart() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            site.log.is_up = False
+            down = (await _apply(node, _out(_SUVA), wait_s=3)).failure()
+            assert down.failure is PublishFailure.NOT_APPENDED
+            site.log.is_up = True
+            node.adapter.cut_reads = True
+            site.network.isolate(node.address)
+            unread = (await _apply(node, _out(_SUVA), wait_s=3)).failure()
+            assert unread.failure is PublishFailure.UNKNOWN
+            node.adapter.cut_reads = False
+            await site.settle(10)
+            assert (await _apply(node, _out(_SUVA))).unwrap() == 3
+
+    run_virtual(scenario())
+
+
+def test_an_operation_of_unknown_outcome_never_undoes_a_later_one() -> None:
+    async def scenario() -> None:
+        async with _configured() as site:
+            node = site.nodes[0]
+            node.adapter.holds_appends = True
+            site.network.isolate(node.address)
+            lost = (await _apply(node, _out(_SUVA), wait_s=3)).failure()
+            assert lost.failure is PublishFailure.UNKNOWN
+            other = site.nodes[1]
+            assert (await _apply(other, zone_in(_SUVA))).unwrap() == 2
+            node.adapter.let_go()
+            await site.settle()
+            assert other.client.fleet.config_version == 2
+            assert not other.client.fleet.config.zones_out
+
+    run_virtual(scenario())
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -31,6 +31,8 @@
         self.cut_reads = False
         self.cut_appends = False
         self.is_silent = False
+        self.holds_appends = False
+        self.held: list[bytes] = []
         self.reads = 0
 
     async def append(
@@ -39,11 +41,19 @@
         if self.cut_appends:
             await asyncio.sleep(0.01)
             return Failure(LogError(LogFailure.NOT_APPENDED, 'cut'))
-        if self.is_silent:
+        if self.holds_appends:
+            self.held.append(record)
+        if self.is_silent or self.holds_appends:
             await self._clock.sleep_until(deadline_s)
             return Failure(LogError(LogFailure.UNKNOWN, 'silent'))
         return await super().append(record, deadline_s=deadline_s)
 
+    def let_go(self) -> None:
+        """Append what was held, as a log does that answers late."""
+        self.holds_appends = False
+        self._log.records.extend(self.held)
+        self.held.clear()
+
     async def read(
         self, start_offset: Offset, *, limit: int, deadline_s: float
     ) -> Result[LogPage, LogError]:
