--- a/verbenadeck/lease/_grants.py
+++ b/verbenadeck/lease/_grants.py
@@ -114,10 +114,13 @@
     """Return the fewest ranges with one fence each."""
     ordered = sorted(wanted.items())
     found: list[GrantedRange] = []
-    for (_, fence), run in groupby(
-        enumerate(ordered),
-        key=lambda entry: (entry[1][0] - entry[0], entry[1][1]),
-    ):
+    for (_, fence), run in groupby(enumerate(ordered), _run_of):
         shards = [each[0] for _, each in run]
         found.append(GrantedRange(shards[0], shards[-1] + 1, fence))
     return tuple(found)
+
+
+def _run_of(entry: tuple[int, tuple[Shard, Fence]]) -> tuple[int, Fence]:
+    """Return what consecutive shards of one fence have in common."""
+    position, (shard, fence) = entry
+    return shard - position, fence
--- a/verbenadeck/lease/_slots.py
+++ b/verbenadeck/lease/_slots.py
@@ -137,7 +137,8 @@
     def _settle(self, key: ShardKey, view: ShardView) -> Iterator[bytes | None]:
         slot = self._slots.get(key)
         if slot is None or slot.fence != view.fence:
-            slot = self._slots[key] = Slot(view.fence)
+            slot = Slot(view.fence)
+            self._slots[key] = slot
         if slot.state is not SlotState.WAITING:
             return
         notes = {
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -159,8 +159,8 @@
         if membership.is_leased and membership.is_fresh:
             return lease_s
         if self._is_pair(member):
-            is_first = member.incarnation < member.witnesses[0]
-            return lease_s + (0 if is_first else self._timing.tie_break_s)
+            is_second = member.incarnation > member.witnesses[0]
+            return lease_s + is_second * self._timing.tie_break_s
         return lease_s if membership.is_last_resort else None
 
     def _is_pair(self, member: Member) -> bool:
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -7,11 +7,12 @@
 
 import msgspec
 from loguru import logger
-from returns.result import Result, Success
+from returns.result import Result
 
 from verbenadeck.fleet import Member, MemberState
 from verbenadeck.journal import Applied, Journal, JournalError
 from verbenadeck.membership._heartbeats import Heartbeats
+from verbenadeck.membership._predecessors import predecessors
 from verbenadeck.membership._renewals import Renewals
 from verbenadeck.membership._timing import LeaseTiming
 from verbenadeck.membership._witness_choice import (
@@ -49,6 +50,11 @@
         The node and its upstream as they are now; witnesses are ignored.
     timing : LeaseTiming
         Times that the whole fleet shares.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether the node has ended its duties as a witness.
     """
 
     def __init__(
@@ -67,7 +73,7 @@
         self._journal = journal
         self._describe = describe
         self._incarnation = NO_MEMBER
-        self._is_stopping = False
+        self.is_stopping = False
         self._joined_s = -math.inf
         self._started_s = -math.inf
         self._renewals = Renewals(clock=clock, timing=self.timing)
@@ -98,11 +104,6 @@
         """Node as the log has it, None when evicted or not joined."""
         return self._journal.fleet.members.get(self._incarnation)
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether the node has ended its duties as a witness."""
-        return self._is_stopping
-
     @property
     def lease_deadline_s(self) -> float:
         """End of the lease on the boot clock, in the past without one.
@@ -129,7 +130,13 @@
         if member is None or len(member.witnesses) > _SMALL_FLEET:
             return False
         age_s = self._clock.now_s() - max(self._renewed_s, self._joined_s)
-        others = len(self._candidates())
+        others = len(
+            candidates_for(
+                self._journal.fleet.members.values(),
+                node_id=member.node_id,
+                region=member.region,
+            )
+        )
         return others <= _SMALL_FLEET and age_s > self.timing.last_resort_s
 
     async def start(self) -> None:
@@ -156,7 +163,7 @@
 
     async def stop(self) -> None:
         """End all duties, then say in the log that this life is over."""
-        self._is_stopping = True
+        self.is_stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -168,7 +175,7 @@
     @property
     def _renewed_s(self) -> float:
         member = self.member
-        if member is None or self._is_stopping:
+        if member is None or self.is_stopping:
             return -math.inf
         return self._renewals.renewed_s(self._keeper.sets(member))
 
@@ -180,42 +187,33 @@
             await asyncio.sleep(_RETRY_S * self._random.uniform(0.5, 1))
 
     async def _join(self) -> None:
+        described = self._describe()
+        candidates = candidates_for(
+            self._journal.fleet.members.values(),
+            node_id=described.node_id,
+            region=described.region,
+        )
         record = msgspec.structs.replace(
-            self._describe(),
-            witnesses=choose_witnesses(
-                self._candidates(), random_source=self._random
-            ),
+            described,
+            witnesses=choose_witnesses(candidates, random_source=self._random),
         )
         self._incarnation = NO_MEMBER
         self._renewals.reset()
         self._keeper.reset()
-        match await self._propose(record):
-            case Success(Applied(offset=offset, verdict=Verdict.ACCEPTED)):
-                self._incarnation = Incarnation(offset)
-                self._joined_s = self._clock.now_s()
-                _log.info('joined as incarnation {}', offset)
+        applied = (await self._propose(record)).value_or(None)
+        if applied is not None and applied.verdict is Verdict.ACCEPTED:
+            self._incarnation = Incarnation(applied.offset)
+            self._joined_s = self._clock.now_s()
+            _log.info('joined as incarnation {}', applied.offset)
 
     async def _bury_predecessors(self) -> None:
-        """State the end of earlier lives of this very process slot.
-
-        The peer port is bound by this process, so an earlier one with the
-        same address runs no more; what it granted has ended a lease later.
-        """
         own = self.member
         grants_end_s = self._started_s + self.timing.lease_s
         if own is None or self._clock.now_s() < grants_end_s:
             return
-        for each in tuple(self._journal.fleet.members.values()):
-            is_other = each.incarnation != own.incarnation
-            is_same = (each.node_id, each.address) == (
-                own.node_id,
-                own.address,
-            )
-            if is_other and is_same:
-                _log.info('earlier life {} is over', each.incarnation)
-                await self._propose(
-                    NodeLeave(each.incarnation, LeavePhase.GONE)
-                )
+        for each in predecessors(self._journal.fleet, own):
+            _log.info('earlier life {} is over', each)
+            await self._propose(NodeLeave(each, LeavePhase.GONE))
 
     async def _beat(self) -> None:
         tick_s = self.timing.heartbeat_s / _TICKS_PER_HEARTBEAT
@@ -233,14 +231,6 @@
             tick += 1
             await asyncio.sleep(tick_s)
 
-    def _candidates(self) -> list[Member]:
-        own = self._describe()
-        return candidates_for(
-            self._journal.fleet.members.values(),
-            node_id=own.node_id,
-            region=own.region,
-        )
-
     async def _propose(
         self, record: NodeJoin | NodeLeave
     ) -> Result[Applied, JournalError]:
--- a/verbenadeck/membership/_witness_choice.py
+++ b/verbenadeck/membership/_witness_choice.py
@@ -13,12 +13,14 @@
 def candidates_for(
     members: Iterable[Member], *, node_id: NodeId, region: Region
 ) -> list[Member]:
-    """Return the members that may be witnesses of a node."""
-    return [
-        member
-        for member in members
-        if member.region == region and member.node_id != node_id
-    ]
+    """Return the members that may be witnesses of a node.
+
+    They are in its own region, so that a region cut off from others keeps
+    its leases; a node alone in its region takes them from elsewhere.
+    """
+    others = [member for member in members if member.node_id != node_id]
+    nearby = [member for member in others if member.region == region]
+    return nearby or others
 
 
 def choose_witnesses(
@@ -44,13 +46,11 @@
     chosen: list[Member] = []
     while left and len(chosen) < WITNESS_COUNT:
         zones = Counter(member.zone for member in chosen)
-        best = min(
-            left,
-            key=lambda member: (
-                zones[member.zone],
-                member.incarnation not in preferred,
-            ),
-        )
+        ranked = [
+            (zones[each.zone], each.incarnation not in preferred, index)
+            for index, each in enumerate(left)
+        ]
+        best = left[min(ranked)[-1]]
         chosen.append(best)
         left.remove(best)
     return tuple(sorted(member.incarnation for member in chosen))
--- /dev/null
+++ b/verbenadeck/placement/_eligibility.py
@@ -0,0 +1,67 @@
+"""Members that may own shards."""
+
+from collections.abc import Callable
+
+from verbenadeck.fleet import FleetView, Member, MemberState
+from verbenadeck.model import NO_MEMBER, Incarnation, ServiceName
+
+
+def serving_members(fleet: FleetView, service: ServiceName) -> list[Member]:
+    """Return the members of a service that may keep their shards."""
+    config = fleet.config
+    return [
+        member
+        for member in fleet.members.values()
+        if member.service == service
+        and member.state is MemberState.JOINED
+        and member.zone not in config.zones_out
+        and member.node_id not in config.upstreams_out
+    ]
+
+
+def weights_of(
+    members: list[Member],
+    *,
+    is_settled: Callable[[Member], bool],
+    is_owner: Callable[[Incarnation], bool],
+) -> dict[Incarnation, int]:
+    """Return the capacity of the members that may get shards.
+
+    A member that joined a moment ago may be cut off from its witnesses, and
+    one without witnesses can't be evicted. Neither gets shards while others
+    can take them.
+    """
+    proven = [
+        member
+        for member in members
+        if is_owner(member.incarnation)
+        or (member.witnesses and is_settled(member))
+    ]
+    witnessed = [member for member in members if member.witnesses]
+    chosen = proven or witnessed or members
+    return {
+        member.incarnation: max(1, member.slots)
+        for member in sorted(chosen, key=lambda each: each.incarnation)
+    }
+
+
+def homes_of(
+    fleet: FleetView, members: list[Member], owners: set[int]
+) -> dict[Incarnation, Incarnation]:
+    """Return who takes back the shards of which lost member.
+
+    The per-key state is still there when the upstream has not restarted.
+    """
+    by_upstream = {
+        (member.node_id, member.upstream_instance): member.incarnation
+        for member in members
+        if member.upstream_instance
+    }
+    homes: dict[Incarnation, Incarnation] = {}
+    for owner in owners - fleet.members.keys() - {NO_MEMBER}:
+        lost = fleet.member(Incarnation(owner))
+        if lost is not None:
+            home = by_upstream.get((lost.node_id, lost.upstream_instance))
+            if home is not None:
+                homes[Incarnation(owner)] = home
+    return homes
--- /dev/null
+++ b/verbenadeck/placement/_planner.py
@@ -0,0 +1,197 @@
+"""Planner: proposes assignments; any live node may run it."""
+
+import asyncio
+import math
+
+from loguru import logger
+from returns.result import Success
+
+from verbenadeck.fleet import Member
+from verbenadeck.journal import Applied, Journal
+from verbenadeck.membership import Membership
+from verbenadeck.model import NO_MEMBER, Incarnation, Offset, ServiceName
+from verbenadeck.placement._budget import ChurnBudget
+from verbenadeck.placement._eligibility import (
+    homes_of,
+    serving_members,
+    weights_of,
+)
+from verbenadeck.placement._loads import PlanInput
+from verbenadeck.placement._moves import assign_records
+from verbenadeck.placement._plan import Plan, make_plan
+from verbenadeck.records import (
+    Assign,
+    CheckpointChunk,
+    ConfigPublished,
+    NodeJoin,
+    NodeLeave,
+    Record,
+    Suspect,
+    Verdict,
+)
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='placement')
+_PLANNERS = 3
+_RANK_DELAY_S = 0.4
+_SETTLE_S = 2.0
+_LOOK_S = 1.0
+_PAUSE_S = 0.02
+_BALANCE_DELAY_S = 10.0
+_URGENT = (CheckpointChunk, ConfigPublished, NodeJoin, NodeLeave, Suspect)
+
+
+class Planner:
+    """Assigns shards of lost and leaving members, then balances.
+
+    The member with the lowest incarnation plans at once. The next two plan
+    the same work only when it is still open a little later, so a planner
+    that can't reach the log holds nothing up. Plans are made by
+    compare-and-set, so two planners at once do no harm.
+
+    Parameters
+    ----------
+    clock : Clock
+        Boot clock of the VM.
+    journal : Journal
+        Log client.
+    membership : Membership
+        Membership of this node.
+    """
+
+    def __init__(
+        self, *, clock: Clock, journal: Journal, membership: Membership
+    ) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._membership = membership
+        self._budget = ChurnBudget(clock)
+        self._changed = asyncio.Event()
+        self._changed_s = clock.now_s()
+        self._assigned_s = clock.now_s()
+        self._seen_s: dict[Incarnation, float] = {}
+        self._task: asyncio.Task[None] | None = None
+        journal.fleet.subscribe(self._on_applied)
+
+    async def start(self) -> None:
+        """Start planning."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End planning."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def _on_applied(
+        self, _offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        if verdict is not Verdict.ACCEPTED:
+            return
+        if isinstance(record, Assign):
+            self._assigned_s = self._clock.now_s()
+        if isinstance(record, _URGENT):
+            self._changed_s = self._clock.now_s()
+            self._changed.set()
+
+    async def _run(self) -> None:
+        while True:
+            self._changed.clear()
+            self._note_members()
+            rank = self._rank()
+            if rank is not None:
+                delay_s = rank * _RANK_DELAY_S
+                await self._clock.sleep_until(self._changed_s + delay_s)
+                await self._plan_all()
+            try:
+                async with asyncio.timeout(_LOOK_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(_PAUSE_S)
+
+    def _note_members(self) -> None:
+        now_s = self._clock.now_s()
+        self._seen_s = {
+            each: self._seen_s.get(each, now_s)
+            for each in self._journal.fleet.members
+        }
+
+    async def _plan_all(self) -> None:
+        for service, policy in self._journal.fleet.config.services.items():
+            if policy.is_keyed:
+                plan = self._plan(service)
+                await self._propose(service, plan)
+
+    def _plan(self, service: ServiceName) -> Plan:
+        fleet = self._journal.fleet
+        members = serving_members(fleet, service)
+        owners = fleet.owners(service)
+        named = set(owners)
+        weights = weights_of(
+            members,
+            is_settled=self._is_settled,
+            is_owner=named.__contains__,
+        )
+        # Before the first assignment the members that start together are
+        # waited for.
+        if named == {NO_MEMBER} and not any(map(self._is_settled, members)):
+            return Plan({}, {})
+        moves_per_minute = fleet.config.moves_per_minute
+        budget = self._budget.refill(moves_per_minute)
+        return make_plan(
+            PlanInput(
+                owners=owners,
+                weights=weights,
+                homes=homes_of(fleet, members, named),
+                moving=frozenset(fleet.moving(service)),
+                budget=budget if self._is_balancing() else 0,
+            )
+        )
+
+    def _is_settled(self, member: Member) -> bool:
+        seen_s = self._seen_s.get(member.incarnation, math.inf)
+        return self._clock.now_s() - seen_s > _SETTLE_S
+
+    def _is_balancing(self) -> bool:
+        rank = self._rank()
+        quiet_s = self._clock.now_s() - self._assigned_s
+        return rank is not None and quiet_s >= rank * _BALANCE_DELAY_S
+
+    def _rank(self) -> int | None:
+        own = self._membership.incarnation
+        first = sorted(self._journal.fleet.members)[:_PLANNERS]
+        return first.index(own) if own in first else None
+
+    async def _propose(self, service: ServiceName, plan: Plan) -> None:
+        fences = self._journal.fleet.fences(service)
+        timeout_s = self._membership.timing.append_timeout_s
+        deadline_s = self._clock.now_s() + timeout_s
+        self._budget.spend(len(plan.balance))
+        reasons = (('lost', plan.forced), ('balance', plan.balance))
+        proposals = [
+            self._propose_one(record, reason, deadline_s)
+            for reason, moves in reasons
+            for record in assign_records(service, moves, fences)
+        ]
+        await asyncio.gather(*proposals)
+
+    async def _propose_one(
+        self, record: Assign, reason: str, deadline_s: float
+    ) -> None:
+        outcome = await self._journal.propose(record, deadline_s=deadline_s)
+        match outcome:
+            case Success(Applied(verdict=verdict)):
+                judged = verdict.value
+            case _:
+                judged = 'no verdict'
+        for move in record.moves:
+            _log.info(
+                'assign {} [{}, {}) to {}, {}: {}',
+                move.service,
+                move.first_shard,
+                move.stop_shard,
+                move.new_owner,
+                reason,
+                judged,
+            )
--- /dev/null
+++ b/verbenadeck/testing/_fake_sides.py
@@ -0,0 +1,169 @@
+"""Upstream and door of one node of a virtual fleet."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from verbenadeck.adapters import (
+    Announcement,
+    Grant,
+    LoadReport,
+    Order,
+    UpstreamError,
+    UpstreamFailure,
+)
+from verbenadeck.model import Answer, RequestId, ServiceName, Shard
+from verbenadeck.records import ReleasedRange
+from verbenadeck.utils import Clock
+
+_ANSWER_S = 0.001
+_CLOSE_S = 0.002
+_SLOTS = 6
+
+
+class FakeUpstream:
+    """Upstream that keeps a fenced grant, or ignores fences.
+
+    Attributes
+    ----------
+    runs : list of (float, int, int)
+        Loop time, shard and fence of each order that it took.
+    is_up : bool
+        Whether it answers.
+    """
+
+    def __init__(
+        self, clock: Clock, service: ServiceName, *, checks_fences: bool
+    ) -> None:
+        self.runs: list[tuple[float, int, int]] = []
+        self.is_up = True
+        self.instance = 'life-0'
+        self._clock = clock
+        self._service = service
+        self._checks_fences = checks_fences
+        self._fences: dict[int, int] = {}
+        self._deadline_s = -math.inf
+        self._listeners: list[Callable[[Announcement], None]] = []
+
+    def on_announce(self, listener: Callable[[Announcement], None]) -> None:
+        """Register a listener and announce."""
+        self._listeners.append(listener)
+        listener(self._announcement())
+
+    def restart(self) -> None:
+        """Come up cold, with no grant."""
+        self.instance = f'life-{int(self.instance[5:]) + 1}'
+        self._fences.clear()
+        for listener in self._listeners:
+            listener(self._announcement())
+
+    def would_serve(self, shard: int) -> bool:
+        """Return whether an order with the right fence would be taken."""
+        is_granted = self._clock.now_s() < self._deadline_s
+        return self.is_up and is_granted and shard in self._fences
+
+    async def send(self, order: Order) -> Result[Answer, UpstreamError]:
+        """Run an order unless its fence is refused."""
+        is_allowed = self.would_serve(order.shard) and (
+            self._fences[order.shard] == order.fence
+        )
+        now_s = self._clock.now_s()
+        if not self._checks_fences:
+            is_allowed = now_s < order.request.deadline_s
+        if not is_allowed:
+            return Failure(UpstreamError(UpstreamFailure.FENCED, 'refused'))
+        loop_s = asyncio.get_running_loop().time()
+        self.runs.append((loop_s, order.shard, order.fence))
+        await asyncio.sleep(_ANSWER_S)
+        return Success(Answer(200))
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """Do nothing."""
+
+    async def grant(self, grant: Grant) -> Result[None, UpstreamError]:
+        """Replace what may be served."""
+        await asyncio.sleep(_ANSWER_S)
+        if not self.is_up:
+            return Failure(UpstreamError(UpstreamFailure.BROKEN, 'down'))
+        self._fences = {
+            shard: each.fence
+            for each in grant.ranges
+            for shard in range(each.first_shard, each.stop_shard)
+        }
+        self._deadline_s = grant.deadline_s
+        return Success(None)
+
+    async def drain(self) -> Result[None, UpstreamError]:
+        """Do nothing."""
+        return Success(None)
+
+    async def report(self) -> Result[LoadReport, UpstreamError]:
+        """Return a healthy report."""
+        return Success(LoadReport(True, 0, _SLOTS, self.instance))
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def _announcement(self) -> Announcement:
+        return Announcement(
+            self._service, self.instance, '', 0, _SLOTS, _SLOTS, _SLOTS
+        )
+
+
+_Entries = dict[int, tuple[str, ...]]
+_codec = msgspec.json
+
+
+class FakeDoor:
+    """Door that keeps a ledger by shard.
+
+    Attributes
+    ----------
+    ledger : dict of int to tuple of str
+        Ids that ran, by shard.
+    lost : set of int
+        Shards that were opened without the earlier owner's entries.
+    """
+
+    def __init__(self) -> None:
+        self.ledger: _Entries = {}
+        self.lost: set[int] = set()
+        self.closed: set[int] = set()
+
+    async def close_shards(
+        self, moved: tuple[ReleasedRange, ...], *, deadline_s: float
+    ) -> bytes:
+        """Close shards and return their entries."""
+        shards = _shards(moved)
+        self.closed.update(shards)
+        await asyncio.sleep(_CLOSE_S)
+        return _codec.encode(
+            {shard: self.ledger.pop(shard, ()) for shard in shards}
+        )
+
+    def open_shards(
+        self, moved: tuple[ReleasedRange, ...], entries: bytes | None
+    ) -> None:
+        """Open shards with entries."""
+        shards = _shards(moved)
+        self.closed.difference_update(shards)
+        if entries is None:
+            self.lost.update(shards)
+        found = _codec.decode(entries, type=_Entries) if entries else {}
+        for shard in shards:
+            self.ledger[shard] = found.get(shard, ())
+
+    def note(self, shard: Shard, request_id: str) -> None:
+        """Note an id that ran."""
+        self.ledger[shard] = (*self.ledger.get(shard, ()), request_id)
+
+
+def _shards(moved: tuple[ReleasedRange, ...]) -> set[int]:
+    return {
+        shard
+        for each in moved
+        for shard in range(each.first_shard, each.stop_shard)
+    }
--- /dev/null
+++ b/verbenadeck/testing/_fleet_node.py
@@ -0,0 +1,191 @@
+"""One node of a virtual fleet: control services over fakes."""
+
+import random
+
+import msgspec
+from returns.pipeline import is_successful
+
+from verbenadeck.journal import LogClient
+from verbenadeck.lease import Ownership, WitnessDuty
+from verbenadeck.membership import LeaseTiming, Membership
+from verbenadeck.model import NodeId, Region, ServiceName, Shard, Zone
+from verbenadeck.peers import Message, PeerAddress
+from verbenadeck.placement import Planner
+from verbenadeck.records import NodeJoin
+from verbenadeck.testing._fake_network import FakeNetwork, FakePort
+from verbenadeck.testing._fake_sides import FakeDoor, FakeUpstream
+from verbenadeck.testing._memory_log import MemoryLog, MemoryLogAdapter
+from verbenadeck.testing._process import VirtualProcess
+from verbenadeck.testing._virtual_loop import virtual_clock
+from verbenadeck.utils import Clock
+
+SERVICE = ServiceName('specdesk')
+_SLOTS = 6
+_PORT = 7000
+_BOOT_S = 1000.0
+
+
+class NodeSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """Node of a virtual fleet.
+
+    Parameters
+    ----------
+    name : NodeId
+        Name.
+    host : str
+        IP address.
+    zone, region : str
+        Where it runs.
+    rate : float
+        Seconds of its clock per second.
+    checks_fences : bool
+        Whether its upstream checks fences.
+    """
+
+    name: NodeId
+    host: str
+    zone: Zone
+    region: Region = Region('home')
+    rate: float = 1
+    checks_fences: bool = True
+
+
+class ProcessPort(FakePort):
+    """Port whose handlers run inside of the node's process."""
+
+    def __init__(
+        self,
+        network: FakeNetwork,
+        address: PeerAddress,
+        clock: Clock,
+        process: VirtualProcess,
+    ) -> None:
+        super().__init__(network, address, clock)
+        self._process = process
+
+    async def receive(
+        self, source: PeerAddress, message: Message
+    ) -> Message | None:
+        """Run the handler of an arrived message."""
+        return await self._process.spawn(super().receive(source, message))
+
+
+class FleetNode:
+    """Control services of one node; the upstream outlives the process."""
+
+    def __init__(
+        self,
+        spec: NodeSpec,
+        *,
+        log: MemoryLog,
+        network: FakeNetwork,
+        seed: int,
+        timing: LeaseTiming | None = None,
+        upstream: FakeUpstream | None = None,
+    ) -> None:
+        self.spec = spec
+        self.is_running = False
+        self.process = VirtualProcess()
+        self.address = PeerAddress(spec.host, _PORT)
+        clock = virtual_clock(offset_s=_BOOT_S, rate=spec.rate)
+        self.clock = clock
+        self.random = random.Random(f'{seed}/{spec.name}')
+        self.adapter = MemoryLogAdapter(log, clock)
+        self.port = ProcessPort(network, self.address, clock, self.process)
+        network.ports[self.address] = self.port
+        self.upstream = upstream or FakeUpstream(
+            clock, SERVICE, checks_fences=spec.checks_fences
+        )
+        self.door = FakeDoor()
+        self.timing = timing
+        self.process.run(self._build)
+
+    async def start(self) -> None:
+        """Start all services."""
+        self.is_running = True
+        await self.process.spawn(self._start())
+
+    async def stop(self) -> None:
+        """Leave and stop all services."""
+        deadline_s = self.clock.now_s() + 10
+        await self.process.spawn(self.membership.leave(deadline_s=deadline_s))
+        await self.process.spawn(self._stop())
+        self.is_running = False
+        self.port.is_up = False
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.is_running = False
+        self.port.is_up = False
+        self.adapter.is_cut = True
+        await self.process.kill()
+
+    def would_serve(self, shard: int) -> bool:
+        """Return whether the node would send an order now."""
+        if not self.is_running or self.process.is_paused:
+            return False
+        return is_successful(self.ownership.permit(SERVICE, Shard(shard)))
+
+    def _build(self) -> None:
+        self.journal = LogClient(
+            adapter=self.adapter,
+            clock=self.clock,
+            random_source=self.random,
+            node_id=self.spec.name,
+        )
+        self.membership = Membership(
+            clock=self.clock,
+            random_source=self.random,
+            journal=self.journal,
+            port=self.port,
+            describe=self._describe,
+            timing=self.timing,
+        )
+        self.witness = WitnessDuty(
+            clock=self.clock,
+            port=self.port,
+            journal=self.journal,
+            membership=self.membership,
+        )
+        self.ownership = Ownership(
+            clock=self.clock,
+            journal=self.journal,
+            port=self.port,
+            membership=self.membership,
+            upstream=self.upstream,
+            service=SERVICE,
+            door=self.door,
+        )
+        self.planner = Planner(
+            clock=self.clock,
+            journal=self.journal,
+            membership=self.membership,
+        )
+        self.services = (
+            self.journal,
+            self.membership,
+            self.witness,
+            self.ownership,
+            self.planner,
+        )
+
+    async def _start(self) -> None:
+        for service in self.services:
+            await service.start()
+
+    async def _stop(self) -> None:
+        for service in reversed(self.services):
+            await service.stop()
+
+    def _describe(self) -> NodeJoin:
+        return NodeJoin(
+            node_id=self.spec.name,
+            zone=self.spec.zone,
+            region=self.spec.region,
+            service=SERVICE,
+            slots=_SLOTS,
+            host=self.spec.host,
+            peer_port=_PORT,
+            entry_port=_PORT + 1,
+            upstream_instance=self.upstream.instance,
+        )
