--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass
 
 from verbenadeck import door as door_package
+from verbenadeck import journal as journal_package
 from verbenadeck import lease as lease_package
 from verbenadeck import membership as membership_package
 from verbenadeck.adapters import LogAdapter, UpstreamAdapter
 from verbenadeck.door import UpstreamDoor
-from verbenadeck.journal import LogClient
+from verbenadeck.journal import Checkpointer, LogClient
 from verbenadeck.kernel import Kernel
 from verbenadeck.lease import Ownership, WitnessDuty
 from verbenadeck.membership import LeaseTiming, Membership
@@ -16,11 +17,13 @@
 from verbenadeck.node._joining import Joining
 from verbenadeck.node._ownership_by_name import OwnershipByName
 from verbenadeck.peers import PeerPort
+from verbenadeck.placement import Planner
 from verbenadeck.router import DoorRouter
 from verbenadeck.utils import Clock
 
 MESSAGES = (
     *door_package.MESSAGES,
+    *journal_package.MESSAGES,
     *lease_package.MESSAGES,
     *membership_package.MESSAGES,
 )
@@ -112,6 +115,18 @@
     kernel.register(
         'router', _make_router(kernel, place, edges), needs=('door',)
     )
+    kernel.register(
+        'placement',
+        _make_planner(kernel, edges),
+        needs=('membership',),
+    )
+    kernel.register(
+        'checkpoints',
+        Checkpointer(
+            client=kernel.find('journal', LogClient), clock=edges.clock
+        ),
+        needs=('journal',),
+    )
     joining.attach(kernel)
     kernel.register(
         'joining', joining, needs=('door', 'lease', 'witness', 'router')
@@ -124,6 +139,7 @@
         clock=edges.clock,
         random_source=edges.random_source,
         node_id=place.node_id,
+        port=edges.peers,
     )
 
 
@@ -183,6 +199,14 @@
     )
 
 
+def _make_planner(kernel: Kernel, edges: NodeEdges) -> Planner:
+    return Planner(
+        clock=edges.clock,
+        journal=kernel.find('journal', LogClient),
+        membership=kernel.find('membership', Membership),
+    )
+
+
 def _make_router(
     kernel: Kernel, place: NodePlace, edges: NodeEdges
 ) -> DoorRouter:
