Test the door by fault and mend what that found

They found: an empty ledger passed in was replaced by the default one, since it counted as false; crashes of two upstreams with the same instance name counted once; repeated notices marked a request again after it was cleared; one slow answer was enough to reset the cold-start ramp, now five in a row are; queued requests were sent with too little time left to be answered.

--- a/verbenadeck/door/_admission.py
+++ b/verbenadeck/door/_admission.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from loguru import logger
 from returns.result import Failure, Success
 
 from verbenadeck.door._ledger import Entry, EntryState
@@ -12,6 +11,7 @@
 from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
 from verbenadeck.door._runs import NO_SHARD, Run
 from verbenadeck.fleet import shard_of
+from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     AnswerResult,
     AttemptId,
@@ -22,7 +22,7 @@
     ServicePolicy,
 )
 
-_log = logger.bind(part='door')
+_decide = decision_log('door')
 
 
 class Admission:
@@ -185,7 +185,7 @@
     ) -> None:
         if refusal.outcome is Outcome.NOT_RUN:
             self._runs.bury(attempt_id)
-        _log.info(
+        _decide(
             'refused {} {}: {} {}, {}',
             request.service,
             request.request_id,
--- a/verbenadeck/door/_crashes.py
+++ b/verbenadeck/door/_crashes.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from verbenadeck.door._messages import PoisonNotice
+from verbenadeck.door._messages import PoisonCleared, PoisonNotice
 from verbenadeck.door._poison import Quarantine, fingerprint_of
 from verbenadeck.door._runs import Run
 from verbenadeck.fleet import FleetView
@@ -58,8 +58,9 @@
         self._broken = [one for one in self._broken if one[0] >= oldest_s]
         self._broken.append((self._clock.now_s(), run))
 
-    def on_crash(self, crash_id: str, running: tuple[Run, ...]) -> None:
+    def on_crash(self, instance: str, running: tuple[Run, ...]) -> None:
         """Mark what ran when a life of the upstream ended."""
+        crash_id = f'{self._node_id}/{instance}'
         oldest_s = self._clock.now_s() - _CRASH_WINDOW_S
         broken = [run for at_s, run in self._broken if at_s >= oldest_s]
         self._broken.clear()
@@ -84,6 +85,20 @@
         for fingerprint in notice.fingerprints:
             self._quarantine.mark(fingerprint, notice.crash_id, now_s=now_s)
 
+    def on_answer(self, run: Run) -> None:
+        """Clear an answered request, here and with the other doors."""
+        if self._quarantine.is_empty:
+            return
+        fingerprint = fingerprint_of(run.request)
+        if not self._quarantine.clear(fingerprint):
+            return
+        for address in self._others():
+            self._peers.notify(address, PoisonCleared(fingerprint))
+
+    def take_cleared(self, notice: PoisonCleared) -> None:
+        """Clear a request that another door's upstream answered."""
+        self._quarantine.clear(notice.fingerprint)
+
     async def _tell(self, notice: PoisonNotice) -> None:
         for delay_s in _NOTICE_DELAYS_S:
             await asyncio.sleep(delay_s)
--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -92,7 +92,8 @@
             random_source=random_source,
         )
         self._clock = clock
-        self._parts = Parts(around, ledger=ledger or Ledger(), adapt=adapt)
+        kept = Ledger() if ledger is None else ledger
+        self._parts = Parts(around, ledger=kept, adapt=adapt)
         self._admission = Admission(self._parts)
         self._handover = Handover(self._parts)
         self._monitor = UpstreamMonitor(self._parts)
--- a/verbenadeck/door/_endpoint.py
+++ b/verbenadeck/door/_endpoint.py
@@ -10,6 +10,7 @@
     LedgerFound,
     LedgerQuery,
     LedgerWithdraw,
+    PoisonCleared,
     PoisonNotice,
 )
 from verbenadeck.door._parts import Parts
@@ -45,6 +46,7 @@
         peers.handle(LedgerWithdraw, self._on_withdraw)
         peers.handle(LedgerQuery, self._on_query)
         peers.handle(PoisonNotice, self._on_poison)
+        peers.handle(PoisonCleared, self._on_cleared)
 
     async def _on_forward(
         self, _peer: PeerAddress, message: Forward
@@ -78,3 +80,8 @@
         self, _peer: PeerAddress, message: PoisonNotice
     ) -> None:
         self._parts.crashes.take(message)
+
+    async def _on_cleared(
+        self, _peer: PeerAddress, message: PoisonCleared
+    ) -> None:
+        self._parts.crashes.take_cleared(message)
--- a/verbenadeck/door/_history.py
+++ b/verbenadeck/door/_history.py
@@ -1,11 +1,9 @@
-"""Evicted owners and their witness sets, as the log tells them."""
+"""Departed owners and their witness sets, as the log tells them."""
 
 import math
 
 from verbenadeck.fleet import FleetView, Member, MemberState
 from verbenadeck.model import (
-    NO_FENCE,
-    Fence,
     Incarnation,
     Offset,
     ServiceName,
@@ -13,6 +11,7 @@
 )
 from verbenadeck.records import (
     Assign,
+    CheckpointChunk,
     NodeJoin,
     NodeLeave,
     Record,
@@ -23,19 +22,19 @@
 from verbenadeck.utils import Clock
 
 _KEEP_S = 3600.0
+_DEPARTED = frozenset((MemberState.GONE, MemberState.EVICTED))
 
 WitnessSet = tuple[Incarnation, ...]
-_FirstRange = tuple[ServiceName, int, int]
 
 
 class _Lineage:
     """Witness sets of one incarnation, each with its end."""
 
-    __slots__ = ('evicted_at_s', 'service', 'sets')
+    __slots__ = ('departed_at_s', 'service', 'sets')
 
     def __init__(self, service: ServiceName) -> None:
         self.service = service
-        self.evicted_at_s = math.inf
+        self.departed_at_s = math.inf
         self.sets: dict[WitnessSet, float] = {}
 
     def replace(self, witnesses: WitnessSet, now_s: float) -> None:
@@ -49,8 +48,8 @@
         return [one for one, ended_s in self.sets.items() if ended_s >= since_s]
 
 
-class EvictionHistory:
-    """Remembers whom to ask about the ledgers of evicted owners.
+class OwnerHistory:
+    """Remembers whom to ask about the ledgers of earlier owners.
 
     Parameters
     ----------
@@ -64,33 +63,37 @@
         self._fleet = fleet
         self._clock = clock
         self._lineages: dict[Incarnation, _Lineage] = {}
-        self._first: dict[Fence, list[_FirstRange]] = {}
+        self._earlier: dict[tuple[ServiceName, int], WitnessSet] = {}
 
     def start(self) -> None:
         """Take the members of now and follow the log."""
-        for member in self._fleet.members.values():
-            self._remember(member)
+        self._remember_all()
         self._fleet.subscribe(self._on_record)
 
-    def evicted(
-        self, service: ServiceName, *, keep_s: float
-    ) -> list[list[WitnessSet]]:
-        """Return the witness sets of each owner evicted of late."""
+    def sets_to_ask(
+        self, service: ServiceName, shard: int, *, keep_s: float
+    ) -> list[WitnessSet]:
+        """Return the witness sets of those who may have owned a shard.
+
+        These are the owner that the last assignment replaced, and all
+        members of the service that have departed within a time.
+        """
         since_s = self._clock.now_s() - keep_s
+        earlier = self._earlier.get((service, shard), ())
         return [
-            lineage.sets_since(since_s)
-            for lineage in self._lineages.values()
-            if lineage.service == service
-            and since_s <= lineage.evicted_at_s < math.inf
+            witnesses
+            for incarnation, lineage in self._lineages.items()
+            if incarnation in earlier
+            or (
+                lineage.service == service
+                and since_s <= lineage.departed_at_s < math.inf
+            )
+            for witnesses in lineage.sets_since(since_s)
         ]
 
-    def is_first(self, service: ServiceName, shard: int) -> bool:
-        """Return whether a shard's owner is its first one ever."""
-        fence = self._fleet.shard(service, Shard(shard)).fence
-        return any(
-            name == service and first <= shard < stop
-            for name, first, stop in self._first.get(fence, ())
-        )
+    def _remember_all(self) -> None:
+        for member in self._fleet.members.values():
+            self._remember(member)
 
     def _remember(self, member: Member) -> None:
         lineage = self._lineages.setdefault(
@@ -109,41 +112,37 @@
             case Witnesses(incarnation=incarnation):
                 self._refresh(incarnation)
             case NodeLeave(incarnation=incarnation):
-                self._drop_if_gone(incarnation)
+                self._note_departure(incarnation)
             case Suspect(votes=votes):
                 for vote in votes:
-                    self._note_eviction(vote.incarnation)
+                    self._note_departure(vote.incarnation)
             case Assign():
-                self._note_first(Fence(offset), record)
+                self._note_earlier(record)
+            case CheckpointChunk(count=0):
+                self._remember_all()
 
-    def _note_first(self, fence: Fence, record: Assign) -> None:
-        ranges = [
-            (move.service, move.first_shard, move.stop_shard)
-            for move in record.moves
-            if move.expected_fence == NO_FENCE
-        ]
-        if ranges:
-            self._first[fence] = ranges
+    def _note_earlier(self, record: Assign) -> None:
+        for move in record.moves:
+            for shard in range(move.first_shard, move.stop_shard):
+                view = self._fleet.shard(move.service, Shard(shard))
+                if view.earlier:
+                    self._earlier[move.service, shard] = view.earlier
 
     def _refresh(self, incarnation: Incarnation) -> None:
         member = self._fleet.members.get(incarnation)
         if member is not None:
             self._remember(member)
 
-    def _drop_if_gone(self, incarnation: Incarnation) -> None:
-        if self._fleet.state_of(incarnation) is MemberState.GONE:
-            self._lineages.pop(incarnation, None)
-
-    def _note_eviction(self, incarnation: Incarnation) -> None:
+    def _note_departure(self, incarnation: Incarnation) -> None:
         lineage = self._lineages.get(incarnation)
-        if lineage is None or lineage.evicted_at_s < math.inf:
+        if lineage is None or lineage.departed_at_s < math.inf:
             return
-        if self._fleet.state_of(incarnation) is MemberState.EVICTED:
+        if self._fleet.state_of(incarnation) in _DEPARTED:
             self._expire()
-            lineage.evicted_at_s = self._clock.now_s()
+            lineage.departed_at_s = self._clock.now_s()
 
     def _expire(self) -> None:
         oldest_s = self._clock.now_s() - _KEEP_S
         for incarnation, lineage in tuple(self._lineages.items()):
-            if lineage.evicted_at_s < oldest_s:
+            if lineage.departed_at_s < oldest_s:
                 self._lineages.pop(incarnation)
--- a/verbenadeck/door/_limit.py
+++ b/verbenadeck/door/_limit.py
@@ -7,7 +7,7 @@
 _LONG_WEIGHT = 0.005
 _FIRST_SERVICE_TIME_S = 0.05
 _JUMP_RATIO = 4.0
-_JUMP_SAMPLES = 16
+_JUMP_STREAK = 5
 _JUMP_CUT = 4
 _SLOW_START_STEP = 0.5
 _CAUTION_S = 2.0
@@ -52,6 +52,7 @@
         self.service_time_s = _FIRST_SERVICE_TIME_S
         self._long_s = _FIRST_SERVICE_TIME_S
         self._samples = 0
+        self._slow_streak = 0
         self._adapt = adapt
         self._bearable = 0
         self._ramp = 0.0
@@ -81,6 +82,7 @@
         self._safe_ramp = float(slots)
         self._adaptive = float(slots)
         self._samples = 0
+        self._slow_streak = 0
         self._cut_at_s = now_s
         self._caution_until_s = -math.inf
 
@@ -108,10 +110,15 @@
 
     def answer(self, service_time_s: float, *, now_s: float) -> None:
         """Take the service time of a complete answer."""
+        is_slow = (
+            self._samples > 0 and service_time_s > _JUMP_RATIO * self._long_s
+        )
+        self._slow_streak = self._slow_streak + 1 if is_slow else 0
         self._measure(service_time_s)
-        if self._has_jumped():
-            self._samples = 0
-            self._long_s = self.service_time_s
+        if self._slow_streak >= _JUMP_STREAK:
+            self._slow_streak = 0
+            self._long_s = service_time_s
+            self.service_time_s = service_time_s
             self._cut_ramp(self.limit / _JUMP_CUT, now_s)
             return
         self._grow()
@@ -130,11 +137,6 @@
         weight = max(1 / self._samples, _LONG_WEIGHT)
         self._long_s += weight * (service_time_s - self._long_s)
 
-    def _has_jumped(self) -> bool:
-        if self._samples < _JUMP_SAMPLES:
-            return False
-        return self.service_time_s > _JUMP_RATIO * self._long_s
-
     def _grow(self) -> None:
         ceiling = float(self.slots)
         if self._ramp >= ceiling:
--- a/verbenadeck/door/_messages.py
+++ b/verbenadeck/door/_messages.py
@@ -181,6 +181,14 @@
     crash_id: str
 
 
+class PoisonCleared(
+    Message, frozen=True, array_like=True, tag='poison-cleared'
+):
+    """A suspect request was answered by an upstream."""
+
+    fingerprint: int
+
+
 MESSAGES: tuple[type[Message], ...] = (
     Forward,
     ForwardAnswer,
@@ -191,5 +199,6 @@
     LedgerQuery,
     LedgerFound,
     PoisonNotice,
+    PoisonCleared,
 )
 """Message types that the door registers with the peer port."""
--- a/verbenadeck/door/_once.py
+++ b/verbenadeck/door/_once.py
@@ -110,13 +110,13 @@
 
     async def _earlier_refusal(self, run: Run) -> Refusal | None:
         request_id = run.request.request_id
-        owners = self._takeovers.sets_to_ask(request_id, run.shard)
-        if owners is None:
+        sets = self._takeovers.sets_to_ask(request_id, run.shard)
+        if sets is None:
             return None
         was_left = None
-        if owners:
+        if sets:
             was_left = await self._copies.was_left(
-                [one for sets in owners for one in sets],
+                sets,
                 request_id,
                 asker=self._incarnation(),
                 deadline_s=run.request.deadline_s,
--- a/verbenadeck/door/_parts.py
+++ b/verbenadeck/door/_parts.py
@@ -8,7 +8,7 @@
 from verbenadeck.door._copies import CopyClient, CopyKeeper
 from verbenadeck.door._crashes import CrashWatch
 from verbenadeck.door._gate import Gate
-from verbenadeck.door._history import EvictionHistory
+from verbenadeck.door._history import OwnerHistory
 from verbenadeck.door._ledger import Ledger
 from verbenadeck.door._limit import Adapt, ConcurrencyLimit
 from verbenadeck.door._once import OnceGuard
@@ -84,7 +84,7 @@
         self.runs = Runs()
         self.quarantine = Quarantine()
         self.keeper = CopyKeeper(clock=clock)
-        self.history = EvictionHistory(fleet=around.fleet, clock=clock)
+        self.history = OwnerHistory(fleet=around.fleet, clock=clock)
         self.takeovers = Takeovers(history=self.history, clock=clock)
         self.limit = ConcurrencyLimit(adapt=adapt)
         self.gate = Gate(
--- a/verbenadeck/door/_pipeline.py
+++ b/verbenadeck/door/_pipeline.py
@@ -5,7 +5,6 @@
 
 from verbenadeck.adapters import Order
 from verbenadeck.door._parts import Parts
-from verbenadeck.door._poison import fingerprint_of
 from verbenadeck.door._refusals import not_run, refusal_of, refuse
 from verbenadeck.door._runs import NO_SHARD, Run
 from verbenadeck.lease import Permit
@@ -57,8 +56,7 @@
         result = await self._parts.sender.send(run, order)
         match result:
             case Success(_):
-                if not self._parts.quarantine.is_empty:
-                    self._parts.quarantine.clear(fingerprint_of(run.request))
+                self._parts.crashes.on_answer(run)
             case Failure(Refusal(outcome=Outcome.NOT_RUN)):
                 self._withdraw(run)
         return result
--- a/verbenadeck/door/_poison.py
+++ b/verbenadeck/door/_poison.py
@@ -24,10 +24,11 @@
 
 
 class _Suspect:
-    __slots__ = ('crashes', 'expires_at_s')
+    __slots__ = ('crashes', 'expires_at_s', 'forgiven')
 
     def __init__(self) -> None:
         self.crashes: set[str] = set()
+        self.forgiven: set[str] = set()
         self.expires_at_s = 0.0
 
 
@@ -54,15 +55,24 @@
         self._suspects[fingerprint] = suspect
         if len(self._suspects) > _MOST:
             self._suspects.pop(next(iter(self._suspects)))
-        if crash_id in suspect.crashes:
+        if crash_id in suspect.crashes | suspect.forgiven:
             return False
         suspect.crashes.add(crash_id)
         suspect.expires_at_s = now_s + _KEEP_S
         return True
 
-    def clear(self, fingerprint: int) -> None:
-        """Take an answered run as a sign of innocence."""
-        self._suspects.pop(fingerprint, None)
+    def clear(self, fingerprint: int) -> bool:
+        """Take an answered run as a sign of innocence.
+
+        False when the fingerprint was not under suspicion. Late notices of
+        crashes that were cleared do not count again.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return False
+        suspect.forgiven |= suspect.crashes
+        suspect.crashes.clear()
+        return True
 
     def retry_after_s(self, fingerprint: int, *, now_s: float) -> float:
         """Return seconds until a fingerprint is free, 0 when it is."""
--- a/verbenadeck/door/_policy.py
+++ b/verbenadeck/door/_policy.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from verbenadeck.config import policy_setting
 from verbenadeck.fleet import FleetView
 from verbenadeck.model import (
     ConfigDocument,
@@ -36,7 +37,7 @@
     if policy is None:
         return None
     changes: dict[str, Any] = {
-        rule.field: rule.setting
+        rule.field: policy_setting(rule.field, rule.setting)
         for rule in document.exceptions
         if _applies(rule, service, zone, upstream, wall_s)
     }
--- a/verbenadeck/door/_slots.py
+++ b/verbenadeck/door/_slots.py
@@ -83,7 +83,8 @@
                 'the queue is full',
                 retry_after_s=wait_s,
             )
-        if self._clock.now_s() + wait_s > deadline_s:
+        ends_at_s = self._clock.now_s() + wait_s + self._service_time_s()
+        if ends_at_s > deadline_s:
             return not_run(
                 RefusalReason.DEADLINE,
                 'the queue is longer than the deadline allows',
@@ -136,7 +137,8 @@
         self._waiting = kept
 
     def _is_late(self, waiter: Waiter) -> bool:
-        return self._clock.now_s() >= waiter.deadline_s
+        ends_at_s = self._clock.now_s() + self._service_time_s()
+        return ends_at_s > waiter.deadline_s
 
     def _expire(self, waiter: Waiter) -> None:
         if waiter.settle(_late()):
--- a/verbenadeck/door/_takeovers.py
+++ b/verbenadeck/door/_takeovers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from verbenadeck.door._history import EvictionHistory, WitnessSet
+from verbenadeck.door._history import OwnerHistory, WitnessSet
 from verbenadeck.model import RequestId, ServiceName
 from verbenadeck.utils import Clock
 
@@ -44,14 +44,14 @@
 
 
 class _Takeover:
-    __slots__ = ('sets', 'until_s', 'wall_s')
+    __slots__ = ('service', 'until_s', 'wall_s')
 
     def __init__(
-        self, wall_s: float, until_s: float, sets: list[list[WitnessSet]]
+        self, service: ServiceName, wall_s: float, until_s: float
     ) -> None:
+        self.service = service
         self.wall_s = wall_s
         self.until_s = until_s
-        self.sets = sets
 
 
 class Takeovers:
@@ -59,13 +59,13 @@
 
     Parameters
     ----------
-    history : EvictionHistory
+    history : OwnerHistory
         Evicted owners.
     clock : Clock
         Clock of this VM; its wall clock counts as right.
     """
 
-    def __init__(self, *, history: EvictionHistory, clock: Clock) -> None:
+    def __init__(self, *, history: OwnerHistory, clock: Clock) -> None:
         self._history = history
         self._clock = clock
         self._shards: dict[int, _Takeover] = {}
@@ -75,13 +75,10 @@
     ) -> None:
         """Note that the earlier owner's entries of some shards are lost."""
         takeover = _Takeover(
-            self._clock.wall_s(),
-            self._clock.now_s() + keep_s,
-            self._history.evicted(service, keep_s=keep_s),
+            service, self._clock.wall_s(), self._clock.now_s() + keep_s
         )
         for shard in shards:
-            if not self._history.is_first(service, shard):
-                self._shards[shard] = takeover
+            self._shards[shard] = takeover
 
     def export(self, shards: frozenset[int]) -> list[KeptTakeover]:
         """Return the takeovers of some shards."""
@@ -95,13 +92,9 @@
     def load(self, service: ServiceName, kept: list[KeptTakeover]) -> None:
         """Take over the doubts of an earlier owner."""
         now_s = self._clock.now_s()
-        wall_s = self._clock.wall_s()
         for one in kept:
-            keep_s = one.remaining_s + max(0.0, wall_s - one.wall_s)
             self._shards[one.shard] = _Takeover(
-                one.wall_s,
-                now_s + one.remaining_s,
-                self._history.evicted(service, keep_s=keep_s),
+                service, one.wall_s, now_s + one.remaining_s
             )
 
     def close(self, shards: frozenset[int]) -> None:
@@ -111,11 +104,10 @@
 
     def sets_to_ask(
         self, request_id: RequestId, shard: int
-    ) -> list[list[WitnessSet]] | None:
+    ) -> list[WitnessSet] | None:
         """Return the witness sets to ask, None when the id is surely new.
 
-        The list has an element for each earlier owner; it is empty when
-        nobody is known who could tell.
+        The list is empty when nobody is known who could tell.
         """
         takeover = self._shards.get(shard)
         if takeover is None:
@@ -126,7 +118,9 @@
         minted_s = minted_at_s(request_id)
         if minted_s is not None and self._is_new(minted_s, takeover):
             return None
-        return takeover.sets
+        keep_s = takeover.until_s - self._clock.now_s()
+        keep_s += max(0.0, self._clock.wall_s() - takeover.wall_s)
+        return self._history.sets_to_ask(takeover.service, shard, keep_s=keep_s)
 
     def _is_new(self, minted_s: float, takeover: _Takeover) -> bool:
         latest_s = self._clock.wall_s() + CLOCK_BOUND_S
--- a/verbenadeck/door/tests/builders.py
+++ b/verbenadeck/door/tests/builders.py
@@ -3,6 +3,9 @@
 import asyncio
 import itertools
 import random
+import uuid
+
+from returns.result import Failure, Success
 
 from verbenadeck.door import Ledger, UpstreamDoor
 from verbenadeck.door.tests.fakes import (
@@ -17,9 +20,15 @@
     MemberState,
 )
 from verbenadeck.model import (
+    Answer,
+    AnswerResult,
+    AttemptId,
     Epoch,
     Incarnation,
     NodeId,
+    Outcome,
+    Refusal,
+    RefusalReason,
     Region,
     Request,
     RequestId,
@@ -172,6 +181,10 @@
             node.upstream.service, node.incarnation, range(SHARDS)
         )
 
+    def rewitness(self, node: Node, witnesses: tuple[Incarnation, ...]) -> None:
+        """Give a node another witness set."""
+        self.fleet.join(node.member(witnesses))
+
     def lose(self, node: Node) -> None:
         """Lose a node for good and let the fleet evict it."""
         node.port.is_up = False
@@ -180,3 +193,33 @@
 
 def all_shards(service: ServiceName = SERVICE) -> tuple[ReleasedRange, ...]:
     return (ReleasedRange(service, 0, SHARDS),)
+
+
+def refusal(result: AnswerResult) -> Refusal:
+    """Return the refusal of a result that must be one."""
+    assert isinstance(result, Failure), result
+    found: Refusal = result.failure()
+    return found
+
+
+def verdict(result: AnswerResult) -> tuple[Outcome, RefusalReason]:
+    found = refusal(result)
+    return found.outcome, found.reason
+
+
+async def admit(
+    node: Node, request: Request, attempt: str | None = None
+) -> AnswerResult:
+    attempt_id = AttemptId(attempt or f'attempt-{next(_numbers)}')
+    return await node.door.admit(attempt_id, request)
+
+
+def answered(request: Request) -> AnswerResult:
+    """Return the complete answer that a fake upstream gives."""
+    return Success(Answer(200, (), request.request_id.encode()))
+
+
+def timed_id(wall_s: float, number: int = 0) -> str:
+    """Return a UUIDv7 that carries a time."""
+    bits = int(wall_s * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=bits))
--- a/verbenadeck/door/tests/fakes.py
+++ b/verbenadeck/door/tests/fakes.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -96,7 +96,9 @@
         self.cancelled: list[RequestId] = []
         self.running = 0
         self.most_running = 0
+        self.most_running_while_shedding = 0
         self.over_bearable = 0
+        self.sheds = 0
         self.life = 0
         self.is_drained = False
         self._listeners: list[Callable[[Announcement], None]] = []
@@ -135,6 +137,7 @@
         if not self.is_connected:
             return Failure(UpstreamError(UpstreamFailure.NOT_SENT, 'down'))
         if self._is_shedding():
+            self.sheds += 1
             hint = self.bearable if self.sheds_with_hint else None
             return Failure(
                 UpstreamError(UpstreamFailure.SHED, 'shed', 0.1, hint)
@@ -175,6 +178,10 @@
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         self.over_bearable += self.running > self.bearable
+        if self.sheds_above is not None:
+            self.most_running_while_shedding = max(
+                self.most_running_while_shedding, self.running
+            )
         try:
             async with asyncio.timeout(self._time_s()):
                 await crash.wait()
@@ -202,7 +209,8 @@
         self.members: dict[Incarnation, Member] = {}
         self.config = make_config()
         self.config_version = ConfigVersion(1)
-        self.owners: dict[tuple[ServiceName, int], Incarnation] = {}
+        self.config_author = 'operator'
+        self.assigned: dict[tuple[ServiceName, int], Incarnation] = {}
         self.evicted: set[Incarnation] = set()
         self.listeners: list[AppliedListener] = []
 
@@ -212,12 +220,26 @@
         member = self.members.get(incarnation)
         return None if member is None else member.state
 
+    def member(self, incarnation: Incarnation) -> Member | None:
+        return self.members.get(incarnation)
+
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        return [
+            self.shard(service, Shard(shard)).owner for shard in range(SHARDS)
+        ]
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        return tuple(7 for _ in range(SHARDS))
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        return ()
+
     def shard_count(self, service: ServiceName) -> int:
         policy = self.config.services.get(service)
         return 0 if policy is None else policy.shard_count
 
     def shard(self, service: ServiceName, shard: Shard) -> ShardView:
-        owner = self.owners.get((service, shard), NO_MEMBER)
+        owner = self.assigned.get((service, shard), NO_MEMBER)
         return ShardView(owner, Fence(7), ())
 
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
@@ -257,7 +279,7 @@
         self, service: ServiceName, owner: Incarnation, shards: range
     ) -> None:
         for shard in shards:
-            self.owners[service, shard] = owner
+            self.assigned[service, shard] = owner
 
     def _tell(self, offset: Offset, record: Record) -> None:
         for listener in self.listeners:
--- /dev/null
+++ b/verbenadeck/door/tests/test_fences.py
@@ -0,0 +1,30 @@
+from verbenadeck.door.tests.builders import Site, admit, make_request
+from verbenadeck.door.tests.fakes import KEYED, FakeUpstream, make_policy
+from verbenadeck.testing import run_virtual
+
+
+def _sent_deadline_s(*, checks_fences: bool) -> float:
+    found = 0.0
+
+    async def scenario() -> None:
+        nonlocal found
+        site = Site()
+        site.fleet.config.services[KEYED] = make_policy(
+            is_keyed=True, checks_fences=checks_fences
+        )
+        node = await site.add(FakeUpstream(service=KEYED))
+        site.own_all(node)
+        node.ownership.lease_deadline_s = 1
+        await admit(node, make_request(service=KEYED, key='oven'))
+        found = node.upstream.orders[0].request.deadline_s
+
+    run_virtual(scenario())
+    return found
+
+
+def test_an_upstream_without_fences_gets_the_end_of_the_lease() -> None:
+    assert _sent_deadline_s(checks_fences=False) < 1
+
+
+def test_an_upstream_with_fences_gets_the_request_deadline() -> None:
+    assert _sent_deadline_s(checks_fences=True) == 5
--- /dev/null
+++ b/verbenadeck/door/tests/test_once.py
@@ -0,0 +1,305 @@
+import asyncio
+
+from returns.result import Success
+
+from verbenadeck.door import Ledger
+from verbenadeck.door.tests.builders import (
+    Node,
+    Site,
+    admit,
+    all_shards,
+    answered,
+    make_deposit,
+    timed_id,
+    verdict,
+)
+from verbenadeck.door.tests.fakes import FakeUpstream
+from verbenadeck.model import (
+    Answer,
+    Incarnation,
+    Outcome,
+    RefusalReason,
+    RequestId,
+)
+from verbenadeck.testing import run_virtual
+
+_WITNESSES = (Incarnation(3), Incarnation(4), Incarnation(5))
+
+
+async def _fleet_with_witnesses() -> tuple[Site, list[Node]]:
+    """Make an owner, its successor and three witnesses."""
+    site = Site()
+    nodes = [
+        await site.add(FakeUpstream(service_time_s=0.2), witnesses=_WITNESSES)
+        for _ in range(5)
+    ]
+    site.own_all(nodes[0])
+    return site, nodes
+
+
+def _take_over(site: Site, lost: Node, successor: Node) -> None:
+    site.lose(lost)
+    site.own_all(successor)
+    successor.door.open_shards(all_shards(), None)
+
+
+def test_a_crash_in_mid_run_is_unknown_and_stays_so() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(FakeUpstream(service_time_s=1))
+        site.own_all(node)
+        deposit = make_deposit('d1')
+        task = asyncio.create_task(admit(node, deposit))
+        await asyncio.sleep(0.5)
+        node.upstream.crash()
+        node.upstream.announce()
+        expected = (Outcome.UNKNOWN, RefusalReason.UPSTREAM_FAILED)
+        assert verdict(await task) == expected
+        assert verdict(await admit(node, deposit)) == expected
+        assert node.upstream.runs['d1'] == 1
+
+    run_virtual(scenario())
+
+
+def test_a_deposit_that_did_not_run_may_be_sent_again() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add()
+        site.own_all(node)
+        node.upstream.is_connected = False
+        deposit = make_deposit('d1')
+        assert verdict(await admit(node, deposit))[0] is Outcome.NOT_RUN
+        node.upstream.is_connected = True
+        assert await admit(node, deposit) == answered(deposit)
+        assert node.upstream.runs['d1'] == 1
+
+    run_virtual(scenario())
+
+
+def test_an_id_that_belongs_to_another_request_gets_no_foreign_answer() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add()
+        site.own_all(node)
+        await admit(node, make_deposit('d1', body=b'anna pays 5'))
+        other = make_deposit('d1', body=b'ben pays 7')
+        assert verdict(await admit(node, other)) == (
+            Outcome.NOT_RUN,
+            RefusalReason.BAD_REQUEST,
+        )
+        assert node.upstream.runs['d1'] == 1
+
+    run_virtual(scenario())
+
+
+def test_a_full_ledger_refuses_and_forgets_nothing() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(ledger=Ledger(limit=2))
+        site.own_all(node)
+        first = make_deposit('d1')
+        await admit(node, first)
+        await admit(node, make_deposit('d2'))
+        assert verdict(await admit(node, make_deposit('d3'))) == (
+            Outcome.NOT_RUN,
+            RefusalReason.QUEUE_FULL,
+        )
+        assert await admit(node, first) == answered(first)
+        await asyncio.sleep(601)
+        third = make_deposit('d3')
+        assert await admit(node, third) == answered(third)
+        assert node.upstream.runs['d1'] == 1
+
+    run_virtual(scenario())
+
+
+def test_the_ledger_counts_the_bytes_it_keeps() -> None:
+    ledger = Ledger(limit_bytes=1000)
+    entry = ledger.open(RequestId('a'), 1, 0, now_s=0)
+    assert entry is not None
+    ledger.keep(entry, Answer(200, (), bytes(900)), expires_at_s=10)
+    assert ledger.open(RequestId('b'), 1, 0, now_s=1) is None
+    assert ledger.open(RequestId('b'), 1, 0, now_s=11) is not None
+
+
+def test_a_new_owner_does_not_run_what_a_lost_one_may_have_run() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        deposit = make_deposit('d1')
+        assert await admit(nodes[0], deposit) == answered(deposit)
+        _take_over(site, nodes[0], nodes[1])
+        assert verdict(await admit(nodes[1], deposit)) == (
+            Outcome.UNKNOWN,
+            RefusalReason.LEDGER_LOST,
+        )
+        assert nodes[1].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_a_new_owner_runs_what_the_lost_one_never_got() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        _take_over(site, nodes[0], nodes[1])
+        deposit = make_deposit('d1')
+        assert await admit(nodes[1], deposit) == answered(deposit)
+
+    run_virtual(scenario())
+
+
+def test_one_lost_witness_leaves_the_question_answerable() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        ran, fresh = make_deposit('d1'), make_deposit('d2')
+        await admit(nodes[0], ran)
+        site.lose(nodes[2])
+        _take_over(site, nodes[0], nodes[1])
+        assert verdict(await admit(nodes[1], ran))[0] is Outcome.UNKNOWN
+        assert await admit(nodes[1], fresh) == answered(fresh)
+
+    run_virtual(scenario())
+
+
+def test_with_two_lost_witnesses_nobody_can_tell() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        site.lose(nodes[2])
+        site.lose(nodes[3])
+        _take_over(site, nodes[0], nodes[1])
+        old = make_deposit('d1')
+        assert verdict(await admit(nodes[1], old)) == (
+            Outcome.UNKNOWN,
+            RefusalReason.LEDGER_LOST,
+        )
+        assert nodes[1].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_a_restarted_witness_does_not_answer_for_its_earlier_life() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        await admit(nodes[0], make_deposit('d1'))
+        for witness in nodes[2:]:
+            witness.incarnation = Incarnation(witness.incarnation + 100)
+        _take_over(site, nodes[0], nodes[1])
+        outcome, _ = verdict(await admit(nodes[1], make_deposit('d1')))
+        assert outcome is Outcome.UNKNOWN
+        assert nodes[1].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_a_timed_id_younger_than_the_takeover_is_new() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        site.lose(nodes[2])
+        site.lose(nodes[3])
+        _take_over(site, nodes[0], nodes[1])
+        site.rewitness(nodes[1], (Incarnation(5),))
+        taken_s = site.clock.wall_s()
+        await asyncio.sleep(20)
+        old = make_deposit(timed_id(taken_s - 5))
+        close = make_deposit(timed_id(taken_s + 5))
+        ahead = make_deposit(timed_id(taken_s + 500))
+        young = make_deposit(timed_id(taken_s + 15))
+        for doubtful in (old, close, ahead):
+            outcome, _ = verdict(await admit(nodes[1], doubtful))
+            assert outcome is Outcome.UNKNOWN
+        assert await admit(nodes[1], young) == answered(young)
+
+    run_virtual(scenario())
+
+
+def test_without_a_majority_of_copies_it_does_not_run() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        site.lose(nodes[2])
+        site.lose(nodes[3])
+        deposit = make_deposit('d1')
+        assert verdict(await admit(nodes[0], deposit)) == (
+            Outcome.NOT_RUN,
+            RefusalReason.LEDGER_LOST,
+        )
+        assert nodes[0].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_a_planned_move_carries_kept_answers() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        done, running = make_deposit('d1'), make_deposit('d2')
+        await admit(nodes[0], done)
+        task = asyncio.create_task(admit(nodes[0], running))
+        await asyncio.sleep(0.1)
+        site.own_all(nodes[1])
+        entries = await nodes[0].door.close_shards(all_shards(), deadline_s=9)
+        assert nodes[0].upstream.running == 0
+        nodes[1].door.open_shards(all_shards(), entries)
+        assert await task == answered(running)
+        for deposit in (done, running):
+            assert await admit(nodes[1], deposit) == answered(deposit)
+            assert nodes[1].upstream.runs[deposit.request_id] == 0
+
+    run_virtual(scenario())
+
+
+def test_closing_shards_sends_their_queue_elsewhere_as_not_run() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(FakeUpstream(slots=1, service_time_s=1))
+        site.own_all(node)
+        deposits = [make_deposit() for _ in range(4)]
+        tasks = [asyncio.create_task(admit(node, one)) for one in deposits]
+        await asyncio.sleep(0.1)
+        await node.door.close_shards(all_shards(), deadline_s=5)
+        results = await asyncio.gather(*tasks)
+        assert isinstance(results[0], Success)
+        for deposit, result in zip(deposits[1:], results[1:], strict=True):
+            assert verdict(result) == (
+                Outcome.NOT_RUN,
+                RefusalReason.MOVING,
+            )
+            assert node.upstream.runs[deposit.request_id] == 0
+        late = await admit(node, make_deposit())
+        assert verdict(late) == (Outcome.NOT_RUN, RefusalReason.MOVING)
+
+    run_virtual(scenario())
+
+
+def test_a_loss_right_after_a_move_does_not_lose_the_entries() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        deposit = make_deposit('d1')
+        await admit(nodes[0], deposit)
+        site.own_all(nodes[1])
+        entries = await nodes[0].door.close_shards(all_shards(), deadline_s=9)
+        nodes[1].door.open_shards(all_shards(), entries)
+        _take_over(site, nodes[1], nodes[2])
+        outcome, _ = verdict(await admit(nodes[2], deposit))
+        assert outcome is Outcome.UNKNOWN
+        assert nodes[2].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
+def test_an_owner_without_lease_sends_nothing() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(FakeUpstream(slots=1, service_time_s=1))
+        site.own_all(node)
+        first = asyncio.create_task(admit(node, make_deposit()))
+        await asyncio.sleep(0)
+        queued = make_deposit()
+        second = asyncio.create_task(admit(node, queued))
+        await asyncio.sleep(0.5)
+        node.ownership.lease_deadline_s = 0.5
+        assert isinstance(await first, Success)
+        assert verdict(await second) == (
+            Outcome.NOT_RUN,
+            RefusalReason.NO_LEASE,
+        )
+        assert node.upstream.runs[queued.request_id] == 0
+
+    run_virtual(scenario())
--- /dev/null
+++ b/verbenadeck/door/tests/test_poison.py
@@ -0,0 +1,95 @@
+import asyncio
+
+from returns.result import Success
+
+from verbenadeck.door.tests.builders import (
+    Site,
+    admit,
+    answered,
+    make_deposit,
+    make_request,
+    verdict,
+)
+from verbenadeck.model import Outcome, RefusalReason
+from verbenadeck.testing import run_virtual
+
+_POISON = b'poison'
+
+
+async def _site_with_poison() -> Site:
+    site = Site()
+    for _ in range(3):
+        node = await site.add()
+        node.upstream.poison.add(_POISON)
+    return site
+
+
+def test_a_request_that_crashed_two_upstreams_is_refused_everywhere() -> None:
+    async def scenario() -> None:
+        site = await _site_with_poison()
+        for node in site.nodes[:2]:
+            outcome, _ = verdict(await admit(node, make_request(body=_POISON)))
+            assert outcome is Outcome.UNKNOWN
+            await asyncio.sleep(0.5)
+        for node in site.nodes:
+            request = make_request(body=_POISON)
+            assert verdict(await admit(node, request)) == (
+                Outcome.NOT_RUN,
+                RefusalReason.POISON,
+            )
+            assert node.upstream.runs[request.request_id] == 0
+        assert sum(node.upstream.life for node in site.nodes) == 2
+
+    run_virtual(scenario())
+
+
+def test_the_quarantine_ends() -> None:
+    async def scenario() -> None:
+        site = await _site_with_poison()
+        for node in site.nodes[:2]:
+            await admit(node, make_request(body=_POISON))
+            await asyncio.sleep(0.5)
+        site.nodes[2].upstream.poison.clear()
+        await asyncio.sleep(61)
+        request = make_request(body=_POISON)
+        assert await admit(site.nodes[2], request) == answered(request)
+
+    run_virtual(scenario())
+
+
+def test_a_popular_request_that_was_in_flight_is_not_quarantined() -> None:
+    async def scenario() -> None:
+        site = await _site_with_poison()
+        for node in site.nodes[:2]:
+            popular = asyncio.create_task(
+                admit(node, make_request(path='/list'))
+            )
+            await asyncio.sleep(0.01)
+            await admit(node, make_request(body=_POISON))
+            assert verdict(await popular)[0] is Outcome.UNKNOWN
+            await asyncio.sleep(0.5)
+            again = await admit(node, make_request(path='/list'))
+            assert isinstance(again, Success)
+            await asyncio.sleep(2)
+        for node in site.nodes:
+            listed = await admit(node, make_request(path='/list'))
+            assert isinstance(listed, Success)
+            poisoned = await admit(node, make_request(body=_POISON))
+            assert verdict(poisoned)[1] is RefusalReason.POISON
+
+    run_virtual(scenario())
+
+
+def test_a_poisonous_deposit_runs_once_and_then_not_again() -> None:
+    async def scenario() -> None:
+        site = await _site_with_poison()
+        node = site.nodes[0]
+        site.own_all(node)
+        deposit = make_deposit('d1', body=_POISON)
+        for _ in range(3):
+            outcome, _ = verdict(await admit(node, deposit))
+            assert outcome is Outcome.UNKNOWN
+            await asyncio.sleep(0.5)
+        assert node.upstream.runs['d1'] == 1
+
+    run_virtual(scenario())
--- a/verbenadeck/router/_directory.py
+++ b/verbenadeck/router/_directory.py
@@ -1,7 +1,5 @@
 """Doors of the fleet as this entry sees them."""
 
-from loguru import logger
-
 from verbenadeck.fleet import FleetView, Member, MemberState
 from verbenadeck.model import (
     ConfigVersion,
@@ -15,8 +13,6 @@
 from verbenadeck.records import Assign, Record, Released, Verdict
 from verbenadeck.router._stats import DoorStats
 
-_log = logger.bind(part='router')
-
 
 class Directory:
     """Finds doors by service or by shard and keeps their statistics.
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -4,8 +4,6 @@
 import random
 from functools import partial
 
-from loguru import logger
-
 from verbenadeck.door import (
     Door,
     PolicyReader,
@@ -14,6 +12,7 @@
     refuse,
 )
 from verbenadeck.fleet import FleetView, shard_of
+from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     AnswerResult,
     NodeId,
@@ -36,7 +35,7 @@
 from verbenadeck.router._stats import DoorStats
 from verbenadeck.utils import Clock
 
-_log = logger.bind(part='router')
+_decide = decision_log('router')
 
 _FIRST_PAUSE_S = 0.005
 _MOST_PAUSE_S = 0.05
@@ -240,7 +239,7 @@
 
 
 def _log_choice(request: Request, choice: Choice) -> None:
-    _log.info(
+    _decide(
         '{} {} to {}: {}',
         request.service,
         request.request_id,
