--- /dev/null
+++ b/verbenadeck/adapters/tests/builders.py
@@ -0,0 +1,103 @@
+"""Builders of test data for the adapters."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import msgspec
+
+from verbenadeck.adapters import Order, UpstreamHttpAdapter
+from verbenadeck.adapters.wire import AnnounceBody
+from verbenadeck.model import Fence, Request, RequestId, ServiceName
+from verbenadeck.utils import Clock
+
+HOST = '127.0.0.1'
+DEADLINE_S = 30.0
+
+
+def build_announcement(port: int, *, instance: str = 'life-1') -> AnnounceBody:
+    return AnnounceBody(
+        service='catalogue',
+        instance=instance,
+        host=HOST,
+        port=port,
+        slots=20,
+        connections=110,
+        bearable=20,
+    )
+
+
+def build_order(
+    clock: Clock,
+    *,
+    method: str = 'POST',
+    path: str = '/oven-17',
+    request_id: str = 'id-1',
+    timeout_s: float = DEADLINE_S,
+    shard: int = 7,
+    fence: int = 5,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Order:
+    request = Request(
+        request_id=RequestId(request_id),
+        service=ServiceName('catalogue'),
+        key='oven-17',
+        method=method,
+        path=path,
+        headers=headers,
+        body=b'hold',
+        is_repeatable=False,
+        deadline_s=clock.now_s() + timeout_s,
+    )
+    return Order(request, Fence(fence), shard)
+
+
+def build_adapter(
+    clock: Clock, port: int, *, instance: str = 'life-1'
+) -> UpstreamHttpAdapter:
+    adapter = UpstreamHttpAdapter(clock=clock)
+    body = build_announcement(port, instance=instance)
+    adapter.announce(msgspec.json.encode(body)).unwrap()
+    return adapter
+
+
+class RawServer:
+    """TCP server that reads a request's head and answers scripted bytes.
+
+    Attributes
+    ----------
+    heads : list of bytes
+        Heads of the requests, in order of arrival.
+    """
+
+    def __init__(self, script: Callable[[int], bytes]) -> None:
+        self.heads: list[bytes] = []
+        self.port = 0
+        self._script = script
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request after another until told to close."""
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+                reply = self._script(len(self.heads))
+                writer.write(reply)
+                if not reply.endswith(b'KEEP'):
+                    break
+        except asyncio.IncompleteReadError:
+            return
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def raw_server(
+    script: Callable[[int], bytes],
+) -> AsyncIterator[RawServer]:
+    server = RawServer(script)
+    listener = await asyncio.start_server(server.serve, HOST, 0)
+    server.port = listener.sockets[0].getsockname()[1]
+    async with listener:
+        yield server
--- /dev/null
+++ b/verbenadeck/adapters/tests/test_caller_headers.py
@@ -0,0 +1,68 @@
+import pytest
+
+from verbenadeck.adapters import read_call, write_refusal
+from verbenadeck.model import Outcome, Refusal, RefusalReason
+
+
+def test_the_key_header_goes_before_the_path() -> None:
+    fields = read_call(
+        '/holds/a/b?c=d', (('verbenadeck-key', 'k'), ('Accept', '*'))
+    ).unwrap()
+    assert (fields.key, fields.path) == ('k', '/a/b?c=d')
+    assert fields.headers == (('Accept', '*'),)
+
+
+def test_a_path_without_key_has_none() -> None:
+    fields = read_call('/holds?c=d', ()).unwrap()
+    assert (fields.service, fields.key) == ('holds', None)
+    assert fields.path == '/?c=d'
+
+
+def test_all_headers_are_typed() -> None:
+    headers = (
+        ('Idempotency-Key', 'deposit-1'),
+        ('Verbenadeck-Repeatable', 'False'),
+        ('Verbenadeck-Deadline-Ms', '1500'),
+    )
+    fields = read_call('/holds/a', headers).unwrap()
+    assert fields.request_id == 'deposit-1'
+    assert fields.is_repeatable is False
+    assert fields.timeout_s == pytest.approx(1.5)
+
+
+@pytest.mark.parametrize(
+    'headers',
+    (
+        (('Verbenadeck-Repeatable', 'yes'),),
+        (('Verbenadeck-Deadline-Ms', '0'),),
+        (('Verbenadeck-Deadline-Ms', '-5'),),
+        (('Verbenadeck-Deadline-Ms', '٣'),),
+        (('Verbenadeck-Deadline-Ms', '9' * 20),),
+        (('Idempotency-Key', ''),),
+        (('Idempotency-Key', 'x' * 201),),
+        (('Idempotency-Key', 'a'), ('idempotency-key', 'b')),
+        (('Verbenadeck-Key', 'x' * 1001),),
+    ),
+)
+def test_ambiguous_headers_are_refused(
+    headers: tuple[tuple[str, str], ...],
+) -> None:
+    refusal = read_call('/holds/a', headers).failure()
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.reason is RefusalReason.BAD_REQUEST
+
+
+def test_a_path_without_service_is_refused() -> None:
+    assert read_call('/', ()).failure().reason is RefusalReason.BAD_REQUEST
+
+
+@pytest.mark.parametrize('reason', RefusalReason)
+def test_each_refusal_names_outcome_and_hint(reason: RefusalReason) -> None:
+    for outcome in Outcome:
+        refusal = Refusal(outcome, reason, retry_after_s=1.2)
+        answer = write_refusal(refusal, None)
+        headers = dict(answer.headers)
+        assert answer.status >= 400
+        assert headers['Verbenadeck-Outcome'] == outcome.value
+        assert headers['Verbenadeck-Retry-After-Ms'] == '1200'
+        assert headers['Retry-After'] == '2'
--- /dev/null
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -0,0 +1,228 @@
+import asyncio
+import socket
+from types import MappingProxyType
+
+import msgspec
+import pytest
+from returns.result import Result
+
+from verbenadeck.adapters import (
+    Announcement,
+    UpstreamError,
+    UpstreamFailure,
+    UpstreamHttpAdapter,
+)
+from verbenadeck.adapters.tests.builders import (
+    HOST,
+    build_adapter,
+    build_announcement,
+    build_order,
+    raw_server,
+)
+from verbenadeck.model import Answer
+from verbenadeck.utils import Clock
+
+_CUT_ANSWERS = MappingProxyType(
+    {
+        'nothing': b'',
+        'head': b'HTTP/1.1 200 OK\r\nContent-Le',
+        'body': b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf',
+        'chunked': (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n'
+        ),
+        'unframed': b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf',
+    }
+)
+
+
+async def _send_to(
+    reply: bytes, *, method: str = 'POST'
+) -> tuple[Result[Answer, UpstreamError], int]:
+    clock = Clock()
+    async with raw_server(lambda _count: reply) as server:
+        adapter = build_adapter(clock, server.port)
+        sent = await adapter.send(build_order(clock, method=method))
+        await adapter.close()
+        return sent, len(server.heads)
+
+
+@pytest.mark.parametrize('cut', sorted(_CUT_ANSWERS))
+@pytest.mark.parametrize('method', ('GET', 'POST', 'PUT', 'DELETE'))
+def test_a_cut_answer_never_looks_whole(cut: str, method: str) -> None:
+    sent, heads = asyncio.run(_send_to(_CUT_ANSWERS[cut], method=method))
+    assert sent.failure().failure is UpstreamFailure.BROKEN
+    assert heads == 1
+
+
+def test_a_whole_answer_is_relayed_without_hop_headers() -> None:
+    reply = (
+        b'HTTP/1.1 418 Teapot\r\nContent-Length: 4\r\nX-Kept: 1\r\n'
+        b'Connection: X-Hop\r\nX-Hop: 1\r\nUpstream-Bearable: 3\r\n\r\nfull'
+    )
+    sent, _ = asyncio.run(_send_to(reply))
+    assert sent.unwrap() == Answer(418, (('X-Kept', '1'),), b'full')
+
+
+def test_a_redirect_is_an_answer() -> None:
+    reply = (
+        b'HTTP/1.1 302 Found\r\nLocation: http://127.0.0.9/\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    sent, heads = asyncio.run(_send_to(reply))
+    assert sent.unwrap().status == 302
+    assert heads == 1
+
+
+def test_a_broken_reused_connection_sends_nothing_twice() -> None:
+    """The library would resend PUT by itself; the door must know."""
+    whole = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nKEEP'
+
+    async def scenario() -> None:
+        clock = Clock()
+        script = {1: whole, 2: b''}
+        async with raw_server(lambda count: script.get(count, whole)) as server:
+            adapter = build_adapter(clock, server.port)
+            order = build_order(clock, method='PUT')
+            assert (await adapter.send(order)).unwrap().body == b'KEEP'
+            sent = await adapter.send(order)
+            await adapter.close()
+            assert sent.failure().failure is UpstreamFailure.BROKEN
+            assert len(server.heads) == 2
+
+    asyncio.run(scenario())
+
+
+def test_a_refused_connection_is_not_sent() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        with socket.socket() as closed:
+            closed.bind((HOST, 0))
+            adapter = build_adapter(clock, closed.getsockname()[1])
+            sent = await adapter.send(build_order(clock))
+        await adapter.close()
+        assert sent.failure().failure is UpstreamFailure.NOT_SENT
+
+    asyncio.run(scenario())
+
+
+def test_silence_after_sending_is_broken() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        listener = await asyncio.start_server(
+            lambda _reader, _writer: None, HOST, 0
+        )
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            adapter = build_adapter(clock, port)
+            sent = await adapter.send(build_order(clock, timeout_s=0.2))
+            await adapter.close()
+        assert sent.failure().failure is UpstreamFailure.BROKEN
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('path', ('@127.0.0.9/', ''))
+def test_a_path_cannot_change_the_address(path: str) -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        adapter = build_adapter(clock, 9)
+        sent = await adapter.send(build_order(clock, path=path))
+        assert sent.failure().failure is UpstreamFailure.NOT_SENT
+
+    asyncio.run(scenario())
+
+
+def test_callers_cannot_set_reserved_headers() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        reply = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+        forged = (('upstream-control', '1'), ('Upstream-Fence', '99'))
+        async with raw_server(lambda _count: reply) as server:
+            adapter = build_adapter(clock, server.port)
+            await adapter.send(build_order(clock, headers=forged))
+            await adapter.close()
+            head = server.heads[0].lower()
+            assert b'upstream-control' not in head
+            assert head.count(b'upstream-fence') == 1
+            assert b'upstream-fence: 5\r\n' in head
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('reason', 'failure'),
+    (
+        ('shed', UpstreamFailure.SHED),
+        ('cold', UpstreamFailure.COLD),
+        ('fenced', UpstreamFailure.FENCED),
+        ('anything', UpstreamFailure.REFUSED),
+    ),
+)
+def test_refusals_are_told_apart(reason: str, failure: UpstreamFailure) -> None:
+    reply = (
+        f'HTTP/1.1 503 No\r\nUpstream-Refused: {reason}\r\nRetry-After: 2\r\n'
+        'Upstream-Bearable: 3\r\nContent-Length: 0\r\n\r\n'
+    )
+    sent, _ = asyncio.run(_send_to(reply.encode()))
+    error = sent.failure()
+    assert (error.failure, error.retry_after_s) == (failure, 2)
+    assert error.bearable == 3
+
+
+def test_a_status_alone_is_an_answer() -> None:
+    reply = b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n'
+    sent, _ = asyncio.run(_send_to(reply))
+    assert sent.unwrap().status == 503
+
+
+def test_nothing_is_sent_before_an_announcement() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        adapter = UpstreamHttpAdapter(clock=clock)
+        sent = await adapter.send(build_order(clock))
+        assert sent.failure().failure is UpstreamFailure.NOT_SENT
+
+    asyncio.run(scenario())
+
+
+def test_listeners_hear_each_life_once() -> None:
+    heard: list[Announcement] = []
+    adapter = UpstreamHttpAdapter(clock=Clock())
+    adapter.on_announce(heard.append)
+    first = msgspec.json.encode(build_announcement(1000))
+    second = msgspec.json.encode(build_announcement(1000, instance='life-2'))
+    replies = [adapter.announce(body) for body in (first, first, second)]
+    assert [reply.unwrap().is_new for reply in replies] == [True, False, True]
+    assert [life.instance for life in heard] == ['life-1', 'life-2']
+
+
+@pytest.mark.parametrize(
+    'changes',
+    (
+        {'host': 'example.org'},
+        {'port': 0},
+        {'port': 65536},
+        {'port': '80'},
+        {'slots': 0},
+        {'slots': True},
+        {'connections': -1},
+        {'bearable': 21},
+        {'bearable': -1},
+        {'service': ''},
+        {'instance': 'x' * 201},
+        {'instance': 'a\nb'},
+        {'service': None},
+    ),
+)
+def test_malformed_announcements_are_refused(
+    changes: dict[str, object],
+) -> None:
+    body = msgspec.to_builtins(build_announcement(1000)) | changes
+    adapter = UpstreamHttpAdapter(clock=Clock())
+    adapter.on_announce(lambda _heard: pytest.fail('acted on it'))
+    assert adapter.announce(msgspec.json.encode(body)).failure().detail
+
+
+@pytest.mark.parametrize('body', (b'', b'\xff\xfe', b'{', b'[1]', b'{}'))
+def test_garbage_announcements_are_refused(body: bytes) -> None:
+    assert UpstreamHttpAdapter(clock=Clock()).announce(body).failure().detail
--- a/verbenadeck/standins/_serving.py
+++ b/verbenadeck/standins/_serving.py
@@ -11,6 +11,7 @@
 
 _CRASH_STATUS = 70
 _BACKLOG = 512
+_SHUTDOWN_TIMEOUT_S = 0.5
 
 
 class Listening(msgspec.Struct, frozen=True):
@@ -39,7 +40,9 @@
     app: web.Application, *, host: str, port: int = 0
 ) -> Started:
     """Start an application; port 0 takes any free port."""
-    runner = web.AppRunner(app, access_log=None, handle_signals=False)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+    )
     await runner.setup()
     site = web.TCPSite(runner, host, port, backlog=_BACKLOG)
     await site.start()
--- /dev/null
+++ b/verbenadeck/standins/tests/test_upstream_over_http.py
@@ -0,0 +1,102 @@
+import asyncio
+
+import msgspec
+
+from verbenadeck.adapters import (
+    Grant,
+    GrantedRange,
+    UpstreamFailure,
+    UpstreamHttpAdapter,
+)
+from verbenadeck.adapters.tests.builders import build_adapter, build_order
+from verbenadeck.model import Fence, RequestId, ServiceName
+from verbenadeck.standins import (
+    EchoBody,
+    UpstreamState,
+    echo_digest,
+    make_upstream_app,
+    start_app,
+)
+from verbenadeck.standins.tests.builders import build_options, build_state
+from verbenadeck.utils import Clock
+
+_CLOCK = Clock()
+
+
+async def _met(
+    state: UpstreamState, *, instance: str = 'life-1'
+) -> UpstreamHttpAdapter:
+    started = await start_app(
+        make_upstream_app(state, _CLOCK), host='127.0.0.1'
+    )
+    port = started.listening.port
+    return build_adapter(_CLOCK, port, instance=instance)
+
+
+def _build_grant(fence: int, timeout_s: float = 30) -> Grant:
+    ranges = (GrantedRange(0, 10, Fence(fence)),)
+    deadline_s = _CLOCK.now_s() + timeout_s
+    return Grant(ServiceName('catalogue'), 64, ranges, deadline_s)
+
+
+def test_a_granted_order_runs_once_and_echoes_what_it_got() -> None:
+    async def scenario() -> None:
+        state = build_state(_CLOCK, build_options(is_keyed=True))
+        adapter = await _met(state)
+        order = build_order(_CLOCK, path='/oven%2017?a=%2F')
+        early = await adapter.send(order)
+        assert early.failure().failure is UpstreamFailure.FENCED
+        assert (await adapter.grant(_build_grant(5))).unwrap() is None
+        answer = (await adapter.send(order)).unwrap()
+        await adapter.close()
+        echo = msgspec.json.decode(answer.body, type=EchoBody)
+        assert echo.request_id == 'id-1'
+        assert echo.digest == echo_digest('POST', '/oven%2017?a=%2F', b'hold')
+        assert state.runs_report().runs == {'id-1': 1}
+
+    asyncio.run(scenario())
+
+
+def test_grants_with_lower_fences_fail_over_http() -> None:
+    async def scenario() -> None:
+        state = build_state(_CLOCK, build_options(is_keyed=True))
+        adapter = await _met(state)
+        await adapter.grant(_build_grant(5))
+        lower = await adapter.grant(_build_grant(4))
+        await adapter.close()
+        assert lower.failure().failure is UpstreamFailure.FENCED
+
+    asyncio.run(scenario())
+
+
+def test_another_life_refuses() -> None:
+    async def scenario() -> None:
+        state = build_state(_CLOCK, build_options())
+        adapter = await _met(state, instance='life-0')
+        sent = await adapter.send(build_order(_CLOCK, shard=-1))
+        await adapter.close()
+        assert sent.failure().failure is UpstreamFailure.REFUSED
+        assert state.runs_report().runs == {}
+
+    asyncio.run(scenario())
+
+
+def test_cancel_and_report_reach_the_upstream() -> None:
+    async def scenario() -> None:
+        options = build_options(service_time_s=25, spread=0)
+        state = build_state(_CLOCK, options)
+        adapter = await _met(state)
+        sending = asyncio.ensure_future(
+            adapter.send(build_order(_CLOCK, shard=-1))
+        )
+        while not state.runs_report().runs:
+            await asyncio.sleep(0.01)
+        assert (await adapter.report()).unwrap().running == 1
+        await adapter.cancel(RequestId('id-1'))
+        assert (await sending).unwrap().status == 499
+        assert (await adapter.drain()).unwrap() is None
+        sent = await adapter.send(build_order(_CLOCK, shard=-1))
+        await adapter.close()
+        assert sent.failure().failure is UpstreamFailure.REFUSED
+
+    asyncio.run(scenario())
