Add the demo of both sites

It starts a site as plain processes, sends mixed load while a zone leaves and returns, an owner is killed and another pauses, and checks callers' outcomes against what the upstreams counted. Nodes can't be started yet, so it ends early with an error for now.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -2,6 +2,11 @@
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
 from verbenadeck.adapters._caller_headers import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_MS_HEADER,
     CallerAnswer,
     CallerFields,
     read_call,
@@ -39,7 +44,12 @@
 
 __all__ = (
     'CALLER_FORMATS',
+    'DEADLINE_HEADER',
+    'IDEMPOTENCY_HEADER',
     'LOG_FORMATS',
+    'OUTCOME_HEADER',
+    'REASON_HEADER',
+    'RETRY_AFTER_MS_HEADER',
     'STANDIN_FORMAT',
     'UPSTREAM_FORMATS',
     'AnnounceError',
--- a/verbenadeck/demo/__init__.py
+++ b/verbenadeck/demo/__init__.py
@@ -1,1 +1,15 @@
-"""Demo of a node."""
+"""Demo of both sites: events under load, checked against an oracle."""
+
+from verbenadeck.demo._report import SiteReport, table_of
+from verbenadeck.demo._session import Session
+from verbenadeck.demo._sites import FIJI, LUZON, SITES, Site
+
+__all__ = (
+    'FIJI',
+    'LUZON',
+    'SITES',
+    'Session',
+    'Site',
+    'SiteReport',
+    'table_of',
+)
--- /dev/null
+++ b/verbenadeck/demo/_load.py
@@ -0,0 +1,117 @@
+"""Mixed load of the demo, bounded in rate and time."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Callable, Iterator
+
+from verbenadeck.demo._caller import Caller
+from verbenadeck.demo._calls import Call, CallKind
+from verbenadeck.demo._sites import Site
+from verbenadeck.utils import Clock
+
+PROBE_KEYS = 24
+_PROBE_PERIOD_S = 0.1
+_LOOKUPS_PER_S = 100
+_DEPOSITS_PER_S = 40
+_KEYS = 2000
+_PROBE_TIMEOUT_S = 4.0
+_LOOKUP_TIMEOUT_S = 4.0
+_DEPOSIT_TIMEOUT_S = 8.0
+_IMPATIENT_SHARE = 0.25
+
+
+class Load:
+    """Open-loop load on all services of a site.
+
+    Probes ask each of a few keys in turn, lookups read any service and
+    deposits are posted with an idempotency key.
+
+    Parameters
+    ----------
+    site : Site
+        The site.
+    caller : Caller
+        Sends the calls.
+    clock : Clock
+        Boot clock.
+    source : random.Random
+        Source of keys.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        caller: Caller,
+        *,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._site = site
+        self._caller = caller
+        self._clock = clock
+        self._random = source
+        self._is_on = True
+        self._calls: set[asyncio.Task[None]] = set()
+        self._streams: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to send."""
+        probe = _cycle_of(self._probe)
+        streams = (
+            (probe, _PROBE_PERIOD_S / PROBE_KEYS),
+            (self._lookup, 1 / _LOOKUPS_PER_S),
+            (self._deposit, 1 / _DEPOSITS_PER_S),
+        )
+        for build, period_s in streams:
+            stream = asyncio.ensure_future(self._stream(build, period_s))
+            self._streams.append(stream)
+
+    async def stop(self) -> None:
+        """Send nothing new and wait until all calls have ended."""
+        self._is_on = False
+        await asyncio.gather(*self._streams)
+        await asyncio.gather(*self._calls)
+
+    async def _stream(self, build: Callable[[], Call], period_s: float) -> None:
+        next_s = self._clock.now_s()
+        while self._is_on:
+            task = asyncio.ensure_future(self._caller.perform(build()))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+            next_s += period_s
+            await self._clock.sleep_until(next_s)
+
+    def _probe(self, index: int) -> Call:
+        return Call(
+            kind=CallKind.PROBE,
+            service=self._site.services[0].name,
+            key=f'probe-{index}',
+            nonce=uuid.UUID(int=self._random.getrandbits(128)).hex,
+            timeout_s=_PROBE_TIMEOUT_S,
+        )
+
+    def _lookup(self) -> Call:
+        return self._any_call(CallKind.LOOKUP, _LOOKUP_TIMEOUT_S)
+
+    def _deposit(self) -> Call:
+        return self._any_call(CallKind.DEPOSIT, _DEPOSIT_TIMEOUT_S)
+
+    def _any_call(self, kind: CallKind, timeout_s: float) -> Call:
+        return Call(
+            kind=kind,
+            service=self._random.choice(self._site.services).name,
+            key=f'key-{self._random.randrange(_KEYS)}',
+            nonce=uuid.UUID(int=self._random.getrandbits(128)).hex,
+            timeout_s=timeout_s,
+            is_patient=self._random.random() > _IMPATIENT_SHARE,
+        )
+
+
+def _cycle_of(build: Callable[[int], Call]) -> Callable[[], Call]:
+    def indexes() -> Iterator[int]:
+        while True:
+            yield from range(PROBE_KEYS)
+
+    source = indexes()
+    return lambda: build(next(source))
