--- a/verbenadeck/demo/__main__.py
+++ b/verbenadeck/demo/__main__.py
@@ -1,6 +1,8 @@
 """Command of the demo: `python -m verbenadeck.demo --out build/demo.json`."""
 
+import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -20,7 +22,11 @@
 
 
 async def _run_all(folder: Path) -> list[SiteReport]:
-    """Run the sites one after the other."""
+    """Run the sites one after the other; SIGTERM ends all processes."""
+    running = asyncio.current_task()
+    if running is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, running.cancel)
     reports: list[SiteReport] = []
     subnet = _FIRST_SUBNET + os.getpid() % _SUBNETS
     for site in SITES:
--- a/verbenadeck/demo/_fleet.py
+++ b/verbenadeck/demo/_fleet.py
@@ -100,6 +100,20 @@
             str(path),
         )
 
+    async def start_plain_upstream(self) -> Listening:
+        """Start an upstream of no node, for comparisons."""
+        service = self._site.services[0]
+        child = await self._group.start(
+            'upstream-plain',
+            'verbenadeck.standins',
+            'upstream',
+            f'--lifetime_s={_LIFETIME_S}',
+            '--announce_url=http://127.0.0.1:9/announce',
+            f'--slots={self._site.slots}',
+            f'--service_time_s={service.service_time_s}',
+        )
+        return await read_listening(child)
+
     def node(self, place: Place) -> Child:
         """Return the process of a node."""
         return self._nodes[place.node_id]
