Assign the ledger shards of shared services; leave without successor

The last node of a service waited 30 s for a successor on its stop. Change: all services are planned; leaving ends when nobody can take over.

--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -158,9 +158,19 @@
                 await self._propose(record)
             if not any(fleet.owned_by(own)) and not any(fleet.held_by(own)):
                 return True
+            if not self._has_successor():
+                return False
             await asyncio.sleep(_LEAVE_POLL_S)
         return self.member is None
 
+    def _has_successor(self) -> bool:
+        """Return whether another member can take the shards."""
+        service = self._describe().service
+        return any(
+            member.service == service and member.state is MemberState.JOINED
+            for member in self._journal.fleet.members.values()
+        )
+
     async def stop(self) -> None:
         """End all duties, then say in the log that this life is over."""
         self.is_stopping = True
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -118,10 +118,10 @@
         }
 
     async def _plan_all(self) -> None:
-        for service, policy in self._journal.fleet.config.services.items():
-            if policy.is_keyed:
-                plan = self._plan(service)
-                await self._propose(service, plan)
+        # Services that are not divided by key have ledger shards.
+        for service in self._journal.fleet.config.services:
+            plan = self._plan(service)
+            await self._propose(service, plan)
 
     def _plan(self, service: ServiceName) -> Plan:
         fleet = self._journal.fleet
