--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -5,6 +5,7 @@
 from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
     AppliedListener,
+    FleetTables,
     FleetView,
     Member,
     MemberState,
@@ -14,6 +15,7 @@
 __all__ = (
     'AppliedListener',
     'FleetState',
+    'FleetTables',
     'FleetView',
     'Member',
     'MemberState',
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -57,6 +57,8 @@
         Offset of the record that installed the witness set.
     state : MemberState
         State.
+    admin_port : int
+        Port for operators; 0 when not told.
     """
 
     incarnation: Incarnation
@@ -71,6 +73,7 @@
     witnesses: tuple[Incarnation, ...]
     epoch: Epoch
     state: MemberState
+    admin_port: int = 0
 
 
 class ShardView(msgspec.Struct, frozen=True):
@@ -139,18 +142,6 @@
         """Return the owner of a shard."""
         ...
 
-    def owners(self, service: ServiceName) -> Sequence[int]:
-        """Return the named owners by shard, in a flat array to read only."""
-        ...
-
-    def fences(self, service: ServiceName) -> Sequence[int]:
-        """Return the fences by shard, in a flat array to read only."""
-        ...
-
-    def moving(self, service: ServiceName) -> Collection[int]:
-        """Return the shards with an earlier owner that has not released."""
-        ...
-
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield the ranges of shards whose named owner is a member."""
         ...
@@ -166,3 +157,19 @@
         `CheckpointChunk` with a `count` of 0: anything may have changed.
         """
         ...
+
+
+class FleetTables(FleetView, Protocol):
+    """Fleet state with its flat arrays, for planning over all shards."""
+
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        """Return the named owners by shard, in a flat array to read only."""
+        ...
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        """Return the fences by shard, in a flat array to read only."""
+        ...
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        """Return the shards with an earlier owner that has not released."""
+        ...
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -159,6 +159,7 @@
         self.planner = Planner(
             clock=self.clock,
             journal=self.journal,
+            fleet=self.journal.fleet,
             membership=self.membership,
         )
         self.services = (
