Renew a lease only where the way back works; test partitions

Cause: a node whose way back from its witnesses was cut kept being renewed. Stopping heartbeats for good was ruled out, since links that drop and heal must restore the lease.

--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -82,8 +82,11 @@
             return None
         if self._is_refused(beat.member):
             return None
-        self._renewed_s[beat.member] = self._clock.now_s()
-        return HeartbeatAck(beat.member, beat.witness, beat.sent_s)
+        if beat.is_renewal:
+            self._renewed_s[beat.member] = self._clock.now_s()
+        return HeartbeatAck(
+            beat.member, beat.witness, beat.sent_s, beat.is_renewal
+        )
 
     def _is_refused(self, incarnation: Incarnation) -> bool:
         fleet = self._journal.fleet
--- /dev/null
+++ b/verbenadeck/lease/tests/test_partitions.py
@@ -0,0 +1,255 @@
+"""Nodes cut from peers, from the log, or paused."""
+
+import asyncio
+
+import pytest
+
+from verbenadeck.adapters import Order
+from verbenadeck.lease.tests.builders import (
+    TARGET_S,
+    incarnations,
+    owner_of,
+    run_scenario,
+    witnesses_of,
+    zone_of,
+)
+from verbenadeck.model import (
+    NO_FENCE,
+    AttemptId,
+    NodeId,
+    Request,
+    RequestId,
+    Shard,
+)
+from verbenadeck.testing import (
+    SERVICE,
+    FleetNode,
+    VirtualFleet,
+    keyed_document,
+    zoned_specs,
+)
+
+
+def _others(fleet: VirtualFleet, *names: NodeId) -> list[NodeId]:
+    return [name for name in fleet.nodes if name not in names]
+
+
+def test_a_paused_owner_is_succeeded_and_joins_afresh() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        owner = owner_of(fleet)
+        before = incarnations(fleet)[owner]
+        fleet.nodes[owner].process.pause()
+        await fleet.until(fleet.is_served, limit_s=TARGET_S)
+        await asyncio.sleep(3)
+        fleet.nodes[owner].process.resume()
+        await asyncio.sleep(5)
+        assert incarnations(fleet)[owner] > before
+        assert fleet.is_served()
+
+    run_scenario(scenario)
+
+
+def test_a_pause_shorter_than_the_lease_costs_nothing() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = incarnations(fleet)
+        owner = owner_of(fleet)
+        fleet.nodes[owner].process.pause()
+        await asyncio.sleep(0.5)
+        fleet.nodes[owner].process.resume()
+        await asyncio.sleep(3)
+        assert incarnations(fleet) == before
+
+    run_scenario(scenario)
+
+
+def test_all_nodes_paused_together_go_on_together() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = incarnations(fleet)
+        for node in fleet.nodes.values():
+            node.process.pause()
+        await asyncio.sleep(5)
+        for node in fleet.nodes.values():
+            node.process.resume()
+        await fleet.until(fleet.is_served, limit_s=TARGET_S)
+        await asyncio.sleep(3)
+        assert incarnations(fleet) == before
+
+    run_scenario(scenario)
+
+
+async def _order_over_pause(node: FleetNode, pause_s: float) -> bool:
+    """Check a permit, pause, then send; return whether it ran."""
+    permit = node.ownership.permit(SERVICE, Shard(0)).unwrap()
+    request = Request(
+        RequestId('order-1'),
+        SERVICE,
+        'key',
+        'POST',
+        '/',
+        (),
+        b'',
+        is_repeatable=False,
+        deadline_s=permit.deadline_s + 3,
+    )
+    node.process.pause()
+    asyncio.get_running_loop().call_later(pause_s, node.process.resume)
+    await node.process.spawn(asyncio.sleep(0))
+    await node.process.spawn(
+        node.upstream.send(Order(request, permit.fence, 0))
+    )
+    return bool(node.upstream.runs)
+
+
+@pytest.mark.parametrize('checks_fences', [True, False])
+def test_an_order_sent_after_a_pause_does_not_run(
+    checks_fences: bool,
+) -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        owner = owner_of(fleet)
+        node = fleet.nodes[owner]
+        assert not await _order_over_pause(node, 8)
+        await asyncio.sleep(5)
+        assert owner_of(fleet) != owner
+
+    run_scenario(
+        scenario,
+        specs=zoned_specs(3, 3, 3, checks_fences=checks_fences),
+        document=keyed_document(16, checks_fences=checks_fences),
+    )
+
+
+def test_a_takeover_waits_where_fences_are_not_checked() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        await fleet.nodes[owner_of(fleet)].kill()
+        start_s = asyncio.get_running_loop().time()
+        await fleet.until(lambda: not fleet.is_served())
+        await fleet.until(fleet.is_served)
+        # The lease, and the longest deadline of a request.
+        assert asyncio.get_running_loop().time() - start_s >= 3.7
+
+    run_scenario(
+        scenario,
+        specs=zoned_specs(3, 3, 3, checks_fences=False),
+        document=keyed_document(16, checks_fences=False),
+    )
+
+
+def test_a_node_cut_from_the_log_only_keeps_serving() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        owner = owner_of(fleet)
+        before = incarnations(fleet)
+        fleet.nodes[owner].adapter.is_cut = True
+        await asyncio.sleep(10)
+        assert owner_of(fleet) == owner
+        fleet.nodes[owner].adapter.is_cut = False
+        await asyncio.sleep(2)
+        assert incarnations(fleet) == before
+
+    run_scenario(scenario)
+
+
+def test_a_planner_cut_from_the_log_is_replaced() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        first = min(incarnations(fleet).items(), key=lambda item: item[1])[0]
+        fleet.nodes[first].adapter.is_cut = True
+        lost = next(
+            name for name in fleet.nodes if name != first and name[0] != first[0]
+        )
+        await fleet.nodes[lost].kill()
+        await fleet.until(
+            lambda: not fleet.is_served(), limit_s=TARGET_S
+        )
+        await fleet.until(fleet.is_served, limit_s=TARGET_S)
+
+    run_scenario(scenario)
+
+
+def test_a_node_cut_from_peers_only_is_succeeded() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        owner = owner_of(fleet)
+        fleet.network.isolate(fleet.nodes[owner].address)
+        await asyncio.sleep(TARGET_S)
+        assert fleet.is_served()
+        assert owner_of(fleet) != owner
+        served = 0
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            served += fleet.is_served()
+        assert served >= 196
+        fleet.network.heal()
+        await asyncio.sleep(60)
+        assert fleet.is_served()
+        assert incarnations(fleet)[owner] >= 0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('is_outward', [True, False])
+def test_a_one_way_partition_is_a_loss(is_outward: bool) -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        owner = owner_of(fleet)
+        others = _others(fleet, owner)
+        if is_outward:
+            fleet.cut([owner], others)
+        else:
+            fleet.cut(others, [owner])
+        await asyncio.sleep(TARGET_S)
+        assert fleet.is_served()
+        assert owner_of(fleet) != owner
+        fleet.network.heal()
+        await asyncio.sleep(40)
+        assert fleet.is_served()
+
+    run_scenario(scenario)
+
+
+def test_one_cut_pair_costs_no_lease() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = incarnations(fleet)
+        owner = owner_of(fleet)
+        witness = witnesses_of(fleet, owner)[0]
+        fleet.cut([owner], [witness])
+        fleet.cut([witness], [owner])
+        await asyncio.sleep(10)
+        assert incarnations(fleet) == before
+        assert fleet.is_served()
+        assert witness not in witnesses_of(fleet, owner)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('cut_s', [0.7, 1.0, 1.3, 3, 20])
+def test_all_links_between_zones_drop_and_heal(cut_s: float) -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = incarnations(fleet)
+        for zone in 'abc':
+            inside = zone_of(fleet, zone)
+            fleet.cut(inside, _others(fleet, *inside))
+        await asyncio.sleep(cut_s)
+        fleet.network.heal()
+        await fleet.until(fleet.is_served, limit_s=TARGET_S)
+        await asyncio.sleep(3)
+        assert fleet.is_served()
+        assert incarnations(fleet) == before
+
+    run_scenario(scenario)
+
+
+def test_a_zone_cut_off_is_succeeded_and_returns() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        inside = zone_of(fleet, 'a')
+        outside = _others(fleet, *inside)
+        fleet.cut(inside, outside)
+        fleet.cut(outside, inside)
+        await asyncio.sleep(TARGET_S)
+        assert fleet.is_served()
+        assert {owner_of(fleet, each)[0] for each in range(16)} == {'b', 'c'}
+        await asyncio.sleep(10)
+        assert fleet.is_served()
+        fleet.network.heal()
+        await asyncio.sleep(60)
+        assert fleet.is_served()
+        owners = {owner_of(fleet, each)[0] for each in range(16)}
+        assert owners == {'a', 'b', 'c'}
+
+    run_scenario(scenario)
--- a/verbenadeck/membership/_heartbeats.py
+++ b/verbenadeck/membership/_heartbeats.py
@@ -20,27 +20,35 @@
         port: PeerPort,
         fleet: FleetView,
         renewals: Renewals,
+        probe_after_s: float,
         incarnation: Callable[[], Incarnation],
     ) -> None:
         self._clock = clock
         self._port = port
         self._fleet = fleet
         self._renewals = renewals
+        self._probe_after_s = probe_after_s
         self._incarnation = incarnation
         port.handle(HeartbeatAck, self._on_ack)
 
     def send(self, witnesses: Iterable[Incarnation]) -> None:
         """Send one heartbeat to each witness."""
+        for witness in witnesses:
+            age_s = self._renewals.age_s(witness)
+            self._send_one(witness, is_renewal=age_s <= self._probe_after_s)
+
+    def _send_one(self, witness: Incarnation, *, is_renewal: bool) -> None:
         own = self._incarnation()
-        if own == NO_MEMBER:
+        member = self._fleet.members.get(witness)
+        if own == NO_MEMBER or member is None:
             return
-        for witness in witnesses:
-            member = self._fleet.members.get(witness)
-            if member is None:
-                continue
-            beat = Heartbeat(own, witness, self._clock.now_s())
-            self._port.notify(member.address, beat)
+        beat = Heartbeat(own, witness, self._clock.now_s(), is_renewal)
+        self._port.notify(member.address, beat)
 
     async def _on_ack(self, _source: PeerAddress, ack: HeartbeatAck) -> None:
-        if ack.member == self._incarnation():
+        if ack.member != self._incarnation():
+            return
+        if ack.is_renewal:
             self._renewals.renew(ack.witness, ack.sent_s)
+        elif self._renewals.age_s(ack.witness) > self._probe_after_s:
+            self._send_one(ack.witness, is_renewal=True)
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -82,6 +82,7 @@
             port=port,
             fleet=journal.fleet,
             renewals=self._renewals,
+            probe_after_s=self.timing.probe_after_s,
             incarnation=lambda: self._incarnation,
         )
         self._keeper = WitnessSetKeeper(
