--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -6,7 +6,7 @@
 from loguru import logger
 from returns.result import Success
 
-from verbenadeck.fleet import Member
+from verbenadeck.fleet import FleetTables, Member
 from verbenadeck.journal import Applied, Journal
 from verbenadeck.membership import Membership
 from verbenadeck.model import NO_MEMBER, Incarnation, Offset, ServiceName
@@ -55,15 +55,23 @@
         Boot clock of the VM.
     journal : Journal
         Log client.
+    fleet : FleetTables
+        State of that log client.
     membership : Membership
         Membership of this node.
     """
 
     def __init__(
-        self, *, clock: Clock, journal: Journal, membership: Membership
+        self,
+        *,
+        clock: Clock,
+        journal: Journal,
+        fleet: FleetTables,
+        membership: Membership,
     ) -> None:
         self._clock = clock
         self._journal = journal
+        self._fleet = fleet
         self._membership = membership
         self._budget = ChurnBudget(clock)
         self._changed = asyncio.Event()
@@ -71,7 +79,7 @@
         self._assigned_s = clock.now_s()
         self._seen_s: dict[Incarnation, float] = {}
         self._task: asyncio.Task[None] | None = None
-        journal.fleet.subscribe(self._on_applied)
+        fleet.subscribe(self._on_applied)
 
     async def start(self) -> None:
         """Start planning."""
@@ -113,18 +121,17 @@
     def _note_members(self) -> None:
         now_s = self._clock.now_s()
         self._seen_s = {
-            each: self._seen_s.get(each, now_s)
-            for each in self._journal.fleet.members
+            each: self._seen_s.get(each, now_s) for each in self._fleet.members
         }
 
     async def _plan_all(self) -> None:
         # Services that are not divided by key have ledger shards.
-        for service in self._journal.fleet.config.services:
+        for service in self._fleet.config.services:
             plan = self._plan(service)
             await self._propose(service, plan)
 
     def _plan(self, service: ServiceName) -> Plan:
-        fleet = self._journal.fleet
+        fleet = self._fleet
         members = serving_members(fleet, service)
         owners = fleet.owners(service)
         named = set(owners)
@@ -160,11 +167,11 @@
 
     def _rank(self) -> int | None:
         own = self._membership.incarnation
-        first = sorted(self._journal.fleet.members)[:_PLANNERS]
+        first = sorted(self._fleet.members)[:_PLANNERS]
         return first.index(own) if own in first else None
 
     async def _propose(self, service: ServiceName, plan: Plan) -> None:
-        fences = self._journal.fleet.fences(service)
+        fences = self._fleet.fences(service)
         timeout_s = self._membership.timing.append_timeout_s
         deadline_s = self._clock.now_s() + timeout_s
         self._budget.spend(len(plan.balance))
