Test the router by fault and mend what that found

Stragglers were found again only after 20 s, since the pause between probes grew with their latency and each answer counted a fifth: now a probe goes out each second and an answer counts the more, the older the last one is. With two stragglers of three, two random choices met two stragglers half of the time: the choice is now among four. Asking again each second made a read of a second run twice; a lost reply is now left to the stream's pings to notice.

--- a/verbenadeck/door/tests/builders.py
+++ b/verbenadeck/door/tests/builders.py
@@ -14,6 +14,7 @@
     FakeFleet,
     FakeOwnership,
     FakeUpstream,
+    PingingPort,
 )
 from verbenadeck.fleet import (
     Member,
@@ -39,7 +40,7 @@
 from verbenadeck.records import (
     ReleasedRange,
 )
-from verbenadeck.testing import FakeNetwork, FakePort, virtual_clock
+from verbenadeck.testing import FakeNetwork, virtual_clock
 from verbenadeck.utils import Clock
 
 ZONES = ('suva', 'nadi', 'lautoka')
@@ -111,7 +112,7 @@
         self.node_id = NodeId(f'node-{number}')
         self.zone = Zone(zone)
         self.address = PeerAddress('127.0.0.1', 7000 + number)
-        self.port: FakePort = site.network.port(self.address, site.clock)
+        self.port = PingingPort(site.network, self.address, site.clock)
         self.ownership = FakeOwnership(site.fleet, self.incarnation)
         self.random = random.Random(number)
         self.door = UpstreamDoor(
--- a/verbenadeck/door/tests/fakes.py
+++ b/verbenadeck/door/tests/fakes.py
@@ -40,6 +40,7 @@
     ServicePolicy,
     Shard,
 )
+from verbenadeck.peers import Message, PeerAddress, PeerError, PeerFailure
 from verbenadeck.records import (
     NodeJoin,
     Record,
@@ -48,10 +49,13 @@
     Verdict,
     Vote,
 )
+from verbenadeck.testing import FakeNetwork, FakePort
+from verbenadeck.utils import Clock
 
 SERVICE = ServiceName('holds')
 KEYED = ServiceName('catalogue')
 SHARDS = 16
+_SILENCE_S = 0.05
 
 
 def make_policy(**changes: object) -> ServicePolicy:
@@ -318,3 +322,36 @@
 
 def _refused(reason: RefusalReason) -> Result[Permit, Refusal]:
     return Failure(Refusal(Outcome.NOT_RUN, reason))
+
+
+class PingingPort(FakePort):
+    """Fake port that notices a cut link as pings of a stream do."""
+
+    def __init__(
+        self, network: FakeNetwork, address: PeerAddress, clock: Clock
+    ) -> None:
+        super().__init__(network, address, clock)
+        network.ports[address] = self
+        self._links = network
+
+    async def call(
+        self, peer: PeerAddress, message: Message, *, deadline_s: float
+    ) -> Result[Message, PeerError]:
+        """Send a message; no reply when the link is cut for a while."""
+        call = asyncio.create_task(
+            super().call(peer, message, deadline_s=deadline_s)
+        )
+        try:
+            while not call.done():
+                await asyncio.wait((call,), timeout=_SILENCE_S)
+                if not call.done() and self._is_silent(peer):
+                    return Failure(PeerError(PeerFailure.NO_REPLY, 'silent'))
+            return call.result()
+        finally:
+            call.cancel()
+
+    def _is_silent(self, peer: PeerAddress) -> bool:
+        port = self._links.ports.get(peer)
+        links = {(self.address, peer), (peer, self.address)}
+        is_down = port is None or not port.is_up
+        return is_down or bool(links & self._links.cut)
--- a/verbenadeck/router/_attempts.py
+++ b/verbenadeck/router/_attempts.py
@@ -29,7 +29,6 @@
 from verbenadeck.router._stats import DoorStats
 from verbenadeck.utils import Clock
 
-_ASK_EVERY_S = 1.0
 _FIRST_PAUSE_S = 0.01
 _MOST_PAUSE_S = 0.2
 _PREFIX_BITS = 64
@@ -102,6 +101,8 @@
             result = await self._send(target, attempt_id, request, is_bound)
         except asyncio.CancelledError:
             self._cancel(target, attempt_id)
+            now_s = self._clock.now_s()
+            target.overrun(now_s - started_s, now_s)
             raise
         finally:
             target.end(ticket)
@@ -152,14 +153,13 @@
     async def _call(
         self, target: DoorStats, attempt_id: AttemptId, request: Request
     ) -> ForwardAnswer | Refusal:
-        now_s = self._clock.now_s()
         message = Forward.pack(
-            attempt_id, request, max(0.0, request.deadline_s - now_s)
+            attempt_id, request, self._clock.remaining_s(request.deadline_s)
         )
         reply = await self._peers.call(
             target.member.address,
             message,
-            deadline_s=min(request.deadline_s, now_s + _ASK_EVERY_S),
+            deadline_s=request.deadline_s,
         )
         match reply:
             case Success(ForwardAnswer() as answer):
@@ -178,7 +178,7 @@
         now_s = self._clock.now_s()
         match result:
             case Success(Answer()):
-                target.measure(now_s - started_s)
+                target.measure(now_s - started_s, now_s)
             case Failure(Refusal(reason=reason)) if reason in _AVOIDED:
                 target.avoid(now_s)
 
--- a/verbenadeck/router/_choice.py
+++ b/verbenadeck/router/_choice.py
@@ -1,5 +1,6 @@
 """Choice of one door among those that may serve a request."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -7,7 +8,8 @@
 from verbenadeck.router._stats import DoorStats
 
 _PROBE_EVERY_S = 1.0
-_PROBE_LATENCIES = 20.0
+_CHOICES = 4
+_NEAR_BONUS = 0.9
 
 
 class Choice(NamedTuple):
@@ -24,45 +26,43 @@
 def choose_by_wait(
     doors: Sequence[DoorStats], now_s: float, source: random.Random
 ) -> Choice:
-    """Return the better of two random doors by expected wait.
+    """Return the best of a few random doors by expected wait.
 
-    One of the two is near when there is a near one, so work stays in the
-    zone while that isn't slower. A door that was left alone for long gets
-    one request as a probe.
+    A door in the same zone wins against one that is hardly better. A door
+    that was left alone for long gets one request as a probe.
     """
-    if len(doors) == 1:
-        return Choice(doors[0], 'only one')
-    first = _first(doors, source)
-    second = doors[_other(doors, first, source)]
-    first_s = first.expected_wait_s(now_s)
-    second_s = second.expected_wait_s(now_s)
-    best, other = (first, second) if first_s <= second_s else (second, first)
-    if _needs_probe(other, now_s):
-        return Choice(other, 'probe')
-    if best.is_near and not other.is_near:
+    best = doors[0]
+    best_s = math.inf
+    for door in _some(doors, source):
+        if _needs_probe(door, now_s):
+            return Choice(door, 'probe')
+        wait_s = door.expected_wait_s(now_s)
+        if door.is_near:
+            wait_s *= _NEAR_BONUS
+        if wait_s < best_s:
+            best = door
+            best_s = wait_s
+    if best.is_near:
         return Choice(best, 'near and not slower')
-    return Choice(best, 'lower wait of two')
+    return Choice(best, 'least expected wait')
 
 
-def _first(doors: Sequence[DoorStats], source: random.Random) -> DoorStats:
-    near = [door for door in doors if door.is_near]
-    among = near or doors
-    return among[int(source.random() * len(among))]
-
-
-def _other(
-    doors: Sequence[DoorStats], first: DoorStats, source: random.Random
-) -> int:
-    index = int(source.random() * len(doors))
-    if doors[index] is first:
-        return (index + 1) % len(doors)
-    return index
+def _some(
+    doors: Sequence[DoorStats], source: random.Random
+) -> Sequence[DoorStats]:
+    count = len(doors)
+    if count <= _CHOICES:
+        return doors
+    start = int(source.random() * count)
+    step = 1 + int(source.random() * (count - 1) / _CHOICES)
+    return [
+        doors[(start + number * step) % count] for number in range(_CHOICES)
+    ]
 
 
 def _needs_probe(door: DoorStats, now_s: float) -> bool:
-    if door.in_flight or now_s < door.avoid_until_s:
+    if now_s - door.sent_at_s < _PROBE_EVERY_S or door.in_flight:
         return False
-    if door.load is not None and not door.load.is_admitting:
+    if now_s < door.avoid_until_s:
         return False
-    pause_s = max(_PROBE_EVERY_S, _PROBE_LATENCIES * door.latency_s)
-    return now_s - door.sent_at_s > pause_s
+    return door.load is None or door.load.is_admitting
--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -5,7 +5,8 @@
 from verbenadeck.door import DoorLoad
 from verbenadeck.fleet import Member
 
-_WEIGHT = 0.2
+_LEAST_WEIGHT = 0.1
+_DECAY_S = 0.5
 _FIRST_LATENCY_S = 0.02
 _LEAST_AVOID_S = 0.05
 _MOST_AVOID_S = 1.0
@@ -32,6 +33,7 @@
         'is_near',
         'latency_s',
         'load',
+        'measured_at_s',
         'member',
         'sent_at_s',
         'sequence',
@@ -44,6 +46,7 @@
         self.is_local = is_local
         self.is_near = is_near
         self.latency_s = _FIRST_LATENCY_S
+        self.measured_at_s = -math.inf
         self.in_flight: dict[int, float] = {}
         self.load: DoorLoad | None = None
         self.sent_at_s = -math.inf
@@ -62,11 +65,23 @@
         """Note that a request has ended in whatever way."""
         self.in_flight.pop(ticket, None)
 
-    def measure(self, latency_s: float) -> None:
-        """Take the latency of an answered request."""
-        self.latency_s += _WEIGHT * (latency_s - self.latency_s)
+    def measure(self, latency_s: float, now_s: float) -> None:
+        """Take the latency of an answered request.
+
+        The longer the last one is ago, the more the new one counts, so that
+        a few probes are enough to see that a straggler has recovered.
+        """
+        age_s = now_s - self.measured_at_s
+        weight = max(_LEAST_WEIGHT, 1 - math.exp(-age_s / _DECAY_S))
+        self.latency_s += weight * (latency_s - self.latency_s)
+        self.measured_at_s = now_s
         self.avoid_s = 0
 
+    def overrun(self, waited_s: float, now_s: float) -> None:
+        """Note a request that was given up after a time without answer."""
+        if waited_s > self.latency_s:
+            self.measure(waited_s, now_s)
+
     def avoid(self, now_s: float) -> None:
         """Leave the door alone for a while, longer each time."""
         self.avoid_s = min(_MOST_AVOID_S, max(_LEAST_AVOID_S, self.avoid_s * 2))
--- a/verbenadeck/router/tests/builders.py
+++ b/verbenadeck/router/tests/builders.py
@@ -1,6 +1,12 @@
 """Builders for tests of the router."""
 
-from verbenadeck.door.tests.builders import Node, Site
+import asyncio
+import random
+from collections.abc import Callable
+
+from verbenadeck.door.tests.builders import Node, Site, make_request
+from verbenadeck.door.tests.fakes import FakeUpstream
+from verbenadeck.model import AnswerResult, Request
 from verbenadeck.router import Choose, DoorRouter, choose_by_wait
 
 
@@ -17,3 +23,56 @@
         random_source=node.random,
         choose=choose,
     )
+
+
+async def three_zones(
+    make: Callable[[], FakeUpstream] = FakeUpstream,
+) -> tuple[Site, list[DoorRouter]]:
+    """Make a node with its router in each of three zones."""
+    site = Site()
+    for _ in range(3):
+        await site.add(make())
+    return site, [make_router(site, node) for node in site.nodes]
+
+
+class Callers:
+    """Open-loop callers that spread over some routers.
+
+    Attributes
+    ----------
+    results : list of (float, Request, AnswerResult, float)
+        Start, request, result and latency of each call.
+    """
+
+    def __init__(
+        self,
+        routers: list[DoorRouter],
+        *,
+        rate_per_s: float,
+        make: Callable[[], Request] = make_request,
+        seed: int = 1,
+    ) -> None:
+        self.results: list[tuple[float, Request, AnswerResult, float]] = []
+        self._routers = routers
+        self._rate_per_s = rate_per_s
+        self._make = make
+        self._random = random.Random(seed)
+
+    async def run(self, duration_s: float) -> None:
+        """Send at random moments and wait for all answers."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + duration_s
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until_s:
+                group.create_task(self._call())
+                await asyncio.sleep(self._random.expovariate(self._rate_per_s))
+
+    async def _call(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        request = self._make()
+        router = self._routers[self._random.randrange(len(self._routers))]
+        result = await router.route(request)
+        self.results.append(
+            (started_s, request, result, loop.time() - started_s)
+        )
