Add the client library and hints to the owner of a key

A caller that learns the owning node's entry saves the hop between nodes. The hint carries the number of shards, so one hint serves all keys of a shard and nothing is kept per key. A refusal of one attempt never turns an earlier lost answer into 'not run'. aiohttp would send idempotent methods again by itself; a middleware makes it say so, or the client would never leave an owner that drops connections (seen in a test: two requests at the lost owner, none at the others).

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,6 +1,14 @@
 """Adapters to the platform's log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._caller_calls import (
+    CallerCall,
+    OwnerHint,
+    read_owner,
+    read_reply,
+    write_call,
+    write_owner,
+)
 from verbenadeck.adapters._caller_headers import (
     CallerAnswer,
     CallerFields,
@@ -45,6 +53,12 @@
     'AnnounceError',
     'AnnouncedUpstream',
     'CallerAnswer',
+    'CallerCall',
+    'OwnerHint',
+    'read_owner',
+    'read_reply',
+    'write_call',
+    'write_owner',
     'CallerFields',
     'CallerFormat',
     'LogHttpAdapter',
--- a/verbenadeck/adapters/_registry.py
+++ b/verbenadeck/adapters/_registry.py
@@ -8,6 +8,14 @@
 
 from verbenadeck.adapters import wire
 from verbenadeck.adapters._announce import AnnounceError
+from verbenadeck.adapters._caller_calls import (
+    CallerCall,
+    OwnerHint,
+    read_owner,
+    read_reply,
+    write_call,
+    write_owner,
+)
 from verbenadeck.adapters._caller_headers import (
     CallerAnswer,
     CallerFields,
@@ -15,11 +23,12 @@
     write_answer,
     write_refusal,
 )
+from verbenadeck.adapters._http_headers import Headers
 from verbenadeck.adapters._log import LogAdapter
 from verbenadeck.adapters._log_http import LogHttpAdapter
 from verbenadeck.adapters._upstream import UpstreamAdapter
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
-from verbenadeck.model import Answer, Refusal, RequestId
+from verbenadeck.model import Answer, AnswerResult, Refusal, RequestId
 from verbenadeck.utils import Clock
 
 STANDIN_FORMAT = 'standin'
@@ -37,14 +46,19 @@
 
 CallResult = Result[CallerFields, Refusal]
 HeaderPairs = Iterable[tuple[str, str]]
+WrittenCall = Result[tuple[str, Headers], Refusal]
 
 
 class CallerFormat(NamedTuple):
-    """Vocabulary towards callers."""
+    """Vocabulary towards callers, for the entry and for the client."""
 
     read_call: Callable[[str, HeaderPairs], CallResult]
     write_answer: Callable[[Answer, RequestId], CallerAnswer]
     write_refusal: Callable[[Refusal, RequestId | None], CallerAnswer]
+    write_owner: Callable[[OwnerHint], tuple[str, str]]
+    write_call: Callable[[CallerCall], WrittenCall]
+    read_reply: Callable[[int, Headers, bytes], AnswerResult]
+    read_owner: Callable[[HeaderPairs], OwnerHint | None]
 
 
 class LogMaker(Protocol):
@@ -75,6 +89,14 @@
 )
 CALLER_FORMATS: Mapping[str, CallerFormat] = MappingProxyType(
     {
-        STANDIN_FORMAT: CallerFormat(read_call, write_answer, write_refusal),
+        STANDIN_FORMAT: CallerFormat(
+            read_call=read_call,
+            write_answer=write_answer,
+            write_refusal=write_refusal,
+            write_owner=write_owner,
+            write_call=write_call,
+            read_reply=read_reply,
+            read_owner=read_owner,
+        ),
     }
 )
--- a/verbenadeck/admin/__init__.py
+++ b/verbenadeck/admin/__init__.py
@@ -1,7 +1,12 @@
 """Admin server of a node: status, metrics, owners and drain."""
 
 from verbenadeck.admin._options import AdminOptions
-from verbenadeck.admin._owners import OwnerError, OwnerStatus, find_owner
+from verbenadeck.admin._owners import (
+    OwnerError,
+    OwnerStatus,
+    find_owner,
+    make_owner_hint,
+)
 from verbenadeck.admin._server import (
     AdminError,
     AdminNotice,
@@ -36,6 +41,7 @@
     'UpstreamStatus',
     'ZoneStatus',
     'find_owner',
+    'make_owner_hint',
     'make_status_reader',
     'members_of',
     'upstream_status',
--- a/verbenadeck/admin/_owners.py
+++ b/verbenadeck/admin/_owners.py
@@ -1,10 +1,13 @@
 """Answers to the question who owns a key."""
 
+from collections.abc import Callable
+
 import msgspec
 from returns.result import Failure, Result, Success
 
+from verbenadeck.adapters import OwnerHint
 from verbenadeck.fleet import FleetView, Member, ShardView, shard_of
-from verbenadeck.model import NodeId, ServiceName, Shard
+from verbenadeck.model import NodeId, Request, ServiceName, Shard
 
 
 class OwnerStatus(msgspec.Struct, frozen=True):
@@ -85,6 +88,35 @@
     )
 
 
+def make_owner_hint(
+    fleet: FleetView, write_owner: Callable[[OwnerHint], tuple[str, str]]
+) -> Callable[[Request], tuple[tuple[str, str], ...]]:
+    """Return a function that gives the headers of a hint to the owner.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        State derived from the log.
+    write_owner : callable
+        Writes a hint in the callers' vocabulary.
+    """
+
+    def owner_hint(request: Request) -> tuple[tuple[str, str], ...]:
+        shard_count = fleet.shard_count(request.service)
+        if request.key is None or not shard_count:
+            return ()
+        shard = shard_of(request.key, shard_count)
+        view = fleet.shard(request.service, shard)
+        owner = fleet.members.get(view.owner)
+        if owner is None:
+            return ()
+        host = owner.address.host
+        hint = OwnerHint(host, owner.entry_port, shard_count)
+        return (write_owner(hint),)
+
+    return owner_hint
+
+
 def _fault(
     fleet: FleetView, service: ServiceName, key: str
 ) -> OwnerError | None:
--- a/verbenadeck/admin/tests/builders.py
+++ b/verbenadeck/admin/tests/builders.py
@@ -18,7 +18,15 @@
 from verbenadeck.fleet import FleetState
 from verbenadeck.fleet.tests.builders import HOLDS, make_fleet
 from verbenadeck.metrics import Metrics, make_exposition
-from verbenadeck.model import Incarnation, NodeId, Region, Zone
+from verbenadeck.model import (
+    Incarnation,
+    NodeId,
+    Region,
+    Request,
+    RequestId,
+    ServiceName,
+    Zone,
+)
 from verbenadeck.utils import Clock
 
 
@@ -69,6 +77,21 @@
     return AdminServer(views=make_views(board), options=options)
 
 
+def make_request(*, key: str | None, service: str = HOLDS) -> Request:
+    """Return a read of a key."""
+    return Request(
+        request_id=RequestId('r1'),
+        service=ServiceName(service),
+        key=key,
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        is_repeatable=True,
+        deadline_s=200,
+    )
+
+
 def _announce(body: bytes) -> Result[wire.AnnounceReply, AnnounceError]:
     if body != b'{}':
         return Failure(AnnounceError('service is empty'))
--- a/verbenadeck/admin/tests/test_admin.py
+++ b/verbenadeck/admin/tests/test_admin.py
@@ -6,8 +6,14 @@
 import aiohttp
 import pytest
 
-from verbenadeck.admin import AdminServer
-from verbenadeck.admin.tests.builders import Board, make_board, make_server
+from verbenadeck.adapters import write_owner
+from verbenadeck.admin import AdminServer, make_owner_hint
+from verbenadeck.admin.tests.builders import (
+    Board,
+    make_board,
+    make_request,
+    make_server,
+)
 
 _Answer = tuple[int, str]
 _Ask = Callable[..., Awaitable[_Answer]]
@@ -197,3 +203,13 @@
         await second.stop()
 
     _serve(make_board(), scenario)
+
+
+def test_hints_name_the_owner_only_where_there_is_one() -> None:
+    board = make_board()
+    hint = make_owner_hint(board.fleet, write_owner)
+    assert hint(make_request(key='oven-17')) == (
+        ('Verbenadeck-Owner', '127.0.0.1:8000;shards=8'),
+    )
+    assert hint(make_request(key=None)) == ()
+    assert hint(make_request(key='oven-17', service='ghost')) == ()
--- /dev/null
+++ b/verbenadeck/client/_transport.py
@@ -0,0 +1,160 @@
+"""One attempt of a call over HTTP."""
+
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+from returns.result import Failure
+
+from verbenadeck.adapters import CallerFormat, OwnerHint
+from verbenadeck.client._entries import EntryAddress
+from verbenadeck.client._options import ClientOptions
+from verbenadeck.model import AnswerResult, Outcome, Refusal, RefusalReason
+
+_CHUNK_BYTES = 65_536
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class _AnswerLostError(Exception):
+    """The connection broke after the request may have been sent."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending idempotent methods again by itself.
+
+    The client must know of each attempt, to leave an owner that is lost.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _AnswerLostError(str(error)) from error
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """What goes out in one attempt."""
+
+    entry: EntryAddress
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    timeout_s: float
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What came of one attempt.
+
+    Parameters
+    ----------
+    result : AnswerResult
+        Answer or refusal.
+    hint : OwnerHint or None
+        Owner of the key, when the entry told it.
+    is_entry_bad : bool
+        Whether other entries should be preferred for a while.
+    """
+
+    result: AnswerResult
+    hint: OwnerHint | None = None
+    is_entry_bad: bool = False
+
+
+_LOST_ANSWERS = (
+    _AnswerLostError,
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+)
+
+
+class Transport:
+    """Sends attempts over a pool of connections."""
+
+    def __init__(
+        self, *, vocabulary: CallerFormat, options: ClientOptions
+    ) -> None:
+        self._vocabulary = vocabulary
+        self._options = options
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the pool."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, limit_per_host=self._options.connections
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(_send_once,),
+        )
+
+    async def stop(self) -> None:
+        """Close the pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(self, attempt: Attempt) -> Reply:
+        """Send one attempt and return what came of it."""
+        try:
+            return await self._exchange(attempt)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            return _lost(Outcome.NOT_RUN, f'no connection: {error}')
+        except TimeoutError:
+            return _lost(Outcome.UNKNOWN, 'no answer in time')
+        except _LOST_ANSWERS as error:
+            return _lost(Outcome.UNKNOWN, f'answer lost: {error!r}')
+
+    async def _exchange(self, attempt: Attempt) -> Reply:
+        if self._session is None:
+            raise RuntimeError('the client is not started')
+        host, port = attempt.entry
+        shown = f'[{host}]' if ':' in host else host
+        async with self._session.request(
+            attempt.method,
+            f'http://{shown}:{port}{attempt.target}',
+            headers=attempt.headers,
+            data=attempt.body or None,
+            allow_redirects=False,
+            timeout=self._timeout(attempt),
+        ) as response:
+            body = await self._read(response)
+            return self._reply(response, body)
+
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        body = bytearray()
+        async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
+            body += chunk
+            if len(body) > self._options.answer_limit_bytes:
+                raise ValueError('the answer is too large')
+        return bytes(body)
+
+    def _reply(self, response: aiohttp.ClientResponse, body: bytes) -> Reply:
+        headers = tuple(response.headers.items())
+        return Reply(
+            result=self._vocabulary.read_reply(response.status, headers, body),
+            hint=self._vocabulary.read_owner(headers),
+            is_entry_bad=_is_leaving(response.headers),
+        )
+
+    def _timeout(self, attempt: Attempt) -> aiohttp.ClientTimeout:
+        connect_s = min(self._options.connect_timeout_s, attempt.timeout_s)
+        return aiohttp.ClientTimeout(
+            total=attempt.timeout_s, sock_connect=connect_s
+        )
+
+
+def _is_leaving(headers: Mapping[str, str]) -> bool:
+    return headers.get('Connection', '').lower() == 'close'
+
+
+def _lost(outcome: Outcome, detail: str) -> Reply:
+    refusal = Refusal(outcome, RefusalReason.PEER_LOST, detail=detail)
+    return Reply(Failure(refusal), is_entry_bad=True)
--- a/verbenadeck/config/__init__.py
+++ b/verbenadeck/config/__init__.py
@@ -13,7 +13,10 @@
     decode_document,
     encode_document,
 )
-from verbenadeck.config._exception_rules import FLEET_WIDE_FIELDS, policy_setting
+from verbenadeck.config._exception_rules import (
+    FLEET_WIDE_FIELDS,
+    policy_setting,
+)
 from verbenadeck.config._policy_rules import MAX_SHARD_COUNT
 from verbenadeck.config._problems import ConfigProblem
 
