--- a/verbenadeck/admin/_owners.py
+++ b/verbenadeck/admin/_owners.py
@@ -59,6 +59,8 @@
     detail: str
 
 
+HeaderPairs = tuple[tuple[str, str], ...]
+
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _KEY_LIMIT = 1000
@@ -90,7 +92,7 @@
 
 def make_owner_hint(
     fleet: FleetView, write_owner: Callable[[OwnerHint], tuple[str, str]]
-) -> Callable[[Request], tuple[tuple[str, str], ...]]:
+) -> Callable[[Request], HeaderPairs]:
     """Return a function that gives the headers of a hint to the owner.
 
     Parameters
@@ -101,7 +103,7 @@
         Writes a hint in the callers' vocabulary.
     """
 
-    def owner_hint(request: Request) -> tuple[tuple[str, str], ...]:
+    def owner_hint(request: Request) -> HeaderPairs:
         shard_count = fleet.shard_count(request.service)
         if request.key is None or not shard_count:
             return ()
