--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -10,6 +10,11 @@
     write_owner,
 )
 from verbenadeck.adapters._caller_headers import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_MS_HEADER,
     CallerAnswer,
     CallerFields,
     read_call,
@@ -47,7 +52,12 @@
 
 __all__ = (
     'CALLER_FORMATS',
+    'DEADLINE_HEADER',
+    'IDEMPOTENCY_HEADER',
     'LOG_FORMATS',
+    'OUTCOME_HEADER',
+    'REASON_HEADER',
+    'RETRY_AFTER_MS_HEADER',
     'STANDIN_FORMAT',
     'UPSTREAM_FORMATS',
     'AnnounceError',
