--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,6 +1,14 @@
 """Adapters to the platform's log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._caller_calls import (
+    CallerCall,
+    OwnerHint,
+    read_owner,
+    read_reply,
+    write_call,
+    write_owner,
+)
 from verbenadeck.adapters._caller_headers import (
     DEADLINE_HEADER,
     IDEMPOTENCY_HEADER,
@@ -55,6 +63,12 @@
     'AnnounceError',
     'AnnouncedUpstream',
     'CallerAnswer',
+    'CallerCall',
+    'OwnerHint',
+    'read_owner',
+    'read_reply',
+    'write_call',
+    'write_owner',
     'CallerFields',
     'CallerFormat',
     'LogHttpAdapter',
