--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -14,6 +14,7 @@
 from verbenadeck.membership._heartbeats import Heartbeats
 from verbenadeck.membership._predecessors import predecessors
 from verbenadeck.membership._renewals import Renewals
+from verbenadeck.membership._successors import has_successor
 from verbenadeck.membership._timing import LeaseTiming
 from verbenadeck.membership._witness_choice import (
     candidates_for,
@@ -159,19 +160,11 @@
                 await self._propose(record)
             if not any(fleet.owned_by(own)) and not any(fleet.held_by(own)):
                 return True
-            if not self._has_successor():
+            if not has_successor(fleet, self._describe().service):
                 return False
             await asyncio.sleep(_LEAVE_POLL_S)
         return self.member is None
 
-    def _has_successor(self) -> bool:
-        """Return whether another member can take the shards."""
-        service = self._describe().service
-        return any(
-            member.service == service and member.state is MemberState.JOINED
-            for member in self._journal.fleet.members.values()
-        )
-
     async def stop(self) -> None:
         """End all duties, then say in the log that this life is over."""
         self.is_stopping = True
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -200,9 +200,11 @@
 
 
 def _make_planner(kernel: Kernel, edges: NodeEdges) -> Planner:
+    journal = kernel.find('journal', LogClient)
     return Planner(
         clock=edges.clock,
-        journal=kernel.find('journal', LogClient),
+        journal=journal,
+        fleet=journal.fleet,
         membership=kernel.find('membership', Membership),
     )
 
