Test the log's faults, small fleets, clock drift and upstream restarts

Each life of a process in the virtual fleet draws from its own random source: with one source for all, a restarted writer repeated the name of its earlier life and its records were taken for repeats.

--- a/verbenadeck/lease/__init__.py
+++ b/verbenadeck/lease/__init__.py
@@ -7,6 +7,7 @@
 )
 from verbenadeck.lease._messages import MESSAGES, Release, ReleaseAck
 from verbenadeck.lease._ownership import Ownership
+from verbenadeck.lease._ranges import ranges_of, shards_in
 from verbenadeck.lease._view import DoorHandover, OwnershipView, Permit
 from verbenadeck.lease._witness import WitnessDuty
 
@@ -21,5 +22,7 @@
     'WitnessDuty',
     'checks_fences',
     'longest_timeout_s',
+    'ranges_of',
+    'shards_in',
     'takeover_wait_s',
 )
--- a/verbenadeck/lease/tests/builders.py
+++ b/verbenadeck/lease/tests/builders.py
@@ -17,6 +17,9 @@
 HANDOVER_S = 0.1
 """A planned move leaves a shard without a server for this long at most."""
 
+LONGEST_REQUEST_S = 3.0
+"""Longest deadline of a request to the service of the scenarios."""
+
 SETTLE_S = 4.0
 """Time in which a new fleet forms witness sets and assigns shards."""
 
--- a/verbenadeck/lease/tests/test_partitions.py
+++ b/verbenadeck/lease/tests/test_partitions.py
@@ -6,6 +6,7 @@
 
 from verbenadeck.adapters import Order
 from verbenadeck.lease.tests.builders import (
+    LONGEST_REQUEST_S,
     TARGET_S,
     incarnations,
     owner_of,
@@ -14,8 +15,6 @@
     zone_of,
 )
 from verbenadeck.model import (
-    NO_FENCE,
-    AttemptId,
     NodeId,
     Request,
     RequestId,
@@ -124,8 +123,8 @@
         start_s = asyncio.get_running_loop().time()
         await fleet.until(lambda: not fleet.is_served())
         await fleet.until(fleet.is_served)
-        # The lease, and the longest deadline of a request.
-        assert asyncio.get_running_loop().time() - start_s >= 3.7
+        waited_s = asyncio.get_running_loop().time() - start_s
+        assert waited_s >= LONGEST_REQUEST_S
 
     run_scenario(
         scenario,
@@ -153,12 +152,12 @@
         first = min(incarnations(fleet).items(), key=lambda item: item[1])[0]
         fleet.nodes[first].adapter.is_cut = True
         lost = next(
-            name for name in fleet.nodes if name != first and name[0] != first[0]
+            name
+            for name in fleet.nodes
+            if name != first and name[0] != first[0]
         )
         await fleet.nodes[lost].kill()
-        await fleet.until(
-            lambda: not fleet.is_served(), limit_s=TARGET_S
-        )
+        await fleet.until(lambda: not fleet.is_served(), limit_s=TARGET_S)
         await fleet.until(fleet.is_served, limit_s=TARGET_S)
 
     run_scenario(scenario)
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -33,7 +33,6 @@
 
 _log = logger.bind(part='placement')
 _PLANNERS = 3
-_RANK_DELAY_S = 0.4
 _SETTLE_S = 2.0
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
@@ -59,6 +58,9 @@
         State of that log client.
     membership : Membership
         Membership of this node.
+    rank_delay_s : float
+        Time in seconds by which the second and the third planner hold back,
+        each after the one before it.
     """
 
     def __init__(
@@ -68,11 +70,13 @@
         journal: Journal,
         fleet: FleetTables,
         membership: Membership,
+        rank_delay_s: float = 0.4,
     ) -> None:
         self._clock = clock
         self._journal = journal
         self._fleet = fleet
         self._membership = membership
+        self._rank_delay_s = rank_delay_s
         self._budget = ChurnBudget(clock)
         self._changed = asyncio.Event()
         self._changed_s = clock.now_s()
@@ -108,7 +112,7 @@
             self._note_members()
             rank = self._rank()
             if rank is not None:
-                delay_s = rank * _RANK_DELAY_S
+                delay_s = rank * self._rank_delay_s
                 await self._clock.sleep_until(self._changed_s + delay_s)
                 await self._plan_all()
             try:
--- a/verbenadeck/testing/_fake_sides.py
+++ b/verbenadeck/testing/_fake_sides.py
@@ -60,16 +60,15 @@
         for listener in self._listeners:
             listener(self._announcement())
 
-    def would_serve(self, shard: int) -> bool:
-        """Return whether an order with the right fence would be taken."""
+    def granted_shards(self) -> tuple[int, ...]:
+        """Return the shards for which an order would be taken now."""
         is_granted = self._clock.now_s() < self._deadline_s
-        return self.is_up and is_granted and shard in self._fences
+        return tuple(self._fences) if self.is_up and is_granted else ()
 
     async def send(self, order: Order) -> Result[Answer, UpstreamError]:
         """Run an order unless its fence is refused."""
-        is_allowed = self.would_serve(order.shard) and (
-            self._fences[order.shard] == order.fence
-        )
+        is_granted = order.shard in self.granted_shards()
+        is_allowed = is_granted and self._fences[order.shard] == order.fence
         now_s = self._clock.now_s()
         if not self._checks_fences:
             is_allowed = now_s < order.request.deadline_s
--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -1,6 +1,7 @@
 """Fleet in virtual time with an oracle of ownership."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 from verbenadeck.config import encode_document
@@ -58,6 +59,7 @@
         self.shard_count = shard_count
         self.violations: list[str] = []
         self._seed = seed
+        self._lives = 0
         self._timing = timing
         self._document = document or keyed_document(shard_count)
         self.nodes: dict[NodeId, FleetNode] = {}
@@ -118,7 +120,7 @@
 
     def is_served(self) -> bool:
         """Return whether every shard has one server."""
-        return all(self.servers(shard) for shard in range(self.shard_count))
+        return len(self._serving()) == self.shard_count
 
     async def until(
         self, condition: Callable[[], bool], *, limit_s: float = _PATIENCE_S
@@ -143,11 +145,13 @@
     def _make(
         self, spec: NodeSpec, upstream: FakeUpstream | None = None
     ) -> FleetNode:
+        # Each life of a process has a random source of its own.
+        self._lives += 1
         return FleetNode(
             spec,
             log=self.log,
             network=self.network,
-            seed=self._seed,
+            seed=f'{self._seed}/{self._lives}',
             timing=self._timing,
             upstream=upstream,
         )
@@ -157,19 +161,33 @@
             self._look()
             await asyncio.sleep(_ORACLE_S)
 
+    def _serving(self) -> dict[int, list[NodeId]]:
+        """Return the servers of each shard.
+
+        A node is asked about the shards that it takes for its own; it
+        refuses all others by the same look at its state.
+        """
+        found: dict[int, list[NodeId]] = defaultdict(list)
+        for name, node in self.nodes.items():
+            for shard in filter(node.would_serve, node.own_shards()):
+                found[shard].append(name)
+        return found
+
+    def _taking(self) -> dict[int, list[NodeId]]:
+        """Return the nodes whose upstreams take orders for each shard."""
+        found: dict[int, list[NodeId]] = defaultdict(list)
+        for name, node in self.nodes.items():
+            for shard in node.upstream.granted_shards():
+                found[shard].append(name)
+        return found
+
     def _look(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        for shard in range(self.shard_count):
-            servers = self.servers(shard)
-            if len(servers) > 1:
-                self.violations.append(f'{now_s}: {shard} at {servers}')
-            taking = [
-                name
-                for name, node in self.nodes.items()
-                if node.upstream.would_serve(shard)
-            ]
-            if len(taking) > 1:
-                self.violations.append(f'{now_s}: {shard} upstreams {taking}')
+        for side in (self._serving(), self._taking()):
+            for shard, names in side.items():
+                if len(names) > 1:
+                    seen = f'shard {shard} at {names}'
+                    self.violations.append(f'{now_s:.3f} s: {seen}')
 
 
 def keyed_document(
@@ -186,7 +204,10 @@
 
 
 def zoned_specs(
-    *sizes: int, rates: tuple[float, ...] = (1,), checks_fences: bool = True
+    *sizes: int,
+    rates: tuple[float, ...] = (1,),
+    checks_fences: bool = True,
+    rank_delay_s: float = 0.4,
 ) -> list[NodeSpec]:
     """Return specs of nodes named `a0`, `a1`, ... by zones `a`, `b`, ..."""
     specs: list[NodeSpec] = []
@@ -199,6 +220,7 @@
                 zone=Zone(zone),
                 rate=rates[len(specs) % len(rates)],
                 checks_fences=checks_fences,
+                rank_delay_s=rank_delay_s,
             )
             specs.append(spec)
     return specs
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -6,9 +6,16 @@
 from returns.pipeline import is_successful
 
 from verbenadeck.journal import LogClient
-from verbenadeck.lease import Ownership, WitnessDuty
+from verbenadeck.lease import Ownership, WitnessDuty, shards_in
 from verbenadeck.membership import LeaseTiming, Membership
-from verbenadeck.model import NodeId, Region, ServiceName, Shard, Zone
+from verbenadeck.model import (
+    NO_MEMBER,
+    NodeId,
+    Region,
+    ServiceName,
+    Shard,
+    Zone,
+)
 from verbenadeck.peers import Message, PeerAddress
 from verbenadeck.placement import Planner
 from verbenadeck.records import NodeJoin
@@ -40,6 +47,8 @@
         Seconds of its clock per second.
     checks_fences : bool
         Whether its upstream checks fences.
+    rank_delay_s : float
+        How long lower planners hold back.
     """
 
     name: NodeId
@@ -48,6 +57,7 @@
     region: Region = Region('home')
     rate: float = 1
     checks_fences: bool = True
+    rank_delay_s: float = 0.4
 
 
 class ProcessPort(FakePort):
@@ -79,7 +89,7 @@
         *,
         log: MemoryLog,
         network: FakeNetwork,
-        seed: int,
+        seed: str,
         timing: LeaseTiming | None = None,
         upstream: FakeUpstream | None = None,
     ) -> None:
@@ -120,6 +130,14 @@
         self.adapter.is_cut = True
         await self.process.kill()
 
+    def own_shards(self) -> list[int]:
+        """Return the shards that the node takes for its own."""
+        own = self.membership.incarnation
+        if not self.is_running or own == NO_MEMBER:
+            return []
+        ranges = self.journal.fleet.owned_by(own)
+        return [shard for _, shard in shards_in(ranges)]
+
     def would_serve(self, shard: int) -> bool:
         """Return whether the node would send an order now."""
         if not self.is_running or self.process.is_paused:
@@ -161,6 +179,7 @@
             journal=self.journal,
             fleet=self.journal.fleet,
             membership=self.membership,
+            rank_delay_s=self.spec.rank_delay_s,
         )
         self.services = (
             self.journal,
