--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -139,7 +139,7 @@
 
 
 def _keys_of(observer: Observer, owner: Incarnation) -> list[str]:
-    owners = observer.owners()
+    owners = observer.owners(_SERVICE)
     count = observer.fleet.shard_count(_SERVICE)
     keys = (f'key-{index}' for index in range(_KEYS))
     return [key for key in keys if owners.get(shard_of(key, count)) == owner]
@@ -190,7 +190,7 @@
         log = LogHttpAdapter(
             url=fleet.log_url, stream='verbenadeck', clock=clock
         )
-        observer = Observer(log, _SERVICE, clock=clock)
+        observer = Observer(log, (_SERVICE,), clock=clock)
         following = asyncio.ensure_future(observer.follow())
         try:
             operator = Operator(log, observer, clock=clock)
--- a/verbenadeck/demo/_observer.py
+++ b/verbenadeck/demo/_observer.py
@@ -28,8 +28,9 @@
     ----------
     log : LogAdapter
         Log of the site.
-    service : ServiceName
-        Service divided by key whose owners are followed.
+    services : tuple of ServiceName
+        Services whose owners are followed; those not divided by key have
+        owners for the ids of requests that are not repeatable.
     clock : Clock
         Boot clock.
 
@@ -42,14 +43,18 @@
     """
 
     def __init__(
-        self, log: LogAdapter, service: ServiceName, *, clock: Clock
+        self,
+        log: LogAdapter,
+        services: tuple[ServiceName, ...],
+        *,
+        clock: Clock,
     ) -> None:
         self.fleet = FleetState()
         self.shards_moved = 0
         self._log = log
-        self._service = service
+        self._services = services
         self._clock = clock
-        self._owners: dict[Shard, Incarnation] = {}
+        self._owners: dict[tuple[ServiceName, int], Incarnation] = {}
         self.fleet.subscribe(self._on_applied)
 
     async def follow(self) -> None:
@@ -66,20 +71,19 @@
             for index, record in enumerate(found.unwrap().records):
                 self.fleet.apply(Offset(start + index), record)
 
-    def owners(self) -> dict[Shard, Incarnation]:
+    def owners(self, service: ServiceName) -> dict[Shard, Incarnation]:
         """Return the settled owner of each shard that has one."""
         owners: dict[Shard, Incarnation] = {}
-        for index in range(self.fleet.shard_count(self._service)):
+        for index in range(self.fleet.shard_count(service)):
             shard = Shard(index)
-            view = self.fleet.shard(self._service, shard)
+            view = self.fleet.shard(service, shard)
             if view.owner != NO_MEMBER and not view.earlier:
                 owners[shard] = view.owner
         return owners
 
     def is_settled(self) -> bool:
         """Return whether every shard has an owner that may serve it."""
-        count = self.fleet.shard_count(self._service)
-        return count > 0 and len(self.owners()) == count
+        return all(self._is_settled(service) for service in self._services)
 
     def member(self, node_id: str) -> Member | None:
         """Return the live member of a node, None when it has none."""
@@ -88,19 +92,24 @@
                 return member
         return None
 
+    def _is_settled(self, service: ServiceName) -> bool:
+        count = self.fleet.shard_count(service)
+        return count > 0 and len(self.owners(service)) == count
+
     def _on_applied(
         self, _offset: Offset, record: Record, _verdict: Verdict
     ) -> None:
         if not isinstance(record, Assign):
             return
         for move in record.moves:
-            if move.service == self._service:
-                for index in range(move.first_shard, move.stop_shard):
-                    self._note_owner(Shard(index))
+            for index in range(move.first_shard, move.stop_shard):
+                self._note_owner(move.service, Shard(index))
 
-    def _note_owner(self, shard: Shard) -> None:
-        owner = self.fleet.shard(self._service, shard).owner
-        known = self._owners.get(shard, NO_MEMBER)
+    def _note_owner(self, service: ServiceName, shard: Shard) -> None:
+        if shard >= self.fleet.shard_count(service):
+            return
+        owner = self.fleet.shard(service, shard).owner
+        known = self._owners.get((service, shard), NO_MEMBER)
         if owner != known and known != NO_MEMBER:
             self.shards_moved += 1
-        self._owners[shard] = owner
+        self._owners[service, shard] = owner
--- a/verbenadeck/demo/_session.py
+++ b/verbenadeck/demo/_session.py
@@ -67,8 +67,10 @@
             log = LogHttpAdapter(
                 url=fleet.log_url, stream=_STREAM, clock=self._clock
             )
-            service = ServiceName(self._site.services[0].name)
-            observer = Observer(log, service, clock=self._clock)
+            services = tuple(
+                ServiceName(service.name) for service in self._site.services
+            )
+            observer = Observer(log, services, clock=self._clock)
             following = asyncio.ensure_future(observer.follow())
             try:
                 return await self._with_log(fleet, observer, log)
