--- a/verbenadeck/demo/_caller.py
+++ b/verbenadeck/demo/_caller.py
@@ -103,7 +103,7 @@
             self._avoid(entry)
             record.was_lost = True
             record.refusals['lost'] += 1
-        return _LEAST_PAUSE_S
+        return _backoff_s(record.attempts)
 
     def _settle(
         self,
@@ -128,7 +128,7 @@
             give_up(record)
             return None
         hint_ms = float(answer.headers.get(RETRY_AFTER_MS_HEADER, '0'))
-        return min(_MOST_PAUSE_S, max(_LEAST_PAUSE_S, hint_ms / _MS_PER_S))
+        return max(_backoff_s(record.attempts), hint_ms / _MS_PER_S)
 
     def _choose(self) -> str:
         now_s = self._clock.now_s()
@@ -139,6 +139,10 @@
         self._avoided[entry] = self._clock.now_s() + _AVOID_S
 
 
+def _backoff_s(attempts: int) -> float:
+    return min(_MOST_PAUSE_S, _LEAST_PAUSE_S * 2.0 ** (attempts - 1))
+
+
 def _headers_of(call: Call, remaining_s: float) -> dict[str, str]:
     headers = {DEADLINE_HEADER: str(max(1, int(remaining_s * _MS_PER_S)))}
     if call.kind is CallKind.DEPOSIT:
--- a/verbenadeck/demo/_load.py
+++ b/verbenadeck/demo/_load.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import random
-import uuid
 from collections.abc import Callable, Iterator
 
 from verbenadeck.demo._caller import Caller
 from verbenadeck.demo._calls import Call, CallKind
 from verbenadeck.demo._sites import Site
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, mint_uuid7
 
 PROBE_KEYS = 24
 _PROBE_PERIOD_S = 0.1
@@ -19,13 +18,16 @@
 _LOOKUP_TIMEOUT_S = 4.0
 _DEPOSIT_TIMEOUT_S = 8.0
 _IMPATIENT_SHARE = 0.25
+_OPAQUE_SHARE = 0.25
+_ID_BITS = 128
 
 
 class Load:
     """Open-loop load on all services of a site.
 
     Probes ask each of a few keys in turn, lookups read any service and
-    deposits are posted with an idempotency key.
+    deposits are posted with an idempotency key; some keys carry their time
+    (UUID version 7), others are opaque.
 
     Parameters
     ----------
@@ -87,22 +89,31 @@
             kind=CallKind.PROBE,
             service=self._site.services[0].name,
             key=f'probe-{index}',
-            nonce=uuid.UUID(int=self._random.getrandbits(128)).hex,
+            nonce=self._opaque_id(),
             timeout_s=_PROBE_TIMEOUT_S,
         )
 
     def _lookup(self) -> Call:
-        return self._any_call(CallKind.LOOKUP, _LOOKUP_TIMEOUT_S)
+        nonce = self._opaque_id()
+        return self._any_call(CallKind.LOOKUP, nonce, _LOOKUP_TIMEOUT_S)
 
     def _deposit(self) -> Call:
-        return self._any_call(CallKind.DEPOSIT, _DEPOSIT_TIMEOUT_S)
+        is_opaque = self._random.random() < _OPAQUE_SHARE
+        nonce = self._opaque_id() if is_opaque else self._timed_id()
+        return self._any_call(CallKind.DEPOSIT, nonce, _DEPOSIT_TIMEOUT_S)
 
-    def _any_call(self, kind: CallKind, timeout_s: float) -> Call:
+    def _opaque_id(self) -> str:
+        return f'{self._random.getrandbits(_ID_BITS):032x}'
+
+    def _timed_id(self) -> str:
+        return mint_uuid7(wall_s=self._clock.wall_s(), source=self._random)
+
+    def _any_call(self, kind: CallKind, nonce: str, timeout_s: float) -> Call:
         return Call(
             kind=kind,
             service=self._random.choice(self._site.services).name,
             key=f'key-{self._random.randrange(_KEYS)}',
-            nonce=uuid.UUID(int=self._random.getrandbits(128)).hex,
+            nonce=nonce,
             timeout_s=timeout_s,
             is_patient=self._random.random() > _IMPATIENT_SHARE,
         )
--- a/verbenadeck/demo/_report.py
+++ b/verbenadeck/demo/_report.py
@@ -36,6 +36,8 @@
         Longest time that a probed key had no answer.
     latency : Latency
         Latency of the calls that began in it.
+    finals : dict of str to int
+        Ends of those calls.
     shards_moved : int
         Shards that changed from one owner to another.
     """
@@ -45,6 +47,7 @@
     end_s: float
     unavailable_s: float
     latency: Latency
+    finals: dict[str, int]
     shards_moved: int
 
 
@@ -61,6 +64,8 @@
         Ends of calls, and refusals of attempts by outcome and reason.
     promises : dict of str to int
         Times that each promise was broken; all must be 0.
+    unknown_by_id : dict of str to int
+        Deposits that stayed unknown, by whether their id has a time.
     resent_not_run : int
         Deposits whose last word was `not-run` after a lost attempt that ran.
     phases : tuple of Phase
@@ -81,6 +86,7 @@
     finals: dict[str, int]
     refusals: dict[str, int]
     promises: dict[str, int]
+    unknown_by_id: dict[str, int]
     resent_not_run: int
     phases: tuple[Phase, ...]
     latency: Latency
@@ -123,8 +129,18 @@
     for promise, count in report.promises.items():
         verdict = 'held' if count == 0 else f'BROKEN {count} times'
         yield f'  promise {promise}: {verdict}'
+    yield f'  unknown deposits: {_pairs(report.unknown_by_id)}'
     yield f'  not-run after a lost attempt that ran: {report.resent_not_run}'
-    yield _row('phase', 'unavail. s', 'p50 ms', 'p99 ms', 'p99.9', 'shards')
+    yield _row(
+        'phase',
+        'unavail. s',
+        'p50 ms',
+        'p99 ms',
+        'p99.9',
+        'unknown',
+        'not-run',
+        'shards',
+    )
     for phase in report.phases:
         yield _phase_row(phase.name, phase)
     yield f'  latency of all: {_latency_text(report.latency)}'
@@ -140,12 +156,14 @@
         f'{latency.p50_ms:.1f}',
         f'{latency.p99_ms:.1f}',
         f'{latency.p999_ms:.1f}',
+        str(phase.finals.get(Final.UNKNOWN.value, 0)),
+        str(phase.finals.get(Final.NOT_RUN.value, 0)),
         str(phase.shards_moved),
     )
 
 
 def _row(name: str, *cells: str) -> str:
-    return '  {:<26}{}'.format(name, ''.join(f'{one:>12}' for one in cells))
+    return '  {:<26}{}'.format(name, ''.join(f'{one:>11}' for one in cells))
 
 
 def _latency_text(latency: Latency) -> str:
--- a/verbenadeck/demo/_session.py
+++ b/verbenadeck/demo/_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import sys
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
@@ -84,8 +85,16 @@
         self, fleet: SiteFleet, observer: Observer, log: LogHttpAdapter
     ) -> SiteReport:
         operator = Operator(log, observer, clock=self._clock)
+        names = [place.node_id for place in fleet.places]
+        await self._wait_for(
+            'all nodes have joined',
+            lambda: all(observer.member(name) for name in names),
+            fleet,
+        )
         await operator.publish_site(self._site)
-        await self._wait_settled(fleet, observer)
+        await self._wait_for(
+            'every shard has an owner', observer.is_settled, fleet
+        )
         caller = Caller(fleet.entries, clock=self._clock, source=self._random)
         load = Load(self._site, caller, clock=self._clock, source=self._random)
         load.start()
@@ -127,15 +136,17 @@
         stretch.end_s = self._clock.now_s()
         stretch.shards_moved = observer.shards_moved - moved
 
-    async def _wait_settled(self, fleet: SiteFleet, observer: Observer) -> None:
-        self._say('waits until every shard has an owner')
+    async def _wait_for(
+        self, name: str, is_done: Callable[[], bool], fleet: SiteFleet
+    ) -> None:
+        self._say(f'waits until {name}')
         deadline_s = self._clock.now_s() + _START_TIMEOUT_S
-        while not observer.is_settled():
+        while not is_done():
             ended = fleet.ended_nodes()
             if ended:
                 raise RuntimeError(f'nodes ended early: {ended}')
             if self._clock.now_s() > deadline_s:
-                raise RuntimeError('shards have no owners in time')
+                raise RuntimeError(f'waited too long until {name}')
             await asyncio.sleep(_POLL_S)
 
     def _say(self, event: str) -> None:
--- a/verbenadeck/demo/_summary.py
+++ b/verbenadeck/demo/_summary.py
@@ -73,7 +73,7 @@
 def summarise(evidence: Evidence) -> SiteReport:
     """Return the report of a session."""
     records = evidence.records
-    finals = Counter(record.final.value for record in records)
+    finals = finals_of(records)
     refusals: Counter[str] = Counter()
     for record in records:
         refusals.update(record.refusals)
@@ -84,11 +84,12 @@
         site=evidence.site,
         requests=len(records),
         deposits=sum(one.call.kind is CallKind.DEPOSIT for one in records),
-        answers=finals[Final.ANSWERED.value],
+        answers=finals.get(Final.ANSWERED.value, 0),
         attempts=sum(record.attempts for record in records),
-        finals=dict(finals),
+        finals=finals,
         refusals=dict(refusals),
         promises=_promises(evidence),
+        unknown_by_id=_unknown_by_id(records),
         resent_not_run=count_resent_not_run(records, total_runs(evidence.runs)),
         phases=tuple(_phase(records, one) for one in evidence.stretches),
         latency=latency_of(records),
@@ -97,6 +98,23 @@
     )
 
 
+def finals_of(records: list[CallRecord]) -> dict[str, int]:
+    """Return the ends of calls."""
+    return dict(Counter(record.final.value for record in records))
+
+
+def _unknown_by_id(records: list[CallRecord]) -> dict[str, int]:
+    """Return deposits that stayed unknown, by whether the id has a time."""
+    return dict(
+        Counter(
+            'timed id' if '-' in record.call.nonce else 'opaque id'
+            for record in records
+            if record.final is Final.UNKNOWN
+            and record.call.kind is CallKind.DEPOSIT
+        )
+    )
+
+
 def _promises(evidence: Evidence) -> dict[str, int]:
     records = evidence.records
     runs = total_runs(evidence.runs)
@@ -131,5 +149,6 @@
             records, start_s=stretch.start_s, end_s=stretch.end_s
         ),
         latency=latency_of(begun),
+        finals=finals_of(begun),
         shards_moved=stretch.shards_moved,
     )
