--- /dev/null
+++ b/verbenadeck/commands/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the program: `python -m verbenadeck.commands`."""
+
+from verbenadeck.commands import run
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/verbenadeck/commands/_exceptions.py
@@ -0,0 +1,119 @@
+"""Commands `exception add` and `exception remove`."""
+
+from absl import flags
+from returns.result import Result, Success
+
+from verbenadeck.commands._changes import define_reason_flag, run_change
+from verbenadeck.commands._command import Command, CommandResult, Invocation
+from verbenadeck.commands._log_flags import (
+    define_author_flag,
+    define_log_flags,
+)
+from verbenadeck.commands._outcomes import CommandError
+from verbenadeck.config import Change, add_exception, remove_exception
+from verbenadeck.fleet import FleetView
+from verbenadeck.model import ExceptionRule
+from verbenadeck.settings import parse_json
+
+_S_PER_HOUR = 3600
+_SCOPES = ('service', 'zone', 'upstream')
+
+
+def _define_flags(flag_values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        'field', '', 'Policy field that changes.', flag_values=flag_values
+    )
+    flags.DEFINE_string(
+        'setting', '', 'New setting of the field.', flag_values=flag_values
+    )
+    for scope in _SCOPES:
+        flags.DEFINE_string(
+            scope, None, f'Only for this {scope}.', flag_values=flag_values
+        )
+    flags.DEFINE_float(
+        'hours',
+        None,
+        'End of the exception, in hours from now.',
+        lower_bound=0,
+        flag_values=flag_values,
+    )
+
+
+async def _add(invocation: Invocation) -> CommandResult:
+    rule = _rule(invocation)
+
+    def make(_fleet: FleetView) -> Result[Change, CommandError]:
+        return Success(add_exception(rule))
+
+    shown = f'exception {rule.name} is there'
+    return await run_change(invocation, make, shown=shown)
+
+
+async def _remove(invocation: Invocation) -> CommandResult:
+    name = invocation.arguments[0]
+
+    def make(_fleet: FleetView) -> Result[Change, CommandError]:
+        return Success(remove_exception(name))
+
+    shown = f'exception {name} is removed'
+    return await run_change(invocation, make, shown=shown)
+
+
+def _rule(invocation: Invocation) -> ExceptionRule:
+    hours = invocation.flag('hours')
+    now_s = invocation.environment.clock.wall_s()
+    ends_at_s = None if hours is None else now_s + hours * _S_PER_HOUR
+    return ExceptionRule(
+        name=invocation.arguments[0],
+        reason=invocation.flag('reason').strip(),
+        field=invocation.flag('field'),
+        setting=_setting(invocation.flag('setting')),
+        service=invocation.flag('service'),
+        zone=invocation.flag('zone'),
+        upstream=invocation.flag('upstream'),
+        ends_at_s=ends_at_s,
+    )
+
+
+def _setting(text: str) -> float | bool | str:
+    """Return a number or a truth value where the text is one.
+
+    Examples
+    --------
+    >>> _setting('0.5'), _setting('false'), _setting('GET, HEAD')
+    (0.5, False, 'GET, HEAD')
+    """
+    parsed = parse_json(text, source='setting').value_or(text)
+    return parsed if isinstance(parsed, int | float | bool) else text
+
+
+EXCEPTION_COMMANDS = (
+    Command(
+        name='exception add',
+        usage=('NAME',),
+        summary='Add an exception to the fleet-wide defaults.',
+        run=_add,
+        define_flags=(
+            define_log_flags,
+            define_author_flag,
+            define_reason_flag,
+            _define_flags,
+        ),
+        details=(
+            'At least one of --service, --zone and --upstream is needed.\n'
+            'Adding the same exception again changes nothing; another one\n'
+            'of the same name is refused.'
+        ),
+    ),
+    Command(
+        name='exception remove',
+        usage=('NAME',),
+        summary='Remove an exception.',
+        run=_remove,
+        define_flags=(
+            define_log_flags,
+            define_author_flag,
+            define_reason_flag,
+        ),
+    ),
+)
