--- a/verbenadeck/fleet/tests/builders.py
+++ b/verbenadeck/fleet/tests/builders.py
@@ -128,6 +128,7 @@
     witnesses: Iterable[Incarnation] = (),
     zone: str = 'suva',
     service: ServiceName = HOLDS,
+    admin_port: int = 0,
     peer_port: int = 7000,
 ) -> NodeJoin:
     return NodeJoin(
@@ -140,6 +141,7 @@
         peer_port=peer_port,
         entry_port=8000,
         witnesses=tuple(witnesses),
+        admin_port=admin_port,
     )
 
 
