--- a/verbenadeck/testing/__init__.py
+++ b/verbenadeck/testing/__init__.py
@@ -1,7 +1,16 @@
 """Virtual time, a fake network and a log in memory, for tests."""
 
 from verbenadeck.testing._fake_network import FakeNetwork, FakePort
+from verbenadeck.testing._fake_sides import FakeDoor, FakeUpstream
+from verbenadeck.testing._fleet import (
+    TwoOwnersError,
+    VirtualFleet,
+    keyed_document,
+    zoned_specs,
+)
+from verbenadeck.testing._fleet_node import SERVICE, FleetNode, NodeSpec
 from verbenadeck.testing._memory_log import MemoryLog, MemoryLogAdapter
+from verbenadeck.testing._process import VirtualProcess, run_processes
 from verbenadeck.testing._virtual_loop import (
     VirtualLoop,
     run_virtual,
@@ -9,6 +18,17 @@
 )
 
 __all__ = (
+    'SERVICE',
+    'FakeDoor',
+    'FakeUpstream',
+    'FleetNode',
+    'NodeSpec',
+    'TwoOwnersError',
+    'VirtualFleet',
+    'VirtualProcess',
+    'keyed_document',
+    'run_processes',
+    'zoned_specs',
     'FakeNetwork',
     'FakePort',
     'MemoryLog',
