Add gauges of a node's own state for alarms

One read of the status serves them all, so a scrape does not walk the shard table once per gauge. Status without members counts as incomplete.

--- a/verbenadeck/admin/__init__.py
+++ b/verbenadeck/admin/__init__.py
@@ -1,5 +1,6 @@
 """Admin server of a node: status, metrics, owners and drain."""
 
+from verbenadeck.admin._gauges import make_status_gauges
 from verbenadeck.admin._options import AdminOptions
 from verbenadeck.admin._owners import (
     OwnerError,
@@ -42,6 +43,7 @@
     'ZoneStatus',
     'find_owner',
     'make_owner_hint',
+    'make_status_gauges',
     'make_status_reader',
     'members_of',
     'upstream_status',
--- a/verbenadeck/admin/tests/builders.py
+++ b/verbenadeck/admin/tests/builders.py
@@ -12,6 +12,7 @@
     AdminViews,
     NodeIdentity,
     find_owner,
+    make_status_gauges,
     make_status_reader,
     upstream_status,
 )
@@ -54,16 +55,18 @@
     )
     metrics = Metrics(zone=Zone('suva'), known_services=lambda: (HOLDS,))
     metrics.count('hedges')
+    read_status = make_status_reader(
+        identity=identity,
+        fleet=board.fleet,
+        clock=Clock(now_s=lambda: 100),
+        incarnation=lambda: board.own,
+        lease_deadline_s=lambda: board.lease_deadline_s,
+        upstream=lambda: upstream_status('life-1', None),
+        why_unready=lambda: board.why_unready,
+    )
+    metrics.gauge_group(make_status_gauges(read_status, lambda: 0.5))
     return AdminViews(
-        read_status=make_status_reader(
-            identity=identity,
-            fleet=board.fleet,
-            clock=Clock(now_s=lambda: 100),
-            incarnation=lambda: board.own,
-            lease_deadline_s=lambda: board.lease_deadline_s,
-            upstream=lambda: upstream_status('life-1', None),
-            why_unready=lambda: board.why_unready,
-        ),
+        read_status=read_status,
         read_metrics=make_exposition(metrics),
         find_owner=partial(find_owner, board.fleet),
         announce=_announce,
--- a/verbenadeck/admin/tests/test_admin.py
+++ b/verbenadeck/admin/tests/test_admin.py
@@ -128,6 +128,10 @@
     status, text = _ask(make_board(), '/metrics')
     assert status == 200
     assert 'verbenadeck_hedges_total 1.0' in text
+    assert 'verbenadeck_owned_shards 8.0' in text
+    assert 'verbenadeck_lease_remaining_seconds 1.5' in text
+    assert 'verbenadeck_log_age_seconds 0.5' in text
+    assert 'verbenadeck_ready 1.0' in text
 
 
 def test_drain_is_handed_on() -> None:
--- a/verbenadeck/commands/_status_types.py
+++ b/verbenadeck/commands/_status_types.py
@@ -36,8 +36,8 @@
 
     @property
     def is_whole(self) -> bool:
-        """Whether all members answer and have the newest version."""
-        return all(
+        """Whether there are members and all have the newest version."""
+        return bool(self.members) and all(
             report.status is not None
             and report.status.config_version >= self.config_version
             for report in self.members
--- a/verbenadeck/commands/tests/test_queries.py
+++ b/verbenadeck/commands/tests/test_queries.py
@@ -50,6 +50,10 @@
     assert run_words(desk, 'status', LOG)[0] is ExitCode.INCOMPLETE
 
 
+def test_status_of_a_fleet_without_members_is_incomplete() -> None:
+    assert run_words(Desk(), 'status', LOG)[0] is ExitCode.INCOMPLETE
+
+
 def test_status_takes_no_answer_of_another_process() -> None:
     desk = _desk_with_admins(9001)
     desk.replies = {9001: status_reply(77)}
@@ -80,7 +84,7 @@
     desk = Desk(replies={9001: status_reply(1)})
     desk.log.is_up = False
     code, shown = run_words(desk, 'status', '--admin=127.0.0.1:9001')
-    assert code is ExitCode.DONE
+    assert code is ExitCode.INCOMPLETE
     assert 'version 1 by ana' in shown
 
 
--- a/verbenadeck/metrics/_exposition.py
+++ b/verbenadeck/metrics/_exposition.py
@@ -1,7 +1,9 @@
 """Metrics in the Prometheus text format."""
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
+from typing import TypeVar
 
 from loguru import logger
 from prometheus_client import CollectorRegistry, generate_latest
@@ -25,6 +27,8 @@
 _REQUESTS = 'verbenadeck_requests'
 _LATENCY = 'verbenadeck_request_seconds'
 _log = logger.bind(part='metrics')
+_Read = TypeVar('_Read')
+_NO_GAUGES: Mapping[str, float] = MappingProxyType({})
 
 
 def make_exposition(metrics: Metrics) -> Callable[[], bytes]:
@@ -89,15 +93,20 @@
 
     def _gauges(self) -> Iterator[Metric]:
         for name, read in self._metrics.gauges.items():
-            family = GaugeMetricFamily(f'verbenadeck_{name}', name)
-            family.add_metric((), _read(name, read))
-            yield family
+            yield _gauge(name, _read(name, read, math.nan))
+        for read_group in self._metrics.gauge_groups:
+            for name, level in _read('group', read_group, _NO_GAUGES).items():
+                yield _gauge(name, level)
 
 
-def _read(name: str, read: Callable[[], float]) -> float:
-    """Return a gauge; a broken one must not hide all the others."""
+def _gauge(name: str, level: float) -> Metric:
+    return GaugeMetricFamily(f'verbenadeck_{name}', name, value=level)
+
+
+def _read(name: str, read: Callable[[], _Read], fallback: _Read) -> _Read:
+    """Return what is read; a broken gauge must not hide all the others."""
     try:
         return read()
     except Exception as error:
         _log.warning('gauge {} failed: {!r}', name, error)
-        return math.nan
+        return fallback
--- a/verbenadeck/metrics/_registry.py
+++ b/verbenadeck/metrics/_registry.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of a node, with bounded label sets."""
 
 import re
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -19,6 +19,9 @@
 _OTHER = 'other'
 
 
+GaugeGroup = Callable[[], Mapping[str, float]]
+
+
 class OutcomeLabel(NamedTuple):
     """Outcome of a request as metrics show it."""
 
@@ -107,6 +110,7 @@
         self.latencies: dict[LatencyLabels, Latency] = {}
         self.counters: dict[str, int] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
+        self.gauge_groups: list[GaugeGroup] = []
         self._zone = zone
         self._known_services = known_services
 
@@ -148,6 +152,16 @@
         _check_name(name, self.gauges)
         self.gauges[name] = read
 
+    def gauge_group(self, read: GaugeGroup) -> None:
+        """Register gauges that one function reads together.
+
+        Parameters
+        ----------
+        read : callable
+            Returns the gauges by name; names are literals in the code.
+        """
+        self.gauge_groups.append(read)
+
     def _service_label(self, service: ServiceName) -> str:
         known = self._known_services()
         if service in known and len(known) <= _MAX_SERVICES:
--- a/verbenadeck/metrics/tests/test_metrics.py
+++ b/verbenadeck/metrics/tests/test_metrics.py
@@ -81,8 +81,11 @@
     metrics = _metrics()
     metrics.gauge('broken', lambda: math.sqrt(-1))
     metrics.gauge('owned_shards', lambda: 12)
+    metrics.gauge_group(lambda: {'ready': math.sqrt(-1)})
+    metrics.gauge_group(lambda: {'limit': 20})
     samples = _samples(metrics)
     assert samples['verbenadeck_owned_shards', ''] == 12
+    assert samples['verbenadeck_limit', ''] == 20
     assert math.isnan(samples['verbenadeck_broken', ''])
 
 
