Tell owners, gauges and what a start waits for from the node

Answers of services divided by key carry the hint to the owner's entry, so clients save the hop. A node that waits for the log says so at /ready in place of naming the upstream. The planner gets the fleet that its constructor asks for; without it no node started.

--- a/verbenadeck/node/_assembly.py
+++ b/verbenadeck/node/_assembly.py
@@ -21,6 +21,8 @@
     OwnerStatus,
     UpstreamStatus,
     find_owner,
+    make_owner_hint,
+    make_status_gauges,
     make_status_reader,
     upstream_status,
 )
@@ -151,13 +153,9 @@
 
 def _make_metrics(kernel: Kernel, settings: NodeSettings) -> Metrics:
     fleet = _fleet(kernel)
-    metrics = Metrics(
+    return Metrics(
         zone=settings.zone, known_services=lambda: fleet.config.services
     )
-    metrics.gauge('applied_offset', lambda: fleet.applied_offset)
-    metrics.gauge('config_version', lambda: fleet.config_version)
-    metrics.gauge('members', lambda: len(fleet.members))
-    return metrics
 
 
 def _make_views(
@@ -168,7 +166,8 @@
     metrics: Metrics,
     drain: Callable[[], None],
 ) -> AdminViews:
-    fleet = _fleet(kernel)
+    journal = kernel.find('journal', LogClient)
+    fleet = journal.fleet
     membership = kernel.find('membership', Membership)
     door = kernel.find('door', UpstreamDoor)
 
@@ -179,6 +178,8 @@
         return upstream_status(announcement.instance, door.load)
 
     def why_unready() -> str:
+        if journal.waits_for:
+            return f'waits for {journal.waits_for}'
         if joining.announcement is None:
             return 'the upstream has not announced itself'
         if membership.member is None:
@@ -190,21 +191,23 @@
     def find(service: str, key: str) -> Result[OwnerStatus, OwnerError]:
         return find_owner(fleet, service, key)
 
-    return AdminViews(
-        read_status=make_status_reader(
-            identity=NodeIdentity(
-                settings.node_id,
-                settings.zone,
-                settings.region,
-                settings.service,
-            ),
-            fleet=fleet,
-            clock=Clock(),
-            incarnation=lambda: membership.incarnation,
-            lease_deadline_s=lambda: membership.lease_deadline_s,
-            upstream=read_upstream,
-            why_unready=why_unready,
+    read_status = make_status_reader(
+        identity=NodeIdentity(
+            settings.node_id,
+            settings.zone,
+            settings.region,
+            settings.service,
         ),
+        fleet=fleet,
+        clock=Clock(),
+        incarnation=lambda: membership.incarnation,
+        lease_deadline_s=lambda: membership.lease_deadline_s,
+        upstream=read_upstream,
+        why_unready=why_unready,
+    )
+    metrics.gauge_group(make_status_gauges(read_status, lambda: journal.age_s))
+    return AdminViews(
+        read_status=read_status,
         read_metrics=make_exposition(metrics),
         find_owner=find,
         announce=upstream.announce,
@@ -234,6 +237,8 @@
         upstream=settings.node_id,
     )
 
+    vocabulary = CALLER_FORMATS[settings.callers.adapter]
+
     def observe(request: Request, result: AnswerResult, time_s: float) -> None:
         metrics.observe(request.service, result, time_s)
 
@@ -244,9 +249,10 @@
             clock=edges.clock,
             source=edges.random_source,
         ),
-        vocabulary=CALLER_FORMATS[settings.callers.adapter],
+        vocabulary=vocabulary,
         clock=edges.clock,
         observe=observe,
+        owner_hint=make_owner_hint(fleet, vocabulary.write_owner),
         is_leaving=lambda: settings.zone in fleet.config.zones_out,
         options=EntryOptions(
             host=settings.host,
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -203,6 +203,7 @@
     return Planner(
         clock=edges.clock,
         journal=kernel.find('journal', LogClient),
+        fleet=kernel.find('journal', LogClient).fleet,
         membership=kernel.find('membership', Membership),
     )
 
