Ask silent witnesses at every tick

Cause: a heartbeat after one lost answer is a probe, and its renewal comes only with the next answer, 0.25 s later. Change: a witness that has been silent for longer than probe_after_s is asked at every tick (0.06 s) until it answers. Ruled out: a longer lease, which would take the time from the 2 s budget.

--- a/verbenadeck/lease/tests/test_small_fleets.py
+++ b/verbenadeck/lease/tests/test_small_fleets.py
@@ -167,3 +167,13 @@
         assert served == 600
 
     run_scenario(scenario)
+
+
+def test_heavy_loss_of_datagrams_evicts_nobody() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = incarnations(fleet)
+        fleet.network.loss = 0.3
+        await asyncio.sleep(20)
+        assert incarnations(fleet) == before
+
+    run_scenario(scenario)
--- a/verbenadeck/membership/_heartbeats.py
+++ b/verbenadeck/membership/_heartbeats.py
@@ -37,6 +37,14 @@
             age_s = self._renewals.age_s(witness)
             self._send_one(witness, is_renewal=age_s <= self._probe_after_s)
 
+    def silent(self, witnesses: Iterable[Incarnation]) -> set[Incarnation]:
+        """Return the witnesses that have not answered for too long."""
+        return {
+            witness
+            for witness in witnesses
+            if self._renewals.age_s(witness) > self._probe_after_s
+        }
+
     def _send_one(self, witness: Incarnation, *, is_renewal: bool) -> None:
         own = self._incarnation()
         member = self._fleet.members.get(witness)
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -229,8 +229,10 @@
                 self._keeper.maintain(member)
                 wanted = self._keeper.asked(member)
                 is_beat = tick % _TICKS_PER_HEARTBEAT == 0
-                # A new witness is asked at once.
-                self._heartbeats.send(wanted if is_beat else wanted - asked)
+                # A new witness is asked at once, a silent one more often:
+                # one lost datagram must not cost a whole interval.
+                early = (wanted - asked) | self._heartbeats.silent(wanted)
+                self._heartbeats.send(wanted if is_beat else early)
                 asked = wanted
             tick += 1
             await asyncio.sleep(tick_s)
