--- a/verbenadeck/fleet/_ownership.py
+++ b/verbenadeck/fleet/_ownership.py
@@ -109,17 +109,32 @@
         for table in self.tables.values():
             table.settle(incarnation)
 
-    def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
-        """Yield the ranges that a member is the named owner of."""
-        for service, table in self.tables.items():
+    def owned_by(
+        self, incarnation: Incarnation, service: ServiceName | None
+    ) -> Iterator[ReleasedRange]:
+        """Yield the ranges that a member is the named owner of.
+
+        None stands for a member that is no longer known: all services.
+        """
+        for name, table in self._tables_of(service):
             for first, stop in table.owned_runs(incarnation):
-                yield ReleasedRange(service, first, stop)
+                yield ReleasedRange(name, first, stop)
 
-    def held_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+    def held_by(
+        self, incarnation: Incarnation, service: ServiceName | None
+    ) -> Iterator[ReleasedRange]:
         """Yield the ranges that a member owned and has not released."""
-        for service, table in self.tables.items():
+        for name, table in self._tables_of(service):
             for first, stop in table.held_runs(incarnation):
-                yield ReleasedRange(service, first, stop)
+                yield ReleasedRange(name, first, stop)
+
+    def _tables_of(
+        self, service: ServiceName | None
+    ) -> Iterable[tuple[ServiceName, ShardTable]]:
+        if service is None:
+            return self.tables.items()
+        table = self.tables.get(service)
+        return () if table is None else ((service, table),)
 
     def _move(
         self, offset: Offset, move: ShardMove, live: _FindMember
--- a/verbenadeck/fleet/_reader.py
+++ b/verbenadeck/fleet/_reader.py
@@ -72,8 +72,13 @@
 
     def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield the ranges of shards whose named owner is a member."""
-        return self._ownership.owned_by(incarnation)
+        return self._ownership.owned_by(incarnation, self._service(incarnation))
 
     def held_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
         """Yield ranges that a member owned earlier and has not released."""
-        return self._ownership.held_by(incarnation)
+        return self._ownership.held_by(incarnation, self._service(incarnation))
+
+    def _service(self, incarnation: Incarnation) -> ServiceName | None:
+        """Return the only service whose shards a member may own."""
+        member = self._members.find(incarnation)
+        return None if member is None else member.service
