--- a/verbenadeck/config/__init__.py
+++ b/verbenadeck/config/__init__.py
@@ -23,7 +23,10 @@
     decode_document,
     encode_document,
 )
-from verbenadeck.config._exception_rules import FLEET_WIDE_FIELDS
+from verbenadeck.config._exception_rules import (
+    FLEET_WIDE_FIELDS,
+    policy_setting,
+)
 from verbenadeck.config._policy import next_change_s, policy_for
 from verbenadeck.config._policy_rules import MAX_SHARD_COUNT
 from verbenadeck.config._problems import ConfigProblem
@@ -42,6 +45,7 @@
     'check_document',
     'decode_document',
     'encode_document',
+    'policy_setting',
     'next_change_s',
     'parse_document',
     'policy_for',
--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -6,6 +6,7 @@
 from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
     AppliedListener,
+    FleetTables,
     FleetView,
     Member,
     MemberState,
@@ -15,6 +16,7 @@
 __all__ = (
     'AppliedListener',
     'FleetState',
+    'FleetTables',
     'FleetView',
     'Member',
     'MemberState',
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -1,7 +1,7 @@
 """Read access to the state that all nodes derive from the log."""
 
 import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -57,6 +57,8 @@
         Offset of the record that installed the witness set.
     state : MemberState
         State.
+    admin_port : int
+        Port for operators; 0 when not told.
     """
 
     incarnation: Incarnation
@@ -71,6 +73,7 @@
     witnesses: tuple[Incarnation, ...]
     epoch: Epoch
     state: MemberState
+    admin_port: int = 0
 
 
 class ShardView(msgspec.Struct, frozen=True):
@@ -154,3 +157,19 @@
         `CheckpointChunk` with a `count` of 0: anything may have changed.
         """
         ...
+
+
+class FleetTables(FleetView, Protocol):
+    """Fleet state with its flat arrays, for planning over all shards."""
+
+    def owners(self, service: ServiceName) -> Sequence[int]:
+        """Return the named owners by shard, in a flat array to read only."""
+        ...
+
+    def fences(self, service: ServiceName) -> Sequence[int]:
+        """Return the fences by shard, in a flat array to read only."""
+        ...
+
+    def moving(self, service: ServiceName) -> Collection[int]:
+        """Return the shards with an earlier owner that has not released."""
+        ...
--- /dev/null
+++ b/verbenadeck/membership/_heartbeats.py
@@ -0,0 +1,54 @@
+"""Heartbeats of this node to its witnesses."""
+
+from collections.abc import Callable, Iterable
+
+from verbenadeck.fleet import FleetView
+from verbenadeck.membership._messages import Heartbeat, HeartbeatAck
+from verbenadeck.membership._renewals import Renewals
+from verbenadeck.model import NO_MEMBER, Incarnation
+from verbenadeck.peers import PeerAddress, PeerPort
+from verbenadeck.utils import Clock
+
+
+class Heartbeats:
+    """Sends heartbeats and notes the renewals that come back."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        port: PeerPort,
+        fleet: FleetView,
+        renewals: Renewals,
+        probe_after_s: float,
+        incarnation: Callable[[], Incarnation],
+    ) -> None:
+        self._clock = clock
+        self._port = port
+        self._fleet = fleet
+        self._renewals = renewals
+        self._probe_after_s = probe_after_s
+        self._incarnation = incarnation
+        port.handle(HeartbeatAck, self._on_ack)
+
+    def send(self, witnesses: Iterable[Incarnation]) -> None:
+        """Send one heartbeat to each witness."""
+        for witness in witnesses:
+            age_s = self._renewals.age_s(witness)
+            self._send_one(witness, is_renewal=age_s <= self._probe_after_s)
+
+    def _send_one(self, witness: Incarnation, *, is_renewal: bool) -> None:
+        own = self._incarnation()
+        member = self._fleet.members.get(witness)
+        if own == NO_MEMBER or member is None:
+            return
+        beat = Heartbeat(own, witness, self._clock.now_s(), is_renewal)
+        self._port.notify(member.address, beat)
+
+    async def _on_ack(self, _source: PeerAddress, ack: HeartbeatAck) -> None:
+        if ack.member != self._incarnation():
+            return
+        if ack.is_renewal:
+            self._renewals.renew(ack.witness, ack.sent_s)
+        elif self._renewals.age_s(ack.witness) > self._probe_after_s:
+            self._send_one(ack.witness, is_renewal=True)
--- /dev/null
+++ b/verbenadeck/membership/_witness_choice.py
@@ -0,0 +1,65 @@
+"""Choice of witnesses: three, spread over availability zones."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from verbenadeck.fleet import Member
+from verbenadeck.model import Incarnation, NodeId, Region, Zone
+
+WITNESS_COUNT = 3
+
+
+def candidates_for(
+    members: Iterable[Member], *, node_id: NodeId, region: Region
+) -> list[Member]:
+    """Return the members that may be witnesses of a node.
+
+    They are in its own region, so that a region cut off from others keeps
+    its leases; a node alone in its region takes them from elsewhere.
+    """
+    others = [member for member in members if member.node_id != node_id]
+    nearby = [member for member in others if member.region == region]
+    return nearby or others
+
+
+def choose_witnesses(
+    candidates: Iterable[Member],
+    *,
+    kept: Iterable[Incarnation] = (),
+    random_source: random.Random,
+) -> tuple[Incarnation, ...]:
+    """Return up to three candidates over as many zones as there are.
+
+    Parameters
+    ----------
+    candidates : iterable of Member
+        Members that may be chosen.
+    kept : iterable of Incarnation
+        Candidates to prefer, so that a set changes as little as it can.
+    random_source : random.Random
+        Breaks ties, so that the duty spreads over the fleet.
+    """
+    preferred = set(kept)
+    left = list(candidates)
+    random_source.shuffle(left)
+    chosen: list[Member] = []
+    zones: Counter[Zone] = Counter()
+
+    def rank(member: Member) -> tuple[int, bool]:
+        return zones[member.zone], member.incarnation not in preferred
+
+    while left and len(chosen) < WITNESS_COUNT:
+        best = min(left, key=rank)
+        chosen.append(best)
+        zones[best.zone] += 1
+        left.remove(best)
+    return tuple(sorted(member.incarnation for member in chosen))
+
+
+def spread(
+    witnesses: Iterable[Incarnation], live: Mapping[Incarnation, Member]
+) -> tuple[int, int]:
+    """Return how many zones and how many live nodes a set covers."""
+    known = [live[each] for each in witnesses if each in live]
+    return len({member.zone for member in known}), len(known)
