--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -39,6 +39,9 @@
         stay away from the preferred source.
     retry_s : float
         Mean wait once every source has failed.
+    pace_s : float
+        Least time from one page with records to the next read, so that a
+        burst travels in few pages.
     """
 
     page_limit: int = 512
@@ -47,6 +50,7 @@
     stale_s: float = 2.5
     settle_s: float = 4
     retry_s: float = 0.5
+    pace_s: float = 0.02
 
 
 class PageReader:
@@ -93,6 +97,7 @@
         self._prefer_at_s = -math.inf
         self._tolerate_until_s = -math.inf
         self._fresh_at_s = -math.inf
+        self._read_at_s = -math.inf
 
     @property
     def age_s(self) -> float:
@@ -118,6 +123,14 @@
 
     async def read(self, next_offset: Offset) -> ReadResult:
         """Return the next records, empty when none came in time."""
+        await self._clock.sleep_until(self._read_at_s)
+        answer = await self._read_source(next_offset)
+        has_records = answer.map(lambda page: bool(page.records))
+        if has_records.value_or(False):
+            self._read_at_s = self._clock.now_s() + self._options.pace_s
+        return answer
+
+    async def _read_source(self, next_offset: Offset) -> ReadResult:
         if self._index and self._clock.now_s() >= self._prefer_at_s:
             self._index = 0
         peer = self.source.peer
--- a/verbenadeck/journal/tests/test_checkpoints.py
+++ b/verbenadeck/journal/tests/test_checkpoints.py
@@ -217,12 +217,17 @@
             old = site.nodes[0]
             checkpointer = _checkpointer(old)
             await checkpointer.start()
-            for version in range(100, 220):
+            for version in range(100, 350):
                 await old.client.propose(
                     make_published(expected_version=version),
                     deadline_s=old.in_s(5),
                 )
             assert len(_chunks(site)) >= 2
+            await site.settle(2 * _FAST.check_s)
+            newest = old.client.intake.checkpoints.newest
+            assert newest is not None
+            behind = old.client.fleet.applied_offset - newest.as_of_offset
+            assert behind <= _FAST.max_records
             await checkpointer.stop()
 
     run_virtual(scenario())
