--- a/verbenadeck/door/_admission.py
+++ b/verbenadeck/door/_admission.py
@@ -47,9 +47,7 @@
     ) -> AnswerResult:
         """Answer a request, or join its run, or repeat its kept answer."""
         if self._runs.is_buried(attempt_id):
-            return refuse(
-                not_run(RefusalReason.CANCELLED, 'the attempt was given up')
-            )
+            return refuse(_given_up())
         result = await self._find_or_run(attempt_id, request)
         refusal = refusal_of(result)
         if refusal is not None:
@@ -96,25 +94,27 @@
     async def _run_once(
         self, attempt_id: AttemptId, request: Request, shard: int
     ) -> AnswerResult:
-        now_s = self._clock.now_s()
         fingerprint = fingerprint_of(request)
-        entry = self._ledger.find(request.request_id, now_s=now_s)
+        entry = self._find(request)
         if entry is not None:
             return await self._repeat(entry, fingerprint, request)
         refusal = self._gate.refusal(request, shard)
-        if refusal is not None:
-            return refuse(refusal)
+        if refusal is None:
+            refusal = await self._pipeline.wait_permit(request, shard)
+        # Entries of an earlier owner may have come in during the wait.
+        entry = self._find(request)
+        if entry is not None:
+            return await self._repeat(entry, fingerprint, request)
+        if refusal is not None or self._runs.is_buried(attempt_id):
+            return refuse(refusal or _given_up())
         entry = self._ledger.open(
-            request.request_id, fingerprint, shard, now_s=now_s
+            request.request_id,
+            fingerprint,
+            shard,
+            now_s=self._clock.now_s(),
         )
         if entry is None:
-            return refuse(
-                not_run(
-                    RefusalReason.QUEUE_FULL,
-                    'the request ledger is full',
-                    retry_after_s=1,
-                )
-            )
+            return refuse(_ledger_full())
         run = Run(attempt_id, request, shard)
         run.waiting = 0
         entry.run = run
@@ -122,6 +122,9 @@
         run.task = asyncio.create_task(self._run_entry(run, entry))
         return await self._join(run, request)
 
+    def _find(self, request: Request) -> Entry | None:
+        return self._ledger.find(request.request_id, now_s=self._clock.now_s())
+
     async def _run_entry(self, run: Run, entry: Entry) -> None:
         result = refuse(unknown(RefusalReason.CANCELLED, 'the door stopped'))
         try:
@@ -195,6 +198,18 @@
         )
 
 
+def _given_up() -> Refusal:
+    return not_run(RefusalReason.CANCELLED, 'the attempt was given up')
+
+
+def _ledger_full() -> Refusal:
+    return not_run(
+        RefusalReason.QUEUE_FULL,
+        'the request ledger is full',
+        retry_after_s=1,
+    )
+
+
 def _shard_of(request: Request, policy: ServicePolicy) -> int:
     if policy.is_keyed:
         return shard_of(request.key or '', policy.shard_count)
--- a/verbenadeck/door/_pipeline.py
+++ b/verbenadeck/door/_pipeline.py
@@ -14,6 +14,7 @@
     Outcome,
     Refusal,
     RefusalReason,
+    Request,
     Shard,
 )
 
@@ -71,7 +72,7 @@
             self._parts.once.withdraw(run)
 
     async def _prepare(self, run: Run) -> Refusal | None:
-        refusal = await self._wait_permit(run)
+        refusal = await self.wait_permit(run.request, run.shard)
         if refusal is not None:
             return refusal
         policy = self._gate.policy
@@ -81,15 +82,19 @@
             refusal = await self._parts.once.refusal(run)
         return refusal
 
-    async def _wait_permit(self, run: Run) -> Refusal | None:
-        if run.shard == NO_SHARD:
+    async def wait_permit(self, request: Request, shard: int) -> Refusal | None:
+        """Return why this node may not serve a shard, None when it may.
+
+        It waits while the shard moves to this node.
+        """
+        if shard == NO_SHARD:
             return None
-        service, shard = run.request.service, Shard(run.shard)
-        refusal = refusal_of(self._ownership.permit(service, shard))
+        service = request.service
+        refusal = refusal_of(self._ownership.permit(service, Shard(shard)))
         if refusal is None or refusal.reason is not RefusalReason.MOVING:
             return refusal
         waited = await self._ownership.wait_permit(
-            service, shard, deadline_s=run.request.deadline_s
+            service, Shard(shard), deadline_s=request.deadline_s
         )
         return refusal_of(waited)
 
--- a/verbenadeck/door/tests/test_once.py
+++ b/verbenadeck/door/tests/test_once.py
@@ -13,7 +13,7 @@
     timed_id,
     verdict,
 )
-from verbenadeck.door.tests.fakes import FakeUpstream
+from verbenadeck.door.tests.fakes import SHARDS, FakeUpstream
 from verbenadeck.model import (
     Answer,
     Incarnation,
@@ -245,6 +245,24 @@
     run_virtual(scenario())
 
 
+def test_a_resend_during_a_move_waits_for_the_entries() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        old, new = nodes[:2]
+        deposit = make_deposit('d1')
+        assert await admit(old, deposit) == answered(deposit)
+        new.ownership.moving.update(range(SHARDS))
+        site.own_all(new)
+        resend = asyncio.create_task(admit(new, deposit))
+        entries = await old.door.close_shards(all_shards(), deadline_s=9)
+        new.door.open_shards(all_shards(), entries)
+        new.ownership.moving.clear()
+        assert await resend == answered(deposit)
+        assert new.upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
 def test_closing_shards_sends_their_queue_elsewhere_as_not_run() -> None:
     async def scenario() -> None:
         site = Site()
