--- a/verbenadeck/router/tests/machines.py
+++ b/verbenadeck/router/tests/machines.py
@@ -84,8 +84,8 @@
     def start(self) -> None:
         self.runner.run(self._start())
 
-    @rule(request_id=_ids, number=_numbers)
-    def send(self, request_id: str, number: int) -> None:
+    @rule(request_id=_ids, number=_numbers, wait_s=st.sampled_from((0, 0.05)))
+    def send(self, request_id: str, number: int, wait_s: float) -> None:
         """Let a caller send a deposit through an entry."""
         entry = self._alive(number)
         router = self.routers[entry.incarnation]
@@ -96,6 +96,7 @@
             self.sends.append(_Send(request_id, entry, task))
 
         self.runner.run(begin())
+        self.advance(wait_s)
 
     @rule(wait_s=st.sampled_from((0.004, 0.03, 0.2, 1.0)))
     def advance(self, wait_s: float) -> None:
@@ -190,7 +191,7 @@
         for number in range(_NODES):
             others = [(number + step) % _NODES + 1 for step in (1, 2, 3)]
             await self.site.add(
-                FakeUpstream(slots=2),
+                FakeUpstream(slots=2, service_time_s=0.3),
                 witnesses=tuple(Incarnation(other) for other in others),
             )
         self.nodes = self.site.nodes
