--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,7 +1,20 @@
 """Adapters to the platform's log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._caller_calls import (
+    CallerCall,
+    OwnerHint,
+    read_owner,
+    read_reply,
+    write_call,
+    write_owner,
+)
 from verbenadeck.adapters._caller_headers import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_MS_HEADER,
     CallerAnswer,
     CallerFields,
     read_call,
@@ -39,12 +52,23 @@
 
 __all__ = (
     'CALLER_FORMATS',
+    'DEADLINE_HEADER',
+    'IDEMPOTENCY_HEADER',
     'LOG_FORMATS',
+    'OUTCOME_HEADER',
+    'REASON_HEADER',
+    'RETRY_AFTER_MS_HEADER',
     'STANDIN_FORMAT',
     'UPSTREAM_FORMATS',
     'AnnounceError',
     'AnnouncedUpstream',
     'CallerAnswer',
+    'CallerCall',
+    'OwnerHint',
+    'read_owner',
+    'read_reply',
+    'write_call',
+    'write_owner',
     'CallerFields',
     'CallerFormat',
     'LogHttpAdapter',
--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -2,9 +2,11 @@
 
 from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
 from verbenadeck.fleet._sharding import shard_of
+from verbenadeck.fleet._snapshot import pack_pieces
 from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
     AppliedListener,
+    FleetTables,
     FleetView,
     Member,
     MemberState,
@@ -14,11 +16,13 @@
 __all__ = (
     'AppliedListener',
     'FleetState',
+    'FleetTables',
     'FleetView',
     'Member',
     'MemberState',
     'ShardView',
     'eviction_quorum',
+    'pack_pieces',
     'renewal_quorum',
     'shard_of',
 )
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -82,8 +82,11 @@
             return None
         if self._is_refused(beat.member):
             return None
-        self._renewed_s[beat.member] = self._clock.now_s()
-        return HeartbeatAck(beat.member, beat.witness, beat.sent_s)
+        if beat.is_renewal:
+            self._renewed_s[beat.member] = self._clock.now_s()
+        return HeartbeatAck(
+            beat.member, beat.witness, beat.sent_s, beat.is_renewal
+        )
 
     def _is_refused(self, incarnation: Incarnation) -> bool:
         fleet = self._journal.fleet
@@ -159,8 +162,8 @@
         if membership.is_leased and membership.is_fresh:
             return lease_s
         if self._is_pair(member):
-            is_first = member.incarnation < member.witnesses[0]
-            return lease_s + (0 if is_first else self._timing.tie_break_s)
+            is_second = member.incarnation > member.witnesses[0]
+            return lease_s + is_second * self._timing.tie_break_s
         return lease_s if membership.is_last_resort else None
 
     def _is_pair(self, member: Member) -> bool:
--- a/verbenadeck/membership/_witness_choice.py
+++ b/verbenadeck/membership/_witness_choice.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from verbenadeck.fleet import Member
-from verbenadeck.model import Incarnation, NodeId, Region
+from verbenadeck.model import Incarnation, NodeId, Region, Zone
 
 WITNESS_COUNT = 3
 
@@ -13,12 +13,14 @@
 def candidates_for(
     members: Iterable[Member], *, node_id: NodeId, region: Region
 ) -> list[Member]:
-    """Return the members that may be witnesses of a node."""
-    return [
-        member
-        for member in members
-        if member.region == region and member.node_id != node_id
-    ]
+    """Return the members that may be witnesses of a node.
+
+    They are in its own region, so that a region cut off from others keeps
+    its leases; a node alone in its region takes them from elsewhere.
+    """
+    others = [member for member in members if member.node_id != node_id]
+    nearby = [member for member in others if member.region == region]
+    return nearby or others
 
 
 def choose_witnesses(
@@ -42,16 +44,15 @@
     left = list(candidates)
     random_source.shuffle(left)
     chosen: list[Member] = []
+    zones: Counter[Zone] = Counter()
+
+    def rank(member: Member) -> tuple[int, bool]:
+        return zones[member.zone], member.incarnation not in preferred
+
     while left and len(chosen) < WITNESS_COUNT:
-        zones = Counter(member.zone for member in chosen)
-        best = min(
-            left,
-            key=lambda member: (
-                zones[member.zone],
-                member.incarnation not in preferred,
-            ),
-        )
+        best = min(left, key=rank)
         chosen.append(best)
+        zones[best.zone] += 1
         left.remove(best)
     return tuple(sorted(member.incarnation for member in chosen))
 
