--- a/verbenadeck/door/_limit.py
+++ b/verbenadeck/door/_limit.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 
 _SHORT_WEIGHT = 0.1
-_LONG_WEIGHT = 0.005
+_LONG_WEIGHT = 0.001
 _FIRST_SERVICE_TIME_S = 0.05
+_LEAST_SERVICE_TIME_S = 1e-6
 _JUMP_RATIO = 4.0
+_LEAST_JUMP_S = 0.02
 _JUMP_STREAK = 5
 _JUMP_CUT = 4
 _SLOW_START_STEP = 0.5
@@ -110,9 +112,9 @@
 
     def answer(self, service_time_s: float, *, now_s: float) -> None:
         """Take the service time of a complete answer."""
-        is_slow = (
-            self._samples > 0 and service_time_s > _JUMP_RATIO * self._long_s
-        )
+        service_time_s = max(_LEAST_SERVICE_TIME_S, service_time_s)
+        slow_s = max(_LEAST_JUMP_S, _JUMP_RATIO * self._long_s)
+        is_slow = self._samples > 0 and service_time_s > slow_s
         self._slow_streak = self._slow_streak + 1 if is_slow else 0
         self._measure(service_time_s)
         if self._slow_streak >= _JUMP_STREAK:
--- a/verbenadeck/door/tests/test_cold_start.py
+++ b/verbenadeck/door/tests/test_cold_start.py
@@ -134,3 +134,20 @@
         assert not upstream.runs
 
     run_virtual(scenario())
+
+
+def test_answers_within_one_tick_of_the_clock_are_fine() -> None:
+    limit = ConcurrencyLimit()
+    limit.announce(20, 20, now_s=0)
+    for service_time_s in (0, 0.001, 0):
+        limit.answer(service_time_s, now_s=1)
+    assert limit.limit == 20
+
+
+def test_noise_of_very_fast_answers_is_no_jump() -> None:
+    limit = ConcurrencyLimit()
+    limit.announce(20, 20, now_s=0)
+    limit.answer(0.0001, now_s=1)
+    for _ in range(6):
+        limit.answer(0.002, now_s=1)
+    assert not limit.is_cold
--- a/verbenadeck/router/_choice.py
+++ b/verbenadeck/router/_choice.py
@@ -7,7 +7,6 @@
 
 from verbenadeck.router._stats import DoorStats
 
-_PROBE_EVERY_S = 1.0
 _CHOICES = 4
 _NEAR_BONUS = 0.9
 
@@ -61,7 +60,7 @@
 
 
 def _needs_probe(door: DoorStats, now_s: float) -> bool:
-    if now_s - door.sent_at_s < _PROBE_EVERY_S or door.in_flight:
+    if now_s - door.sent_at_s < door.probe_pause_s or door.in_flight:
         return False
     if now_s < door.avoid_until_s:
         return False
--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -7,6 +7,9 @@
 
 _LEAST_WEIGHT = 0.1
 _DECAY_S = 0.5
+_LEAST_PROBE_PAUSE_S = 1.0
+_MOST_PROBE_PAUSE_S = 8.0
+_RECOVERED_RATIO = 0.5
 _FIRST_LATENCY_S = 0.02
 _LEAST_AVOID_S = 0.05
 _MOST_AVOID_S = 1.0
@@ -35,6 +38,7 @@
         'load',
         'measured_at_s',
         'member',
+        'probe_pause_s',
         'sent_at_s',
         'sequence',
     )
@@ -47,6 +51,7 @@
         self.is_near = is_near
         self.latency_s = _FIRST_LATENCY_S
         self.measured_at_s = -math.inf
+        self.probe_pause_s = _LEAST_PROBE_PAUSE_S
         self.in_flight: dict[int, float] = {}
         self.load: DoorLoad | None = None
         self.sent_at_s = -math.inf
@@ -72,11 +77,20 @@
         a few probes are enough to see that a straggler has recovered.
         """
         age_s = now_s - self.measured_at_s
+        self._pace_probes(age_s, latency_s)
         weight = max(_LEAST_WEIGHT, 1 - math.exp(-age_s / _DECAY_S))
         self.latency_s += weight * (latency_s - self.latency_s)
         self.measured_at_s = now_s
         self.avoid_s = 0
 
+    def _pace_probes(self, age_s: float, latency_s: float) -> None:
+        if latency_s < _RECOVERED_RATIO * self.latency_s:
+            self.probe_pause_s = _LEAST_PROBE_PAUSE_S
+        elif age_s > _LEAST_PROBE_PAUSE_S:
+            self.probe_pause_s = min(
+                _MOST_PROBE_PAUSE_S, 2 * self.probe_pause_s
+            )
+
     def overrun(self, waited_s: float, now_s: float) -> None:
         """Note a request that was given up after a time without answer."""
         if waited_s > self.latency_s:
