--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -27,7 +27,12 @@
 from verbenadeck.demo._operator import Operator
 from verbenadeck.demo._processes import Child, ProcessGroup
 from verbenadeck.fleet import shard_of
-from verbenadeck.model import Incarnation, ServiceName
+from verbenadeck.model import (
+    ConfigDocument,
+    Incarnation,
+    ServiceName,
+    ServicePolicy,
+)
 from verbenadeck.utils import Clock
 
 _OUT = flags.DEFINE_string('out', 'build/bench_path.json', 'Report file.')
@@ -181,6 +186,13 @@
     return results[0], results[1]
 
 
+def _write_configuration(folder: Path) -> Path:
+    document = ConfigDocument(services={_SERVICE: ServicePolicy(is_keyed=True)})
+    path = folder / 'configuration.json'
+    path.write_bytes(msgspec.json.encode(document))
+    return path
+
+
 async def _run(folder: Path) -> Report:
     clock = Clock()
     subnet = 10 + os.getpid() % 240
@@ -193,8 +205,8 @@
         observer = Observer(log, (_SERVICE,), clock=clock)
         following = asyncio.ensure_future(observer.follow())
         try:
-            operator = Operator(log, observer, clock=clock)
-            await operator.publish_site(_SITE)
+            operator = Operator(group, log_url=fleet.log_url)
+            await operator.publish(_write_configuration(folder))
             await _settle(observer, clock)
             return await _measure_all(group, fleet, observer)
         finally:
--- a/verbenadeck/demo/_session.py
+++ b/verbenadeck/demo/_session.py
@@ -74,7 +74,7 @@
             observer = Observer(log, services, clock=self._clock)
             following = asyncio.ensure_future(observer.follow())
             try:
-                return await self._with_log(fleet, observer, log)
+                return await self._with_log(fleet, observer, group)
             finally:
                 following.cancel()
                 with suppress(asyncio.CancelledError):
@@ -82,16 +82,16 @@
                 await log.close()
 
     async def _with_log(
-        self, fleet: SiteFleet, observer: Observer, log: LogHttpAdapter
+        self, fleet: SiteFleet, observer: Observer, group: ProcessGroup
     ) -> SiteReport:
-        operator = Operator(log, observer, clock=self._clock)
+        operator = Operator(group, log_url=fleet.log_url)
         names = [place.node_id for place in fleet.places]
         await self._wait_for(
             'all nodes have joined',
             lambda: all(observer.member(name) for name in names),
             fleet,
         )
-        await operator.publish_site(self._site)
+        await operator.publish(self._site.configuration_path)
         await self._wait_for(
             'every shard has an owner', observer.is_settled, fleet
         )
--- a/verbenadeck/demo/_sites.py
+++ b/verbenadeck/demo/_sites.py
@@ -1,7 +1,11 @@
 """The two sites that the demo runs."""
 
+from pathlib import Path
+
 import msgspec
 
+_EXAMPLES = Path(__file__).parents[2] / 'examples'
+
 
 class ServiceSpec(msgspec.Struct, frozen=True):
     """One service of a site.
@@ -48,6 +52,11 @@
     slots: int
     connections: int
 
+    @property
+    def configuration_path(self) -> Path:
+        """Configuration document of the site among the examples."""
+        return _EXAMPLES / f'{self.name}-configuration.json'
+
 
 class Place(msgspec.Struct, frozen=True):
     """One upstream with the node beside it.
