--- a/verbenadeck/demo/_events.py
+++ b/verbenadeck/demo/_events.py
@@ -78,7 +78,7 @@
     fleet: SiteFleet, operator: Operator, zone: str
 ) -> Callable[[Stretch], Awaitable[None]]:
     async def act(stretch: Stretch) -> None:
-        await operator.take_zone_out(zone, 'demo of a zone at rest')
+        await operator.take_zone_out(zone, 'the demo takes a zone out')
         await asyncio.sleep(_ZONE_GRACE_S)
         before = _run_count(await fleet.runs(zone))
         await asyncio.sleep(_ZONE_OUT_S)
@@ -92,7 +92,7 @@
     operator: Operator, zone: str
 ) -> Callable[[Stretch], Awaitable[None]]:
     async def act(_stretch: Stretch) -> None:
-        await operator.take_zone_in(zone)
+        await operator.take_zone_in(zone, 'the demo goes on')
         await asyncio.sleep(_SETTLE_S)
 
     return act
--- a/verbenadeck/demo/_operator.py
+++ b/verbenadeck/demo/_operator.py
@@ -30,9 +30,9 @@
         """Take an availability zone out of service."""
         await self._run('zone', 'out', zone, f'--reason={reason}')
 
-    async def take_zone_in(self, zone: str) -> None:
+    async def take_zone_in(self, zone: str, reason: str) -> None:
         """Bring an availability zone back into service."""
-        await self._run('zone', 'in', zone)
+        await self._run('zone', 'in', zone, f'--reason={reason}')
 
     async def _run(self, *arguments: str) -> None:
         child = await self._group.start(
