Leave out settings that no part reads

log.tail, log.append_timeout_s, upstream.report_interval_s and callers.answer_limit_bytes were declared before the parts were there. The log client chooses its sources from the members, and the others have no reader: a setting without effect misleads operators.

--- a/verbenadeck/settings/_node.py
+++ b/verbenadeck/settings/_node.py
@@ -33,19 +33,11 @@
         Name of the adapter module that speaks to it.
     stream : str
         Stream of the fleet; all nodes and operators name the same one.
-    tail : {'auto', 'always', 'never'}
-        Whether the node reads the log directly. With `auto` a few nodes per
-        zone do, and the others take records from them and fall back to the
-        log. `never` is for a node without a path to the log.
-    append_timeout_s : float
-        Longest wait for the answer to one append.
     """
 
     url: str
     adapter: str = 'standin'
     stream: str = 'verbenadeck'
-    tail: Literal['auto', 'always', 'never'] = 'auto'
-    append_timeout_s: float = 2
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True):
@@ -57,13 +49,10 @@
         Name of the adapter module that speaks to it.
     announce_path : str
         Path on the admin address to which the upstream announces itself.
-    report_interval_s : float
-        Time between two reads of its health and load.
     """
 
     adapter: str = 'standin'
     announce_path: str = '/announce'
-    report_interval_s: float = 0.5
 
 
 class CallerSettings(msgspec.Struct, frozen=True):
@@ -75,15 +64,12 @@
         Name of the adapter module with the callers' header names.
     body_limit_bytes : int
         Largest body of a request; a larger one is refused.
-    answer_limit_bytes : int
-        Largest body of an answer that the node relays.
     idle_timeout_s : float
         Time after which an idle connection of a caller is closed.
     """
 
     adapter: str = 'standin'
     body_limit_bytes: int = _MEBIBYTE
-    answer_limit_bytes: int = 8 * _MEBIBYTE
     idle_timeout_s: float = 75
 
 
@@ -180,17 +166,14 @@
             'url': HTTP_URL,
             'adapter': NAME,
             'stream': NAME,
-            'append_timeout_s': Interval(0.01, 60),
         },
         UpstreamSettings: {
             'adapter': NAME,
             'announce_path': HTTP_PATH,
-            'report_interval_s': Interval(0.05, 60),
         },
         CallerSettings: {
             'adapter': NAME,
             'body_limit_bytes': Interval(0, 1024 * _MEBIBYTE),
-            'answer_limit_bytes': Interval(0, 1024 * _MEBIBYTE),
             'idle_timeout_s': Interval(1, _DAY_S),
         },
         LeaseSettings: {
