Bound the lease timings to what keeps two owners apart

A margin under twice the drift of a clock would let a holder outlive its witnesses' grant; the file is refused. Heartbeats slower than the probe of silent witnesses are refused as well.

--- a/verbenadeck/settings/_node.py
+++ b/verbenadeck/settings/_node.py
@@ -20,6 +20,8 @@
 
 _MEBIBYTE = 1024 * 1024
 _DAY_S = 86_400.0
+# Two clocks that each run within 1% of true time drift apart by twice that.
+_LEAST_DRIFT_SHARE = 0.02
 
 
 class LogSettings(msgspec.Struct, frozen=True):
@@ -141,7 +143,8 @@
     logging : LoggingSettings
         Log lines.
     stop_timeout_s : float
-        Longest time that a planned stop waits for running requests.
+        Longest time in which a planned stop hands its shards over; running
+        requests are finished in any case.
     """
 
     node_id: NodeId
@@ -177,9 +180,9 @@
             'idle_timeout_s': Interval(1, _DAY_S),
         },
         LeaseSettings: {
-            'lease_s': Interval(0.2, 60),
-            'drift_margin_s': Interval(0.001, 10),
-            'heartbeat_interval_s': Interval(0.02, 10),
+            'lease_s': Interval(0.5, 10),
+            'drift_margin_s': Interval(0.01, 1),
+            'heartbeat_interval_s': Interval(0.02, 0.3),
         },
         NodeSettings: {
             'node_id': NAME,
@@ -200,6 +203,11 @@
     """Yield problems between fields that are each allowed on their own."""
     lease = settings.lease
     usable_s = lease.lease_s - lease.drift_margin_s
+    if lease.drift_margin_s < lease.lease_s * _LEAST_DRIFT_SHARE:
+        yield Problem(
+            ('lease', 'drift_margin_s'),
+            f'must be at least {_LEAST_DRIFT_SHARE:.0%} of lease_s',
+        )
     if lease.heartbeat_interval_s * 2 > usable_s:
         yield Problem(
             ('lease', 'heartbeat_interval_s'),
--- a/verbenadeck/settings/tests/test_settings.py
+++ b/verbenadeck/settings/tests/test_settings.py
@@ -66,7 +66,12 @@
         ({'stop_timeout_s': -1}, 'stop_timeout_s'),
         ({'host': 'localhost'}, 'host'),
         ({'peer_port': 9, 'entry_port': 9}, 'entry_port'),
-        ({'lease': {'lease_s': 0.4}}, 'lease.heartbeat_interval_s'),
+        (
+            {'lease': {'lease_s': 0.5, 'heartbeat_interval_s': 0.3}},
+            'lease.heartbeat_interval_s',
+        ),
+        ({'lease': {'lease_s': 5}}, 'lease.drift_margin_s'),
+        ({'lease': {'lease_s': 0.1}}, 'lease.lease_s'),
         ({'upstream': {'announce_path': 'up'}}, 'upstream.announce_path'),
         ({'logging': {'level': 'LOUD'}}, 'logging.level'),
     ],
