--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -61,7 +61,7 @@
         self._seed = seed
         self._lives = 0
         self._timing = timing
-        self._document = document or keyed_document(shard_count)
+        self.document = document or keyed_document(shard_count)
         self.nodes: dict[NodeId, FleetNode] = {}
         for spec in specs:
             self.nodes[spec.name] = self._make(spec)
@@ -71,7 +71,7 @@
         self._oracle = asyncio.ensure_future(self._watch())
         for node in self.nodes.values():
             await node.start()
-        await self.publish(self._document)
+        await self.publish(self.document)
         return self
 
     async def __aexit__(self, kind: object, *_rest: object) -> None:
@@ -92,7 +92,10 @@
 
     async def publish(self, document: ConfigDocument) -> None:
         """Publish a configuration through any running node."""
-        node = next(each for each in self.nodes.values() if each.is_running)
+        running = [each for each in self.nodes.values() if each.is_running]
+        if not running:
+            raise ValueError('no node runs')
+        node = running[0]
         record = ConfigPublished(
             ConfigVersion(node.journal.fleet.config_version),
             encode_document(document),
@@ -103,7 +106,7 @@
         )
         if outcome.unwrap().verdict is not Verdict.ACCEPTED:
             raise ValueError('the document was refused')
-        self._document = document
+        self.document = document
 
     async def restart(self, name: NodeId, *, is_same_vm: bool = True) -> None:
         """Start a killed node again, with or without its upstream."""
--- a/verbenadeck/utils/_clock.py
+++ b/verbenadeck/utils/_clock.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+# A shorter wait would not advance a clock that runs at another rate.
+_RESOLUTION_S = 1e-6
+
 
 def boot_now_s() -> float:
     """Return seconds since the VM booted, suspended time included."""
@@ -33,9 +36,10 @@
 
     def remaining_s(self, deadline_s: float) -> float:
         """Return the seconds left until a deadline, 0 when it has passed."""
-        return max(0.0, deadline_s - self.now_s())
+        left_s = deadline_s - self.now_s()
+        return max(left_s, _RESOLUTION_S) if left_s > 0 else 0.0
 
     async def sleep_until(self, deadline_s: float) -> None:
         """Sleep until the clock reaches a deadline."""
         while self.now_s() < deadline_s:
-            await asyncio.sleep(deadline_s - self.now_s())
+            await asyncio.sleep(self.remaining_s(deadline_s))
