--- a/benchmarks/bench_route.py
+++ b/benchmarks/bench_route.py
@@ -25,7 +25,7 @@
     FakeUpstream,
     make_policy,
 )
-from verbenadeck.logs import setup_logs
+from verbenadeck.logs import setup_logs, teardown_logs
 from verbenadeck.model import Answer, Request, RequestId, ServiceName
 from verbenadeck.peers import Message, PeerAddress, PeerError, PeerFailure
 from verbenadeck.router.tests.builders import make_router
@@ -142,6 +142,7 @@
         for name, way in _WAYS.items():
             spent = [uvloop.run(_spend_ns(way)) for _ in range(_ROUNDS)]
             costs[name] = round(min(spent) / _REQUESTS / _NS_PER_US, 1)
+        teardown_logs()
     return costs
 
 
--- a/verbenadeck/door/_pipeline.py
+++ b/verbenadeck/door/_pipeline.py
@@ -39,19 +39,26 @@
 
     async def run(self, run: Run) -> AnswerResult:
         """Return the answer, or why there is none."""
+        if run.request.is_repeatable and self._slots.try_acquire():
+            ready = self._order(run)
+            if not _is_moving(ready):
+                return await self._send_or_release(run, ready)
+            self._slots.release()
         refusal = await self._prepare(run)
         if refusal is None:
             refusal = await self._slots.acquire(run.waiter)
         if refusal is not None:
             return self._end_unsent(run, refusal)
-        order = self._order(run)
-        match order:
-            case Success(ready):
-                return await self._send(run, ready)
-            case Failure(late):
-                self._slots.release()
-                return self._end_unsent(run, late)
-        raise AssertionError('a result is a success or a failure')
+        return await self._send_or_release(run, self._order(run))
+
+    async def _send_or_release(
+        self, run: Run, ready: Result[Order, Refusal]
+    ) -> AnswerResult:
+        refusal = refusal_of(ready)
+        if refusal is None:
+            return await self._send(run, ready.unwrap())
+        self._slots.release()
+        return self._end_unsent(run, refusal)
 
     async def _send(self, run: Run, order: Order) -> AnswerResult:
         result = await self._parts.sender.send(run, order)
@@ -135,3 +142,8 @@
             run.waiter.settle(refusal)
         else:
             self._parts.sender.cancel(run)
+
+
+def _is_moving(ready: Result[Order, Refusal]) -> bool:
+    refusal = refusal_of(ready)
+    return refusal is not None and refusal.reason is RefusalReason.MOVING
--- a/verbenadeck/door/_slots.py
+++ b/verbenadeck/door/_slots.py
@@ -92,10 +92,16 @@
             )
         return None
 
+    def try_acquire(self) -> bool:
+        """Take a slot if one is free and nobody waits."""
+        if self._waiting or self.in_use >= self._limit():
+            return False
+        self.in_use += 1
+        return True
+
     async def acquire(self, waiter: Waiter) -> Refusal | None:
         """Take a slot, in order of arrival; a refusal when that failed."""
-        if self.in_use < self._limit() and not self._waiting:
-            self.in_use += 1
+        if self.try_acquire():
             return None
         loop = asyncio.get_running_loop()
         waiter.future = loop.create_future()
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -199,7 +199,7 @@
         started_s = self._clock.now_s()
         result = await send_hedged(
             partial(self._attempts.send, door, route.request, is_bound=False),
-            partial(self._second, route, door),
+            partial(self._another, route, door),
             delay_s=route.state.latency.estimate_s,
         )
         if refusal_of(result) is None:
@@ -208,7 +208,7 @@
             )
         return result
 
-    def _second(self, route: '_Route', first: DoorStats) -> Send | None:
+    def _another(self, route: '_Route', first: DoorStats) -> Send | None:
         choice = self._pick(route, (first,))
         if choice is None or not route.state.hedges.spend():
             return None
