--- a/verbenadeck/settings/_node.py
+++ b/verbenadeck/settings/_node.py
@@ -20,6 +20,8 @@
 
 _MEBIBYTE = 1024 * 1024
 _DAY_S = 86_400.0
+# Two clocks that each run within 1% of true time drift apart by twice that.
+_LEAST_DRIFT_SHARE = 0.02
 
 
 class LogSettings(msgspec.Struct, frozen=True):
@@ -33,19 +35,11 @@
         Name of the adapter module that speaks to it.
     stream : str
         Stream of the fleet; all nodes and operators name the same one.
-    tail : {'auto', 'always', 'never'}
-        Whether the node reads the log directly. With `auto` a few nodes per
-        zone do, and the others take records from them and fall back to the
-        log. `never` is for a node without a path to the log.
-    append_timeout_s : float
-        Longest wait for the answer to one append.
     """
 
     url: str
     adapter: str = 'standin'
     stream: str = 'verbenadeck'
-    tail: Literal['auto', 'always', 'never'] = 'auto'
-    append_timeout_s: float = 2
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True):
@@ -57,13 +51,10 @@
         Name of the adapter module that speaks to it.
     announce_path : str
         Path on the admin address to which the upstream announces itself.
-    report_interval_s : float
-        Time between two reads of its health and load.
     """
 
     adapter: str = 'standin'
     announce_path: str = '/announce'
-    report_interval_s: float = 0.5
 
 
 class CallerSettings(msgspec.Struct, frozen=True):
@@ -75,15 +66,12 @@
         Name of the adapter module with the callers' header names.
     body_limit_bytes : int
         Largest body of a request; a larger one is refused.
-    answer_limit_bytes : int
-        Largest body of an answer that the node relays.
     idle_timeout_s : float
         Time after which an idle connection of a caller is closed.
     """
 
     adapter: str = 'standin'
     body_limit_bytes: int = _MEBIBYTE
-    answer_limit_bytes: int = 8 * _MEBIBYTE
     idle_timeout_s: float = 75
 
 
@@ -155,7 +143,8 @@
     logging : LoggingSettings
         Log lines.
     stop_timeout_s : float
-        Longest time that a planned stop waits for running requests.
+        Longest time in which a planned stop hands its shards over; running
+        requests are finished in any case.
     """
 
     node_id: NodeId
@@ -180,23 +169,20 @@
             'url': HTTP_URL,
             'adapter': NAME,
             'stream': NAME,
-            'append_timeout_s': Interval(0.01, 60),
         },
         UpstreamSettings: {
             'adapter': NAME,
             'announce_path': HTTP_PATH,
-            'report_interval_s': Interval(0.05, 60),
         },
         CallerSettings: {
             'adapter': NAME,
             'body_limit_bytes': Interval(0, 1024 * _MEBIBYTE),
-            'answer_limit_bytes': Interval(0, 1024 * _MEBIBYTE),
             'idle_timeout_s': Interval(1, _DAY_S),
         },
         LeaseSettings: {
-            'lease_s': Interval(0.2, 60),
-            'drift_margin_s': Interval(0.001, 10),
-            'heartbeat_interval_s': Interval(0.02, 10),
+            'lease_s': Interval(0.5, 10),
+            'drift_margin_s': Interval(0.01, 1),
+            'heartbeat_interval_s': Interval(0.02, 0.3),
         },
         NodeSettings: {
             'node_id': NAME,
@@ -217,6 +203,11 @@
     """Yield problems between fields that are each allowed on their own."""
     lease = settings.lease
     usable_s = lease.lease_s - lease.drift_margin_s
+    if lease.drift_margin_s < lease.lease_s * _LEAST_DRIFT_SHARE:
+        yield Problem(
+            ('lease', 'drift_margin_s'),
+            f'must be at least {_LEAST_DRIFT_SHARE:.0%} of lease_s',
+        )
     if lease.heartbeat_interval_s * 2 > usable_s:
         yield Problem(
             ('lease', 'heartbeat_interval_s'),
