Fuzz the log client under faults of log, links and nodes

Cause: lost answers, expiry, restarts and operators that race each other meet in orders that no single test names.

Change: three nodes with checkpoints suffer random faults in virtual time; after healing all agree, all are ready, and every acknowledged change is in force; versions never fall. Two planted faults, an empty start over lost history and documents without compare-and-set, must be found.

--- /dev/null
+++ b/verbenadeck/journal/tests/test_fuzz_log.py
@@ -0,0 +1,277 @@
+"""Random faults of the log, links and nodes: what was acknowledged stays."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from loguru import logger
+from returns.pipeline import is_successful
+
+from verbenadeck.config import add_exception
+from verbenadeck.config.operations import apply_change
+from verbenadeck.config.tests.builders import make_rule
+from verbenadeck.fleet import FleetState
+from verbenadeck.journal import Checkpointer, CheckpointOptions
+from verbenadeck.journal._base import BaseLoader
+from verbenadeck.journal._checkpoint_tracker import Checkpoint
+from verbenadeck.journal.tests.builders import Node, Site
+from verbenadeck.model import Offset
+from verbenadeck.records import ConfigPublished, Verdict
+from verbenadeck.testing import run_virtual
+
+_ZONES = ('suva', 'nadi', 'lautoka')
+_OPTIONS = CheckpointOptions(
+    interval_s=20, max_records=30, check_s=1, turn_s=2, chunk_s=5
+)
+_HEALING_S = 40
+_CHANGE_S = 12
+_FUZZ = settings(
+    max_examples=30, derandomize=True, database=None, deadline=None
+)
+_HUNT = settings(_FUZZ, max_examples=150, phases=(Phase.generate,))
+
+
+class FaultySite:
+    """Three nodes, operators on each, and whatever goes wrong."""
+
+    def __init__(self) -> None:
+        self.site = Site()
+        self.acknowledged: set[str] = set()
+        self.versions: list[int] = []
+        self._checkpointers: list[Checkpointer] = []
+        self._changes: set[asyncio.Task[None]] = set()
+        self._count = 0
+        self._life = 1
+        self._faults: dict[str, Callable[[Node], Awaitable[None] | None]] = {
+            'change': self._change,
+            'log-down': lambda _node: self._set_log(is_up=False),
+            'log-up': lambda _node: self._set_log(is_up=True),
+            'lose-answers': self._lose_answers,
+            'cut': lambda node: setattr(node.adapter, 'is_cut', True),
+            'silence': lambda node: setattr(node.adapter, 'is_silent', True),
+            'hold': lambda node: setattr(node.adapter, 'holds_appends', True),
+            'let-go': lambda node: node.adapter.let_go(),
+            'isolate': lambda node: self.site.network.isolate(node.address),
+            'heal': lambda _node: self.heal(),
+            'expire': lambda _node: self._expire(),
+            'restart': self._restart,
+        }
+
+    async def start(self) -> None:
+        for zone in _ZONES:
+            self._watch(await self.site.add(zone=zone))
+            await self._checkpointers[-1].start()
+        await self.site.settle()
+
+    async def suffer(self, fault: str, index: int, wait_s: float) -> None:
+        done = self._faults[fault](self.site.nodes[index])
+        if done is not None:
+            await done
+        await asyncio.sleep(wait_s)
+
+    def heal(self) -> None:
+        """Undo all faults that last."""
+        self.site.log.is_up = True
+        self.site.log.lost_answers = 0
+        self.site.network.heal()
+        for node in self.site.nodes:
+            node.adapter.is_cut = False
+            node.adapter.is_silent = False
+            node.adapter.let_go()
+
+    async def stop(self) -> None:
+        for change in self._changes:
+            change.cancel()
+        for checkpointer in self._checkpointers:
+            await checkpointer.stop()
+        for node in self.site.nodes:
+            await node.client.stop()
+
+    def check(self) -> None:
+        """Fail when something acknowledged is missing on any node."""
+        assert self.site.agree()
+        for node in self.site.nodes:
+            assert node.client.is_ready
+            rules = node.client.fleet.config.exceptions
+            assert self.acknowledged <= {rule.name for rule in rules}
+
+    def _watch(self, node: Node) -> None:
+        checkpointer = Checkpointer(
+            client=node.client, clock=node.clock, options=_OPTIONS
+        )
+        self._checkpointers.append(checkpointer)
+        seen: list[int] = [0]
+
+        def check_version(*_applied: object) -> None:
+            version = node.client.fleet.config_version
+            assert version >= seen[-1]
+            seen.append(version)
+
+        node.client.fleet.subscribe(check_version)
+
+    def _change(self, node: Node) -> None:
+        self._count += 1
+        name = f'change-{self._count}'
+        change = asyncio.ensure_future(self._apply(node, name))
+        self._changes.add(change)
+
+    async def _apply(self, node: Node, name: str) -> None:
+        answer = await apply_change(
+            node.client,
+            add_exception(make_rule(name)),
+            author=node.node_id,
+            deadline_s=node.in_s(_CHANGE_S),
+        )
+        if is_successful(answer):
+            self.acknowledged.add(name)
+
+    def _set_log(self, *, is_up: bool) -> None:
+        self.site.log.is_up = is_up
+
+    def _lose_answers(self, _node: Node) -> None:
+        self.site.log.lost_answers = 2
+
+    def _expire(self) -> None:
+        """Let records go that some node has applied, all before them too."""
+        applied = [
+            node.client.fleet.applied_offset
+            for node in self.site.nodes
+            if node.client.is_ready
+        ]
+        last = len(self.site.log.records) - 1
+        if last in applied and len(applied) == len(self.site.nodes):
+            self.site.expire()
+
+    async def _restart(self, node: Node) -> None:
+        """Replace a node, but never the last one that knows everything."""
+        others = [other for other in self.site.nodes if other is not node]
+        last = len(self.site.log.records) - 1
+        known = [other.client.fleet.applied_offset for other in others]
+        if last not in known:
+            return
+        index = self.site.nodes.index(node)
+        await self._checkpointers[index].stop()
+        await node.stop()
+        self._life += 1
+        again = Node(
+            self.site.log,
+            self.site.network,
+            index,
+            zone=node.zone,
+            life=self._life,
+        )
+        self.site.nodes[index] = again
+        checkpointers = self._checkpointers
+        self._watch(again)
+        checkpointers[index] = checkpointers.pop()
+        await again.client.start()
+        await checkpointers[index].start()
+
+
+_FAULTS = (
+    'change',
+    'log-down',
+    'log-up',
+    'lose-answers',
+    'cut',
+    'silence',
+    'hold',
+    'let-go',
+    'isolate',
+    'heal',
+    'expire',
+    'restart',
+)
+_Steps = list[tuple[str, int, float]]
+
+
+def _steps(*faults: str) -> st.SearchStrategy[_Steps]:
+    step = st.tuples(
+        st.one_of(st.just('change'), st.sampled_from(faults)),
+        st.integers(0, len(_ZONES) - 1),
+        st.sampled_from((0.0, 0.02, 0.5, 3.0)),
+    )
+    return st.lists(step, min_size=10, max_size=30)
+
+
+async def _run(steps: _Steps) -> None:
+    logger.disable('verbenadeck')
+    faulty = FaultySite()
+    try:
+        await faulty.start()
+        for fault, index, wait_s in steps:
+            await faulty.suffer(fault, index, wait_s)
+        faulty.heal()
+        await asyncio.sleep(_HEALING_S)
+        faulty.check()
+    finally:
+        await faulty.stop()
+        logger.enable('verbenadeck')
+
+
+def _start_anywhere(
+    loader: BaseLoader, checkpoint: Checkpoint | None, first: Offset
+) -> bool:
+    """Start empty over lost history."""
+    fleet = loader._fleet
+    if checkpoint is not None:
+        fleet.restore(checkpoint.packed)
+    fleet._applied_offset = max(fleet.applied_offset, Offset(first - 1))
+    return True
+
+
+_judge_config = FleetState._judge_config
+
+
+def _judge_without_version(
+    state: FleetState, offset: Offset, record: ConfigPublished
+) -> Verdict:
+    """Let the last of two racing operators win."""
+    forced = msgspec.structs.replace(
+        record, expected_version=state.config_version
+    )
+    return _judge_config(state, offset, forced)
+
+
+@_FUZZ
+@given(_steps(*_FAULTS))
+def test_acknowledged_changes_survive(steps: _Steps) -> None:
+    run_virtual(_run(steps))
+
+
+@pytest.mark.parametrize(
+    ('owner', 'name', 'fault', 'faults'),
+    (
+        (
+            BaseLoader,
+            '_start_from',
+            _start_anywhere,
+            ('expire', 'restart'),
+        ),
+        (
+            FleetState,
+            '_judge_config',
+            _judge_without_version,
+            ('lose-answers', 'hold', 'let-go'),
+        ),
+    ),
+)
+def test_a_planted_fault_loses_changes(
+    owner: object,
+    name: str,
+    fault: object,
+    faults: tuple[str, ...],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(owner, name, fault)
+
+    @_HUNT
+    @given(_steps(*faults))
+    def hunt(steps: _Steps) -> None:
+        run_virtual(_run(steps))
+
+    with pytest.raises(AssertionError):
+        hunt()
