--- a/verbenadeck/door/tests/test_once.py
+++ b/verbenadeck/door/tests/test_once.py
@@ -13,7 +13,7 @@
     timed_id,
     verdict,
 )
-from verbenadeck.door.tests.fakes import FakeUpstream
+from verbenadeck.door.tests.fakes import SHARDS, FakeUpstream
 from verbenadeck.model import (
     Answer,
     Incarnation,
@@ -147,6 +147,34 @@
     run_virtual(scenario())
 
 
+def test_witness_sets_from_before_the_first_assignment_are_not_asked() -> None:
+    async def scenario() -> None:
+        site = Site()
+        nodes = [await site.add(FakeUpstream(), witnesses=()) for _ in range(5)]
+        for node in nodes:
+            site.rewitness(node, _WITNESSES)
+        site.own_all(nodes[0])
+        _take_over(site, nodes[0], nodes[1])
+        deposit = make_deposit('d1')
+        assert await admit(nodes[1], deposit) == answered(deposit)
+
+    run_virtual(scenario())
+
+
+def test_witness_sets_of_an_owner_are_asked_after_they_changed() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        deposit = make_deposit('d1')
+        assert await admit(nodes[0], deposit) == answered(deposit)
+        site.rewitness(nodes[0], (nodes[1].incarnation,))
+        _take_over(site, nodes[0], nodes[1])
+        outcome, _ = verdict(await admit(nodes[1], deposit))
+        assert outcome is Outcome.UNKNOWN
+        assert nodes[1].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
 def test_one_lost_witness_leaves_the_question_answerable() -> None:
     async def scenario() -> None:
         site, nodes = await _fleet_with_witnesses()
@@ -245,6 +273,24 @@
     run_virtual(scenario())
 
 
+def test_a_resend_during_a_move_waits_for_the_entries() -> None:
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        old, new = nodes[:2]
+        deposit = make_deposit('d1')
+        assert await admit(old, deposit) == answered(deposit)
+        new.ownership.moving.update(range(SHARDS))
+        site.own_all(new)
+        resend = asyncio.create_task(admit(new, deposit))
+        entries = await old.door.close_shards(all_shards(), deadline_s=9)
+        new.door.open_shards(all_shards(), entries)
+        new.ownership.moving.clear()
+        assert await resend == answered(deposit)
+        assert new.upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
 def test_closing_shards_sends_their_queue_elsewhere_as_not_run() -> None:
     async def scenario() -> None:
         site = Site()
