Let a sender of the virtual fleet end without a paused receiver

Cause: ending a node waited for its messages to a paused node for ever. Change: the receiver's work is shielded from the sender's end.

--- a/verbenadeck/lease/tests/fuzzing.py
+++ b/verbenadeck/lease/tests/fuzzing.py
@@ -96,8 +96,8 @@
     async with VirtualFleet(
         specs, shard_count=SHARDS, seed=run.seed, document=document
     ) as fleet:
-        fleet.network.delay_s = lambda _source, _target: (
-            shuffled.choice((0.001, 0.005, 0.02, 0.3))
+        fleet.network.delay_s = lambda _source, _target: shuffled.choice(
+            (0.001, 0.005, 0.02, 0.3)
         )
         await fleet.until(fleet.is_served)
         for step in run.steps:
@@ -143,9 +143,7 @@
             await _act_on_all(fleet, step, node)
 
 
-async def _act_on_all(
-    fleet: VirtualFleet, step: Step, node: FleetNode
-) -> None:
+async def _act_on_all(fleet: VirtualFleet, step: Step, node: FleetNode) -> None:
     match step.fault:
         case Fault.HEAL:
             fleet.network.heal()
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -1,5 +1,6 @@
 """One node of a virtual fleet: control services over fakes."""
 
+import asyncio
 import random
 
 import msgspec
@@ -77,7 +78,9 @@
         self, source: PeerAddress, message: Message
     ) -> Message | None:
         """Run the handler of an arrived message."""
-        return await self._process.spawn(super().receive(source, message))
+        handling = self._process.spawn(super().receive(source, message))
+        # A sender that ends does not wait for a paused receiver.
+        return await asyncio.shield(handling)
 
 
 class FleetNode:
