Let messages of the virtual fleet travel while their sender is paused

Cause: a message on its way stood still with its paused sender, so answers that wait for a resumed node could not be played. Change: messages run outside of the process; a log read that ends after a pause honours a cut way.

--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from contextvars import Context
 
 import msgspec
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from verbenadeck.journal import LogClient
 from verbenadeck.lease import Ownership, WitnessDuty, shards_in
@@ -17,7 +19,7 @@
     Shard,
     Zone,
 )
-from verbenadeck.peers import Message, PeerAddress
+from verbenadeck.peers import Message, PeerAddress, PeerError
 from verbenadeck.placement import Planner
 from verbenadeck.records import NodeJoin
 from verbenadeck.testing._fake_network import FakeNetwork, FakePort
@@ -62,7 +64,11 @@
 
 
 class ProcessPort(FakePort):
-    """Port whose handlers run inside of the node's process."""
+    """Port whose handlers run inside of the node's process.
+
+    Messages on their way belong to no process: they arrive while their
+    sender is paused.
+    """
 
     def __init__(
         self,
@@ -74,6 +80,10 @@
         super().__init__(network, address, clock)
         self._process = process
 
+    def notify(self, peer: PeerAddress, message: Message) -> None:
+        """Send a datagram."""
+        Context().run(super().notify, peer, message)
+
     async def receive(
         self, source: PeerAddress, message: Message
     ) -> Message | None:
@@ -82,6 +92,12 @@
         # A sender that ends does not wait for a paused receiver.
         return await asyncio.shield(handling)
 
+    async def _exchange(
+        self, peer: PeerAddress, message: Message
+    ) -> Result[Message, PeerError]:
+        exchange = super()._exchange(peer, message)
+        return await Context().run(asyncio.ensure_future, exchange)
+
 
 class FleetNode:
     """Control services of one node; the upstream outlives the process."""
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -72,6 +72,9 @@
             if start_offset < len(log.records):
                 break
             await asyncio.sleep(_POLL_S)
+        if self.is_cut or not log.is_up:
+            # The reader was paused past its deadline and the way is cut.
+            return Failure(LogError(LogFailure.UNAVAILABLE, 'log is down'))
         stop = start_offset + limit
         found = tuple(log.records[start_offset:stop])
         return Success(LogPage(Offset(log.first_offset), start_offset, found))
