Show that the oracle sees two seeded faults of the lease

Cause: an oracle that never fires proves nothing. Change: the lease counted from receipt, and a set change that needs only the new set, are each put in and must be seen; the same scenarios pass without.

--- a/verbenadeck/lease/tests/test_oracle.py
+++ b/verbenadeck/lease/tests/test_oracle.py
@@ -1,6 +1,7 @@
 """The oracle sees two owners when the lease rules are broken."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
@@ -17,13 +18,23 @@
 from verbenadeck.testing import TwoOwnersError, VirtualFleet
 
 
-async def _resume_with_old_answers(fleet: VirtualFleet) -> None:
+async def _resume_with_old_answers(
+    fleet: VirtualFleet, *, is_from_receipt: bool = False
+) -> None:
     """Pause an owner while answers are on their way to it."""
     node = fleet.nodes[owner_of(fleet)]
-    beat_s = node.membership.timing.heartbeat_s
-    # Answers are slower than heartbeats, so some are on their way.
-    fleet.network.delay_s = lambda _source, _target: beat_s / 2
-    await asyncio.sleep(3)
+    timing = node.membership.timing
+    delay_s = timing.heartbeat_s / 8
+    fleet.network.delay_s = lambda _source, _target: delay_s
+    await asyncio.sleep(1)
+    # One heartbeat has left and its answers have not come back.
+    shift_s = -delay_s if is_from_receipt else delay_s
+    left_s = timing.held_s - timing.heartbeat_s - shift_s
+    await fleet.until(
+        lambda: (
+            node.clock.remaining_s(node.membership.lease_deadline_s) < left_s
+        )
+    )
     node.process.pause()
     await fleet.until(fleet.is_served, limit_s=TARGET_S)
     await asyncio.sleep(1)
@@ -59,7 +70,7 @@
 
     monkeypatch.setattr(Renewals, 'renew', renew_from_receipt)
     with pytest.raises(TwoOwnersError):
-        run_scenario(_resume_with_old_answers)
+        run_scenario(partial(_resume_with_old_answers, is_from_receipt=True))
 
 
 def test_an_owner_without_witnesses_and_log_serves_nothing() -> None:
