--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -43,6 +43,8 @@
         Policy of the service; the shard count is set in it.
     timing : LeaseTiming or None
         Times of the lease protocol.
+    is_watched : bool
+        Whether the oracle looks.
     """
 
     def __init__(
@@ -53,12 +55,14 @@
         seed: int = 1,
         document: ConfigDocument | None = None,
         timing: LeaseTiming | None = None,
+        is_watched: bool = True,
     ) -> None:
         self.log = MemoryLog()
         self.network = FakeNetwork(seed=seed)
         self.shard_count = shard_count
         self.violations: list[str] = []
         self._seed = seed
+        self._is_watched = is_watched
         self._lives = 0
         self._timing = timing
         self.document = document or keyed_document(shard_count)
@@ -160,7 +164,7 @@
         )
 
     async def _watch(self) -> None:
-        while True:
+        while self._is_watched:
             self._look()
             await asyncio.sleep(_ORACLE_S)
 
