--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -48,9 +48,9 @@
 def _count_datagrams(traffic: _Traffic) -> None:
     notify = ProcessPort.notify
 
-    def counted(port: ProcessPort, peer: PeerAddress, sent: Message) -> None:
-        traffic.count(sent)
-        notify(port, peer, sent)
+    def counted(port: ProcessPort, peer: PeerAddress, message: Message) -> None:
+        traffic.count(message)
+        notify(port, peer, message)
 
     ProcessPort.notify = counted  # type: ignore[method-assign]
 
@@ -92,7 +92,7 @@
 
 def main() -> None:
     """Print the results."""
-    memory_log._POLL_S = _POLL_S  # noqa: SLF001
+    memory_log._POLL_S = _POLL_S
     traffic = _Traffic()
     _count_datagrams(traffic)
     found: list[dict[str, float]] = []
--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -25,7 +25,7 @@
     """Owners by shard, moved by plans until nothing moves any more."""
 
     def __init__(self, weights: _Weights) -> None:
-        self.owners = [-1] * _SHARDS
+        self.owners = [-1 for _ in range(_SHARDS)]
         self.settle(weights)
 
     def settle(self, weights: _Weights) -> dict[str, float]:
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -20,7 +20,7 @@
     choose_witnesses,
 )
 from verbenadeck.membership._witness_set import WitnessSetKeeper
-from verbenadeck.model import NO_MEMBER, Incarnation
+from verbenadeck.model import NO_MEMBER, Incarnation, Offset
 from verbenadeck.peers import PeerPort
 from verbenadeck.records import LeavePhase, NodeJoin, NodeLeave, Verdict
 from verbenadeck.utils import Clock
@@ -76,6 +76,7 @@
         self.is_stopping = False
         self._joined_s = -math.inf
         self._started_s = -math.inf
+        self._buried_at = Offset(-1)
         self._renewals = Renewals(clock=clock, timing=self.timing)
         self._heartbeats = Heartbeats(
             clock=clock,
@@ -210,8 +211,11 @@
     async def _bury_predecessors(self) -> None:
         own = self.member
         grants_end_s = self._started_s + self.timing.lease_s
-        if own is None or self._clock.now_s() < grants_end_s:
+        applied = self._journal.fleet.applied_offset
+        is_known = applied == self._buried_at
+        if own is None or is_known or self._clock.now_s() < grants_end_s:
             return
+        self._buried_at = applied
         for each in predecessors(self._journal.fleet, own):
             _log.info('earlier life {} is over', each)
             await self._propose(NodeLeave(each, LeavePhase.GONE))
--- a/verbenadeck/membership/_timing.py
+++ b/verbenadeck/membership/_timing.py
@@ -41,7 +41,8 @@
         Time without a lease after which a node of a small fleet votes and
         gives up silent witnesses all the same, in seconds.
     look_s : float
-        Interval in seconds at which a set is compared with the best one.
+        Interval in seconds at which a set is compared with the best one,
+        besides each change of the membership.
     append_timeout_s : float
         Longest wait for one append, in seconds.
     """
@@ -57,7 +58,7 @@
     avoid_s: float = 5.0
     tie_break_s: float = 0.4
     last_resort_s: float = 30.0
-    look_s: float = 1.0
+    look_s: float = 5.0
     append_timeout_s: float = 1.0
 
     @property
--- a/verbenadeck/membership/_witness_set.py
+++ b/verbenadeck/membership/_witness_set.py
@@ -58,6 +58,7 @@
         self._pending: list[tuple[Epoch, WitnessSet]] = []
         self._changing: asyncio.Task[None] | None = None
         self._next_look_s = 0.0
+        self._looked = 0
 
     def sets(self, member: Member) -> tuple[WitnessSet, ...]:
         """Return the sets whose quorums the lease needs now."""
@@ -100,9 +101,10 @@
         now_s = self._clock.now_s()
         live = self._journal.fleet.members
         is_lacking = not all(map(live.__contains__, member.witnesses))
-        is_full_look = now_s >= self._next_look_s
+        is_full_look = now_s >= self._next_look_s or len(live) != self._looked
         if is_full_look:
             self._next_look_s = now_s + self._timing.look_s
+            self._looked = len(live)
         is_waiting = bool(self.probes.asked)
         return (
             is_full_look
--- /dev/null
+++ b/verbenadeck/placement/tests/test_zones.py
@@ -0,0 +1,47 @@
+"""Zones and upstreams out and in, over a fleet in virtual time."""
+
+import asyncio
+
+import msgspec
+
+from verbenadeck.lease.tests.builders import owner_of, run_scenario
+from verbenadeck.model import NodeId, OutState, Zone
+from verbenadeck.testing import VirtualFleet
+
+_FEW_S = 3.0
+_OUT = OutState('test')
+
+
+def _owners(fleet: VirtualFleet) -> set[NodeId]:
+    return {owner_of(fleet, shard) for shard in range(fleet.shard_count)}
+
+
+def test_a_zone_out_loses_its_shards_and_gets_them_back() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        before = fleet.document
+        zones_out = {Zone('a'): _OUT}
+        await fleet.publish(
+            msgspec.structs.replace(before, zones_out=zones_out)
+        )
+        await asyncio.sleep(_FEW_S)
+        assert fleet.is_served()
+        assert {name[0] for name in _owners(fleet)} == {'b', 'c'}
+        assert not any(node.door.lost for node in fleet.nodes.values())
+        await fleet.publish(before)
+        await asyncio.sleep(20)
+        assert {name[0] for name in _owners(fleet)} == {'a', 'b', 'c'}
+
+    run_scenario(scenario)
+
+
+def test_an_upstream_out_loses_its_shards() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        out = owner_of(fleet)
+        await fleet.publish(
+            msgspec.structs.replace(fleet.document, upstreams_out={out: _OUT})
+        )
+        await asyncio.sleep(_FEW_S)
+        assert fleet.is_served()
+        assert out not in _owners(fleet)
+
+    run_scenario(scenario)
