--- a/verbenadeck/admin/tests/builders.py
+++ b/verbenadeck/admin/tests/builders.py
@@ -12,13 +12,22 @@
     AdminViews,
     NodeIdentity,
     find_owner,
+    make_status_gauges,
     make_status_reader,
     upstream_status,
 )
 from verbenadeck.fleet import FleetState
 from verbenadeck.fleet.tests.builders import HOLDS, make_fleet
 from verbenadeck.metrics import Metrics, make_exposition
-from verbenadeck.model import Incarnation, NodeId, Region, Zone
+from verbenadeck.model import (
+    Incarnation,
+    NodeId,
+    Region,
+    Request,
+    RequestId,
+    ServiceName,
+    Zone,
+)
 from verbenadeck.utils import Clock
 
 
@@ -46,16 +55,18 @@
     )
     metrics = Metrics(zone=Zone('suva'), known_services=lambda: (HOLDS,))
     metrics.count('hedges')
+    read_status = make_status_reader(
+        identity=identity,
+        fleet=board.fleet,
+        clock=Clock(now_s=lambda: 100),
+        incarnation=lambda: board.own,
+        lease_deadline_s=lambda: board.lease_deadline_s,
+        upstream=lambda: upstream_status('life-1', None),
+        why_unready=lambda: board.why_unready,
+    )
+    metrics.gauge_group(make_status_gauges(read_status, lambda: 0.5))
     return AdminViews(
-        read_status=make_status_reader(
-            identity=identity,
-            fleet=board.fleet,
-            clock=Clock(now_s=lambda: 100),
-            incarnation=lambda: board.own,
-            lease_deadline_s=lambda: board.lease_deadline_s,
-            upstream=lambda: upstream_status('life-1', None),
-            why_unready=lambda: board.why_unready,
-        ),
+        read_status=read_status,
         read_metrics=make_exposition(metrics),
         find_owner=partial(find_owner, board.fleet),
         announce=_announce,
@@ -69,6 +80,21 @@
     return AdminServer(views=make_views(board), options=options)
 
 
+def make_request(*, key: str | None, service: str = HOLDS) -> Request:
+    """Return a read of a key."""
+    return Request(
+        request_id=RequestId('r1'),
+        service=ServiceName(service),
+        key=key,
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        is_repeatable=True,
+        deadline_s=200,
+    )
+
+
 def _announce(body: bytes) -> Result[wire.AnnounceReply, AnnounceError]:
     if body != b'{}':
         return Failure(AnnounceError('service is empty'))
--- a/verbenadeck/door/_pipeline.py
+++ b/verbenadeck/door/_pipeline.py
@@ -5,7 +5,6 @@
 
 from verbenadeck.adapters import Order
 from verbenadeck.door._parts import Parts
-from verbenadeck.door._poison import fingerprint_of
 from verbenadeck.door._refusals import not_run, refusal_of, refuse
 from verbenadeck.door._runs import NO_SHARD, Run
 from verbenadeck.lease import Permit
@@ -15,6 +14,7 @@
     Outcome,
     Refusal,
     RefusalReason,
+    Request,
     Shard,
 )
 
@@ -57,8 +57,7 @@
         result = await self._parts.sender.send(run, order)
         match result:
             case Success(_):
-                if not self._parts.quarantine.is_empty:
-                    self._parts.quarantine.clear(fingerprint_of(run.request))
+                self._parts.crashes.on_answer(run)
             case Failure(Refusal(outcome=Outcome.NOT_RUN)):
                 self._withdraw(run)
         return result
@@ -73,7 +72,7 @@
             self._parts.once.withdraw(run)
 
     async def _prepare(self, run: Run) -> Refusal | None:
-        refusal = await self._wait_permit(run)
+        refusal = await self.wait_permit(run.request, run.shard)
         if refusal is not None:
             return refusal
         policy = self._gate.policy
@@ -83,15 +82,19 @@
             refusal = await self._parts.once.refusal(run)
         return refusal
 
-    async def _wait_permit(self, run: Run) -> Refusal | None:
-        if run.shard == NO_SHARD:
+    async def wait_permit(self, request: Request, shard: int) -> Refusal | None:
+        """Return why this node may not serve a shard, None when it may.
+
+        It waits while the shard moves to this node.
+        """
+        if shard == NO_SHARD:
             return None
-        service, shard = run.request.service, Shard(run.shard)
-        refusal = refusal_of(self._ownership.permit(service, shard))
+        service = request.service
+        refusal = refusal_of(self._ownership.permit(service, Shard(shard)))
         if refusal is None or refusal.reason is not RefusalReason.MOVING:
             return refusal
         waited = await self._ownership.wait_permit(
-            service, shard, deadline_s=run.request.deadline_s
+            service, Shard(shard), deadline_s=request.deadline_s
         )
         return refusal_of(waited)
 
--- a/verbenadeck/fleet/_ownership.py
+++ b/verbenadeck/fleet/_ownership.py
@@ -1,8 +1,13 @@
 """Ownership of the shards of all services."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from verbenadeck.fleet._shard_table import ShardTable
+from verbenadeck.fleet._snapshot import (
+    TableSnapshot,
+    table_of,
+    table_snapshot,
+)
 from verbenadeck.fleet._view import Member, MemberState, ShardView
 from verbenadeck.model import (
     NO_FENCE,
@@ -72,6 +77,19 @@
             if service not in self.tables:
                 self.tables[service] = ShardTable(policy.shard_count)
 
+    def snapshots(self) -> tuple[TableSnapshot, ...]:
+        """Return the encoded form of all tables."""
+        return tuple(
+            table_snapshot(service, table)
+            for service, table in self.tables.items()
+        )
+
+    def load(self, snapshots: Iterable[TableSnapshot]) -> None:
+        """Replace all tables."""
+        self.tables = {
+            snapshot.service: table_of(snapshot) for snapshot in snapshots
+        }
+
     def assign(
         self, offset: Offset, record: Assign, live: _FindMember
     ) -> list[Verdict]:
@@ -91,17 +109,32 @@
         for table in self.tables.values():
             table.settle(incarnation)
 
-    def owned_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
-        """Yield the ranges that a member is the named owner of."""
-        for service, table in self.tables.items():
+    def owned_by(
+        self, incarnation: Incarnation, service: ServiceName | None
+    ) -> Iterator[ReleasedRange]:
+        """Yield the ranges that a member is the named owner of.
+
+        None stands for a member that is no longer known: all services.
+        """
+        for name, table in self._tables_of(service):
             for first, stop in table.owned_runs(incarnation):
-                yield ReleasedRange(service, first, stop)
+                yield ReleasedRange(name, first, stop)
 
-    def held_by(self, incarnation: Incarnation) -> Iterator[ReleasedRange]:
+    def held_by(
+        self, incarnation: Incarnation, service: ServiceName | None
+    ) -> Iterator[ReleasedRange]:
         """Yield the ranges that a member owned and has not released."""
-        for service, table in self.tables.items():
+        for name, table in self._tables_of(service):
             for first, stop in table.held_runs(incarnation):
-                yield ReleasedRange(service, first, stop)
+                yield ReleasedRange(name, first, stop)
+
+    def _tables_of(
+        self, service: ServiceName | None
+    ) -> Iterable[tuple[ServiceName, ShardTable]]:
+        if service is None:
+            return self.tables.items()
+        table = self.tables.get(service)
+        return () if table is None else ((service, table),)
 
     def _move(
         self, offset: Offset, move: ShardMove, live: _FindMember
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -14,6 +14,7 @@
 from verbenadeck.membership._heartbeats import Heartbeats
 from verbenadeck.membership._predecessors import predecessors
 from verbenadeck.membership._renewals import Renewals
+from verbenadeck.membership._successors import has_successor
 from verbenadeck.membership._timing import LeaseTiming
 from verbenadeck.membership._witness_choice import (
     candidates_for,
@@ -160,6 +161,8 @@
                 await self._propose(record)
             if not any(fleet.owned_by(own)) and not any(fleet.held_by(own)):
                 return True
+            if not has_successor(fleet, self._describe().service):
+                return False
             await asyncio.sleep(_LEAVE_POLL_S)
         return self.member is None
 
@@ -230,8 +233,10 @@
                 self._keeper.maintain(member)
                 wanted = self._keeper.asked(member)
                 is_beat = tick % _TICKS_PER_HEARTBEAT == 0
-                # A new witness is asked at once.
-                self._heartbeats.send(wanted if is_beat else wanted - asked)
+                # A new witness is asked at once, a silent one more often:
+                # one lost datagram must not cost a whole interval.
+                early = (wanted - asked) | self._heartbeats.silent(wanted)
+                self._heartbeats.send(wanted if is_beat else early)
                 asked = wanted
             tick += 1
             await asyncio.sleep(tick_s)
