Hold a slot on every way out of a send and log cuts of the limit

An adapter that raised kept the slot for good; now it is held for a while as after any run without an answer. Shards that open before the upstream has announced itself count as taken over too.

--- a/verbenadeck/door/_handover.py
+++ b/verbenadeck/door/_handover.py
@@ -70,25 +70,33 @@
         shards = self._own(moved)
         self._gate.closed.difference_update(shards)
         if entries is None:
-            self._take_over(shards)
+            self._take_over(moved)
         elif entries:
-            self._take(msgspec.msgpack.decode(entries, type=_Exported))
+            exported = msgspec.msgpack.decode(entries, type=_Exported)
+            self._take(moved, exported)
         _log.info(
             'opened {} shards, {}',
             len(shards),
             'ledger lost' if entries is None else 'ledger handed over',
         )
 
-    def _take_over(self, shards: frozenset[int]) -> None:
-        service = self._gate.service
-        if service is not None:
-            self._takeovers.open(service, shards, keep_s=self._parts.keep_s())
+    def _take_over(self, moved: tuple[ReleasedRange, ...]) -> None:
+        keep_s = self._parts.keep_s()
+        for one in moved:
+            self._takeovers.open(one.service, self._own((one,)), keep_s=keep_s)
 
-    def _take(self, exported: _Exported) -> None:
-        now_s = self._clock.now_s()
-        self._ledger.load(exported.entries, now_s=now_s)
-        if self._gate.service is not None:
-            self._takeovers.load(self._gate.service, exported.takeovers)
+    def _take(
+        self, moved: tuple[ReleasedRange, ...], exported: _Exported
+    ) -> None:
+        self._ledger.load(exported.entries, now_s=self._clock.now_s())
+        for one in moved:
+            shards = self._own((one,))
+            kept = [
+                takeover
+                for takeover in exported.takeovers
+                if takeover.shard in shards
+            ]
+            self._takeovers.load(one.service, kept)
 
     async def _wait_idle(
         self, shards: frozenset[int], deadline_s: float
@@ -106,6 +114,6 @@
         return frozenset(
             shard
             for one in moved
-            if one.service == self._gate.service
+            if self._gate.service in {None, one.service}
             for shard in range(one.first_shard, one.stop_shard)
         )
--- a/verbenadeck/door/_sender.py
+++ b/verbenadeck/door/_sender.py
@@ -15,6 +15,7 @@
 from verbenadeck.door._limit import ConcurrencyLimit
 from verbenadeck.door._runs import Run
 from verbenadeck.door._slots import SlotQueue
+from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     Answer,
     AnswerResult,
@@ -24,6 +25,8 @@
 )
 from verbenadeck.utils import Clock
 
+_decide = decision_log('door')
+
 _LEAST_HOLD_S = 0.2
 _MOST_HOLD_S = 5.0
 _HOLD_RATIO = 2.0
@@ -90,12 +93,13 @@
         """Send an order and give back the slot of its run."""
         run.is_sent = True
         run.sent_at_s = self._clock.now_s()
+        result: Result[Answer, UpstreamError] | None = None
         try:
             result = await self._exchange(run, order)
-        except asyncio.CancelledError:
-            self._hold_slot()
-            self.cancel(run)
-            raise
+        finally:
+            if result is None:
+                self._hold_slot()
+                self.cancel(run)
         match result:
             case Success(answer):
                 return self._on_answer(run, answer)
@@ -142,9 +146,7 @@
     def _on_error(self, run: Run, error: UpstreamError) -> AnswerResult:
         now_s = self._clock.now_s()
         if error.failure in _OVERLOADS:
-            self._limit.shed(
-                error.bearable, sent_at_s=run.sent_at_s, now_s=now_s
-            )
+            self._on_overload(run, error, now_s)
         if error.failure is UpstreamFailure.BROKEN:
             self._hold_slot()
             if now_s < run.request.deadline_s:
@@ -156,6 +158,19 @@
             Refusal(outcome, reason, error.retry_after_s, error.detail)
         )
 
+    def _on_overload(
+        self, run: Run, error: UpstreamError, now_s: float
+    ) -> None:
+        before = self._limit.limit
+        self._limit.shed(error.bearable, sent_at_s=run.sent_at_s, now_s=now_s)
+        if self._limit.limit != before:
+            _decide(
+                'limit {} in place of {}: the upstream {}',
+                self._limit.limit,
+                before,
+                error.detail,
+            )
+
     def _hold_slot(self) -> None:
         hold_s = _HOLD_RATIO * self._limit.service_time_s
         hold_s = min(_MOST_HOLD_S, max(_LEAST_HOLD_S, hold_s))
--- a/verbenadeck/door/tests/fakes.py
+++ b/verbenadeck/door/tests/fakes.py
@@ -91,6 +91,7 @@
         self.random = random.Random(seed)
         self.reported_bearable: Callable[[], int] = lambda: self.bearable
         self.is_silent = False
+        self.raises = False
         self.sheds_above: int | None = None
         self.sheds_with_hint = True
         self.is_connected = True
@@ -138,6 +139,8 @@
             self.bearable = bearable
 
     async def send(self, order: Order) -> Result[Answer, UpstreamError]:
+        if self.raises:
+            raise RuntimeError('broken invariant')
         if not self.is_connected:
             return Failure(UpstreamError(UpstreamFailure.NOT_SENT, 'down'))
         if self._is_shedding():
--- a/verbenadeck/door/tests/test_deadlines.py
+++ b/verbenadeck/door/tests/test_deadlines.py
@@ -210,3 +210,17 @@
         assert await admit(node, request) == answered(request)
 
     run_virtual(scenario())
+
+
+def test_an_upstream_that_raises_costs_no_slot_for_good() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(FakeUpstream(slots=1))
+        node.upstream.raises = True
+        with pytest.raises(RuntimeError):
+            await admit(node, make_request())
+        node.upstream.raises = False
+        request = make_request()
+        assert await admit(node, request) == answered(request)
+
+    run_virtual(scenario())
