--- a/verbenadeck/router/_hedges.py
+++ b/verbenadeck/router/_hedges.py
@@ -8,13 +8,14 @@
 
 from verbenadeck.model import AnswerResult
 
-_MOST_HEDGES = 2
+_MOST_ATTEMPTS = 3
 
 Send = Callable[[], Coroutine[Any, Any, AnswerResult]]
+Another = Callable[[], Send | None]
 
 
 async def send_hedged(
-    first: Send, another: Callable[[], Send | None], *, delay_s: float
+    first: Send, another: Another, *, delay_s: float
 ) -> AnswerResult:
     """Return the first answer of a few attempts.
 
@@ -28,34 +29,60 @@
         Time in seconds after which the second attempt starts; the next
         one waits for twice as long.
     """
-    attempts = {asyncio.create_task(first())}
+    race = _Race(another)
+    race.launch(first)
+    race.schedule(delay_s)
     try:
-        for _ in range(_MOST_HEDGES):
-            done, _ = await asyncio.wait(
-                attempts,
-                timeout=delay_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            hedge = None if done else another()
-            if hedge is None:
-                break
-            attempts.add(asyncio.create_task(hedge()))
-            delay_s *= 2
-        return await _first_answer(attempts)
+        return await race.settled
     finally:
-        for attempt in attempts:
-            attempt.cancel()
+        race.close()
 
 
-async def _first_answer(
-    attempts: set[asyncio.Task[AnswerResult]],
-) -> AnswerResult:
-    waiting = attempts
-    while True:
-        done, waiting = await asyncio.wait(
-            waiting, return_when=asyncio.FIRST_COMPLETED
-        )
-        results = [attempt.result() for attempt in done]
-        for result in results:
-            if isinstance(result, Success) or not waiting:
-                return result
+class _Race:
+    """Attempts of which the first answer counts."""
+
+    def __init__(self, another: Another) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._another = another
+        self._running: set[asyncio.Task[AnswerResult]] = set()
+        self._launched = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self.settled: asyncio.Future[AnswerResult] = self._loop.create_future()
+
+    def launch(self, send: Send) -> None:
+        """Start an attempt."""
+        self._launched += 1
+        task = self._loop.create_task(send())
+        self._running.add(task)
+        task.add_done_callback(self._finish)
+
+    def schedule(self, delay_s: float) -> None:
+        """Start one more attempt after a delay."""
+        self._timer = self._loop.call_later(delay_s, self._hedge, delay_s)
+
+    def close(self) -> None:
+        """Cancel what has not answered."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._running:
+            task.cancel()
+
+    def _hedge(self, delay_s: float) -> None:
+        send = None if self.settled.done() else self._another()
+        if send is None:
+            return
+        self.launch(send)
+        if self._launched < _MOST_ATTEMPTS:
+            self.schedule(2 * delay_s)
+
+    def _finish(self, task: asyncio.Task[AnswerResult]) -> None:
+        self._running.discard(task)
+        if task.cancelled() or self.settled.done():
+            return
+        error = task.exception()
+        if error is not None:
+            self.settled.set_exception(error)
+            return
+        result = task.result()
+        if isinstance(result, Success) or not self._running:
+            self.settled.set_result(result)
