Keep the demo's callers from catching up in a burst

On a saturated machine (18 to 21 runnable processes on 10 cores) callers that fell behind sent all missed calls at once, overloaded their own process and stayed so: 3,353 of 16,616 calls answered while every door stood idle.

--- a/verbenadeck/demo/_load.py
+++ b/verbenadeck/demo/_load.py
@@ -20,6 +20,7 @@
 _IMPATIENT_SHARE = 0.25
 _OPAQUE_SHARE = 0.25
 _ID_BITS = 128
+_CATCH_UP_S = 0.1
 
 
 class Load:
@@ -39,6 +40,13 @@
         Boot clock.
     source : random.Random
         Source of keys.
+
+    Attributes
+    ----------
+    longest_lag_s : float
+        Longest time by which the callers themselves were late. Beyond a
+        short time they skip calls, since a burst to catch up would overload
+        this process, and then the upstreams look slow.
     """
 
     def __init__(
@@ -53,6 +61,7 @@
         self._caller = caller
         self._clock = clock
         self._random = source
+        self.longest_lag_s = 0.0
         self._is_on = True
         self._calls: set[asyncio.Task[None]] = set()
         self._streams: list[asyncio.Task[None]] = []
@@ -82,6 +91,11 @@
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
             next_s += period_s
+            late_s = self._clock.now_s() - next_s
+            self.longest_lag_s = max(self.longest_lag_s, late_s)
+            if late_s > _CATCH_UP_S:
+                next_s += late_s
+            await asyncio.sleep(0)
             await self._clock.sleep_until(next_s)
 
     def _probe(self, index: int) -> Call:
--- a/verbenadeck/demo/_report.py
+++ b/verbenadeck/demo/_report.py
@@ -12,6 +12,15 @@
 _LOWEST_US = 1
 _HIGHEST_US = 60_000_000
 _DIGITS = 3
+_COLUMNS = (
+    'unavail. s',
+    'p50 ms',
+    'p99 ms',
+    'p99.9',
+    'unknown',
+    'not-run',
+    'shards',
+)
 
 
 class Latency(msgspec.Struct, frozen=True):
@@ -74,6 +83,8 @@
         Latency of all answered calls.
     imbalance : dict of str to float
         Runs of the busiest upstream over the mean, by service, while calm.
+    caller_lag_s : float
+        Longest time by which the callers themselves were late.
     machine_load : float
         Mean number of runnable processes per core at the end; above 1 the
         times tell of the machine besides.
@@ -94,6 +105,7 @@
     phases: tuple[Phase, ...]
     latency: Latency
     imbalance: dict[str, float]
+    caller_lag_s: float
     machine_load: float
     errors: tuple[str, ...]
 
@@ -126,6 +138,13 @@
 
 def _lines(report: SiteReport) -> Iterator[str]:
     yield f'{report.site}'
+    yield from _outcome_lines(report)
+    yield from (_phase_row(phase.name, phase) for phase in report.phases)
+    yield from _measure_lines(report)
+    yield from (f'  ERROR {error}' for error in report.errors)
+
+
+def _outcome_lines(report: SiteReport) -> Iterator[str]:
     yield f'  requests {report.requests}, deposits {report.deposits}'
     yield f'  answered {report.answers}, attempts {report.attempts}'
     yield f'  ends of calls: {_pairs(report.finals)}'
@@ -135,22 +154,14 @@
         yield f'  promise {promise}: {verdict}'
     yield f'  unknown deposits: {_pairs(report.unknown_by_id)}'
     yield f'  not-run after a lost attempt that ran: {report.resent_not_run}'
-    yield _row(
-        'phase',
-        'unavail. s',
-        'p50 ms',
-        'p99 ms',
-        'p99.9',
-        'unknown',
-        'not-run',
-        'shards',
-    )
-    for phase in report.phases:
-        yield _phase_row(phase.name, phase)
+    yield _row('phase', *_COLUMNS)
+
+
+def _measure_lines(report: SiteReport) -> Iterator[str]:
     yield f'  latency of all: {_latency_text(report.latency)}'
     yield f'  imbalance while calm: {_pairs(report.imbalance)}'
+    yield f'  callers themselves late by at most: {report.caller_lag_s:.2f} s'
     yield f'  processes that want a core, per core: {report.machine_load}'
-    yield from (f'  ERROR {error}' for error in report.errors)
 
 
 def _phase_row(name: str, phase: Phase) -> str:
--- a/verbenadeck/demo/_session.py
+++ b/verbenadeck/demo/_session.py
@@ -104,10 +104,13 @@
         finally:
             await load.stop()
             await caller.close()
-        return await self._gather(fleet, caller.records)
+        return await self._gather(fleet, caller.records, load.longest_lag_s)
 
     async def _gather(
-        self, fleet: SiteFleet, records: list[CallRecord]
+        self,
+        fleet: SiteFleet,
+        records: list[CallRecord],
+        caller_lag_s: float,
     ) -> SiteReport:
         ended = fleet.ended_nodes()
         self._errors.extend(f'{name} ended by itself' for name in ended)
@@ -123,6 +126,7 @@
                 runs=tuple(one.report for one in placed),
                 serving=tuple(serving),
                 stretches=tuple(self._stretches),
+                caller_lag_s=caller_lag_s,
                 errors=tuple(self._errors),
             )
         )
--- a/verbenadeck/demo/_summary.py
+++ b/verbenadeck/demo/_summary.py
@@ -59,6 +59,8 @@
         When it ran, by upstream.
     stretches : tuple of Stretch
         Stretches in order.
+    caller_lag_s : float
+        Longest time by which the callers themselves were late.
     errors : tuple of str
         What went wrong in the demo itself.
     """
@@ -68,6 +70,7 @@
     runs: tuple[RunsReport, ...]
     serving: tuple[ServingReport, ...]
     stretches: tuple[Stretch, ...]
+    caller_lag_s: float
     errors: tuple[str, ...]
 
 
@@ -95,6 +98,7 @@
         phases=tuple(_phase(records, one) for one in evidence.stretches),
         latency=latency_of(records),
         imbalance=imbalance,
+        caller_lag_s=evidence.caller_lag_s,
         machine_load=_machine_load(),
         errors=evidence.errors,
     )
--- a/verbenadeck/demo/tests/test_oracle.py
+++ b/verbenadeck/demo/tests/test_oracle.py
@@ -125,6 +125,7 @@
         runs=(build_runs(a=1),),
         serving=(),
         stretches=(Stretch('calm', start_s=0, end_s=1),),
+        caller_lag_s=0,
         errors=(),
     )
     assert summarise(evidence).is_good
