Take signals before a stand-in prints its address

A test of the process group failed once on a busy machine: the stand-in printed its address before it handled SIGTERM, so a signal right after the line killed it with status -15.

--- a/verbenadeck/standins/__init__.py
+++ b/verbenadeck/standins/__init__.py
@@ -10,8 +10,8 @@
     Started,
     announce_listening,
     crash,
+    end_event,
     start_app,
-    wait_for_end,
 )
 from verbenadeck.standins._upstream_options import (
     EchoBody,
@@ -56,8 +56,8 @@
     'announce_listening',
     'crash',
     'echo_digest',
+    'end_event',
     'make_log_app',
     'make_upstream_app',
     'start_app',
-    'wait_for_end',
 )
--- a/verbenadeck/standins/__main__.py
+++ b/verbenadeck/standins/__main__.py
@@ -19,10 +19,10 @@
     announce_for_ever,
     announce_listening,
     crash,
+    end_event,
     make_log_app,
     make_upstream_app,
     start_app,
-    wait_for_end,
 )
 from verbenadeck.utils import Clock
 
@@ -57,8 +57,9 @@
     started = await start_app(
         make_log_app(store), host=_HOST.value, port=_PORT.value
     )
+    ended = end_event(_LIFETIME_S.value)
     announce_listening(started.listening)
-    await wait_for_end(_LIFETIME_S.value)
+    await ended.wait()
     await started.runner.cleanup()
 
 
@@ -68,6 +69,7 @@
     started = await start_app(
         make_upstream_app(state, clock), host=_HOST.value, port=_PORT.value
     )
+    ended = end_event(_LIFETIME_S.value)
     announce_listening(started.listening)
     announcing = asyncio.ensure_future(
         announce_for_ever(
@@ -77,7 +79,7 @@
             port=started.listening.port,
         )
     )
-    await wait_for_end(_LIFETIME_S.value)
+    await ended.wait()
     announcing.cancel()
     await started.runner.cleanup()
 
--- a/verbenadeck/standins/_serving.py
+++ b/verbenadeck/standins/_serving.py
@@ -56,14 +56,17 @@
     sys.stdout.flush()
 
 
-async def wait_for_end(lifetime_s: float) -> None:
-    """Wait for SIGTERM, SIGINT or the end of the lifetime."""
+def end_event(lifetime_s: float) -> asyncio.Event:
+    """Return an event set by SIGTERM, SIGINT or the end of the lifetime.
+
+    Taken before the address is printed: who reads it may send a signal.
+    """
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.call_later(lifetime_s, ended.set)
-    await ended.wait()
+    return ended
 
 
 def crash() -> None:
