--- a/verbenadeck/demo/_summary.py
+++ b/verbenadeck/demo/_summary.py
@@ -1,5 +1,6 @@
 """From the evidence of a session to its report."""
 
+import os
 from collections import Counter
 
 import msgspec
@@ -58,6 +59,8 @@
         When it ran, by upstream.
     stretches : tuple of Stretch
         Stretches in order.
+    caller_lag_s : float
+        Longest time by which the callers themselves were late.
     errors : tuple of str
         What went wrong in the demo itself.
     """
@@ -67,6 +70,7 @@
     runs: tuple[RunsReport, ...]
     serving: tuple[ServingReport, ...]
     stretches: tuple[Stretch, ...]
+    caller_lag_s: float
     errors: tuple[str, ...]
 
 
@@ -94,10 +98,17 @@
         phases=tuple(_phase(records, one) for one in evidence.stretches),
         latency=latency_of(records),
         imbalance=imbalance,
+        caller_lag_s=evidence.caller_lag_s,
+        machine_load=_machine_load(),
         errors=evidence.errors,
     )
 
 
+def _machine_load() -> float:
+    one_minute = os.getloadavg()[0]
+    return round(one_minute / (os.cpu_count() or 1), 2)
+
+
 def finals_of(records: list[CallRecord]) -> dict[str, int]:
     """Return the ends of calls."""
     return dict(Counter(record.final.value for record in records))
