--- a/verbenadeck/metrics/__init__.py
+++ b/verbenadeck/metrics/__init__.py
@@ -1,8 +1,8 @@
 """Metrics: counters, latency histograms and their text format."""
 
 from verbenadeck.metrics._exposition import CONTENT_TYPE, make_exposition
+from verbenadeck.metrics._latency import Latency
 from verbenadeck.metrics._registry import (
-    Latency,
     LatencyLabels,
     Metrics,
     OutcomeLabel,
--- a/verbenadeck/metrics/_exposition.py
+++ b/verbenadeck/metrics/_exposition.py
@@ -80,13 +80,10 @@
         family = Metric(_LATENCY, "Time of callers' requests.", 'summary')
         for series, latency in self._metrics.latencies.items():
             labels = dict(zip(LatencyLabels._fields, series, strict=True))
-            for quantile in _QUANTILES:
+            found_s = latency.quantiles_s(_QUANTILES)
+            for quantile, level_s in zip(_QUANTILES, found_s, strict=True):
                 quantile_label = {'quantile': str(quantile)}
-                family.add_sample(
-                    _LATENCY,
-                    labels | quantile_label,
-                    latency.quantile_s(quantile),
-                )
+                family.add_sample(_LATENCY, labels | quantile_label, level_s)
             family.add_sample(f'{_LATENCY}_count', labels, latency.count)
             family.add_sample(f'{_LATENCY}_sum', labels, latency.sum_s)
         return family
--- a/verbenadeck/metrics/_registry.py
+++ b/verbenadeck/metrics/_registry.py
@@ -4,15 +4,12 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from hdrh.histogram import HdrHistogram
 from returns.result import Success
 
+from verbenadeck.metrics._latency import Latency
 from verbenadeck.model import AnswerResult, Refusal, ServiceName, Zone
+from verbenadeck.utils import Clock
 
-_LOWEST_US = 1
-_HIGHEST_US = 600_000_000
-_SIGNIFICANT_DIGITS = 2
-_US_PER_S = 1_000_000
 _MAX_SERVICES = 32
 _MAX_NAMES = 256
 _NAME = re.compile('[a-z][a-z0-9_]{0,80}')
@@ -46,43 +43,6 @@
     reason: str
 
 
-class Latency:
-    """Latency histogram from a microsecond to ten minutes, to 1%."""
-
-    def __init__(self) -> None:
-        self._histogram = HdrHistogram(
-            _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
-        )
-        self.sum_s = 0.0
-
-    def record(self, latency_s: float) -> None:
-        """Count one latency; times out of range count at the limit."""
-        latency_us = int(latency_s * _US_PER_S)
-        bounded_us = min(max(latency_us, _LOWEST_US), _HIGHEST_US)
-        self._histogram.record_value(bounded_us)
-        self.sum_s += latency_s
-
-    @property
-    def count(self) -> int:
-        """Number of recorded latencies."""
-        return int(self._histogram.total_count)
-
-    def quantile_s(self, quantile: float) -> float:
-        """Return a quantile in seconds, 0 when nothing was recorded.
-
-        Examples
-        --------
-        >>> latency = Latency()
-        >>> for latency_ms in range(1, 101):
-        ...     latency.record(latency_ms / 1000)
-        >>> round(latency.quantile_s(0.5), 3)
-        0.05
-        """
-        percentile = quantile * 100
-        found_us = self._histogram.get_value_at_percentile(percentile)
-        return float(found_us) / _US_PER_S
-
-
 class Metrics:
     """Metrics of a node.
 
@@ -98,6 +58,8 @@
     known_services : callable
         Returns the names of the configured services; a request that names
         another one is counted under `other`.
+    clock : Clock or None
+        Clock of the VM, for the window of latencies.
     """
 
     def __init__(
@@ -105,7 +67,9 @@
         *,
         zone: Zone,
         known_services: Callable[[], Collection[ServiceName]],
+        clock: Clock | None = None,
     ) -> None:
+        self._now_s = (clock or Clock()).now_s
         self.requests: dict[RequestLabels, int] = {}
         self.latencies: dict[LatencyLabels, Latency] = {}
         self.counters: dict[str, int] = {}
@@ -125,7 +89,7 @@
         self.requests[labels] = self.requests.get(labels, 0) + 1
         series = LatencyLabels(name, self._zone, label.outcome)
         if series not in self.latencies:
-            self.latencies[series] = Latency()
+            self.latencies[series] = Latency(self._now_s)
         self.latencies[series].record(latency_s)
 
     def count(self, name: str, amount: int = 1) -> None:
--- a/verbenadeck/metrics/tests/test_metrics.py
+++ b/verbenadeck/metrics/tests/test_metrics.py
@@ -4,7 +4,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from returns.result import Failure, Success
 
-from verbenadeck.metrics import Metrics, make_exposition
+from verbenadeck.metrics import Latency, Metrics, make_exposition
 from verbenadeck.model import (
     Answer,
     Outcome,
@@ -93,3 +93,17 @@
 def test_malformed_names_are_refused(name: str) -> None:
     with pytest.raises(ValueError, match='bad metric name'):
         _metrics().count(name)
+
+
+def test_quantiles_follow_the_last_minutes() -> None:
+    clock_s = [0.0]
+    latency = Latency(lambda: clock_s[0])
+    latency.record(1.0)
+    clock_s[0] = 61
+    latency.record(0.01)
+    assert latency.quantiles_s((1,)) == pytest.approx((1,), rel=0.01)
+    clock_s[0] = 122
+    assert latency.quantiles_s((1,)) == pytest.approx((0.01,), rel=0.01)
+    clock_s[0] = 300
+    assert latency.quantiles_s((0.5,)) == (0,)
+    assert (latency.count, latency.sum_s) == pytest.approx((2, 1.01))
