Obey signals from the start and tell that a node is leaving

A SIGTERM right after the ready line found no handler yet and killed the process, which is no planned stop. Handlers are set before the services start now. While the node hands its shards over, /ready answers 503 and the entry tells callers to reconnect elsewhere; before, both looked as usual until the shards were gone (seen with the log down).

--- a/verbenadeck/adapters/_log_http.py
+++ b/verbenadeck/adapters/_log_http.py
@@ -71,7 +71,8 @@
             ) as response:
                 return _page(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return _failed(LogFailure.UNAVAILABLE, f'no answer: {error!r}')
+            kind = type(error).__name__
+            return _failed(LogFailure.UNAVAILABLE, f'no answer, {kind}')
 
     async def close(self) -> None:
         """Close connections."""
--- a/verbenadeck/commands/tests/test_process.py
+++ b/verbenadeck/commands/tests/test_process.py
@@ -70,6 +70,22 @@
     assert 'Traceback' not in errors
 
 
+def test_a_signal_at_the_ready_line_is_a_planned_stop(tmp_path: Path) -> None:
+    path = _write_settings(tmp_path)
+
+    async def scenario() -> tuple[int, str]:
+        process = await _start('node', f'--settings={path}')
+        assert process.stdout is not None
+        await asyncio.wait_for(process.stdout.readline(), _GUARD_S)
+        process.send_signal(signal.SIGTERM)
+        return await _end(process)
+
+    code, errors = asyncio.run(scenario())
+    assert code == ExitCode.DONE
+    assert 'node: planned stop begins' in errors
+    assert 'membership: left' in errors
+
+
 def test_an_unreachable_log_at_start_is_told_and_waited_for(
     tmp_path: Path,
 ) -> None:
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -14,6 +14,7 @@
     stop_node,
 )
 from verbenadeck.node._joining import Joining
+from verbenadeck.node._planned_stop import PlannedStop
 
 __all__ = (
     'MESSAGES',
@@ -21,6 +22,7 @@
     'NodeEdges',
     'NodePlace',
     'NodeReady',
+    'PlannedStop',
     'StartError',
     'build_node',
     'register_core',
--- a/verbenadeck/node/_assembly.py
+++ b/verbenadeck/node/_assembly.py
@@ -42,6 +42,7 @@
     register_core,
 )
 from verbenadeck.node._joining import Joining
+from verbenadeck.node._planned_stop import PlannedStop
 from verbenadeck.peers import PeerAddress, StreamPort
 from verbenadeck.records import NodeJoin
 from verbenadeck.router import DoorRouter
@@ -51,15 +52,15 @@
 _LEASE_SHARE_FRESH = 0.6
 
 
-def build_node(settings: NodeSettings, *, drain: Callable[[], None]) -> Kernel:
+def build_node(settings: NodeSettings, *, stop: PlannedStop) -> Kernel:
     """Return the kernel of a node with all its services registered.
 
     Parameters
     ----------
     settings : NodeSettings
         Settings; ports of 0 take free ones.
-    drain : callable
-        Begins the planned stop of the process.
+    stop : PlannedStop
+        Planned stop of the process.
     """
     kernel = Kernel()
     place = NodePlace(
@@ -84,7 +85,7 @@
         timing=_timing(settings.lease),
     )
     metrics = _make_metrics(kernel, settings)
-    views = _make_views(kernel, settings, joining, upstream, metrics, drain)
+    views = _make_views(kernel, settings, joining, upstream, metrics, stop)
     kernel.register(
         'admin',
         AdminServer(views=views, options=_admin_options(settings)),
@@ -92,7 +93,7 @@
     )
     kernel.register(
         'entry',
-        _make_entry(kernel, settings, edges, metrics),
+        _make_entry(kernel, settings, edges, metrics, stop),
         needs=('router', 'admin'),
     )
     return kernel
@@ -164,7 +165,7 @@
     joining: Joining,
     upstream: AnnouncedUpstream,
     metrics: Metrics,
-    drain: Callable[[], None],
+    stop: PlannedStop,
 ) -> AdminViews:
     journal = kernel.find('journal', LogClient)
     fleet = journal.fleet
@@ -178,6 +179,8 @@
         return upstream_status(announcement.instance, door.load)
 
     def why_unready() -> str:
+        if stop.is_begun():
+            return 'the node is leaving'
         if journal.waits_for:
             return f'waits for {journal.waits_for}'
         if joining.announcement is None:
@@ -211,7 +214,7 @@
         read_metrics=make_exposition(metrics),
         find_owner=find,
         announce=upstream.announce,
-        drain=drain,
+        drain=stop.begin,
     )
 
 
@@ -228,6 +231,7 @@
     settings: NodeSettings,
     edges: NodeEdges,
     metrics: Metrics,
+    stop: PlannedStop,
 ) -> Entry:
     fleet = _fleet(kernel)
     policies = PolicyReader(
@@ -253,7 +257,9 @@
         clock=edges.clock,
         observe=observe,
         owner_hint=make_owner_hint(fleet, vocabulary.write_owner),
-        is_leaving=lambda: settings.zone in fleet.config.zones_out,
+        is_leaving=lambda: (
+            stop.is_begun() or settings.zone in fleet.config.zones_out
+        ),
         options=EntryOptions(
             host=settings.host,
             port=settings.entry_port,
--- a/verbenadeck/node/_daemon.py
+++ b/verbenadeck/node/_daemon.py
@@ -14,6 +14,7 @@
 from verbenadeck.logs import setup_logs
 from verbenadeck.membership import Membership
 from verbenadeck.node._assembly import build_node
+from verbenadeck.node._planned_stop import PlannedStop
 from verbenadeck.peers import StreamPort
 from verbenadeck.settings import NodeSettings
 from verbenadeck.utils import Clock
@@ -59,16 +60,18 @@
         level=settings.logging.level, line_format=settings.logging.format
     )
     stopping = asyncio.Event()
-    kernel = build_node(settings, drain=stopping.set)
+    # A signal that comes during the start is obeyed once it has ended.
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    stop = PlannedStop(begin=stopping.set, is_begun=stopping.is_set)
+    kernel = build_node(settings, stop=stop)
     try:
         await kernel.start()
     except OSError as error:
         await kernel.stop()
         return Failure(StartError(f'{settings.node_id}: {error}'))
     _announce_ready(kernel, settings)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     await stopping.wait()
     await stop_node(kernel, timeout_s=settings.stop_timeout_s)
     writer.flush()
