Gather members before the first assignment

Change: the first assignment waits until nobody has come for 2 s, 6 s at most, and then counts every member. Result: three members that come 0.8 s apart get 5, 5 and 6 of 16 shards; before, one got all 16.

--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -34,6 +34,7 @@
 _log = logger.bind(part='placement')
 _PLANNERS = 3
 _SETTLE_S = 2.0
+_GATHER_S = 6.0
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
 _BALANCE_DELAY_S = 10.0
@@ -139,15 +140,14 @@
         members = serving_members(fleet, service)
         owners = fleet.owners(service)
         named = set(owners)
+        is_first = named == {NO_MEMBER}
+        if is_first and self._is_gathering(members):
+            return Plan({}, {})
         weights = weights_of(
             members,
-            is_settled=self._is_settled,
+            is_settled=lambda each: is_first or self._is_settled(each),
             is_owner=named.__contains__,
         )
-        # Before the first assignment the members that start together are
-        # waited for.
-        if named == {NO_MEMBER} and not any(map(self._is_settled, members)):
-            return Plan({}, {})
         moves_per_minute = fleet.config.moves_per_minute
         budget = self._budget.refill(moves_per_minute)
         return make_plan(
@@ -160,6 +160,15 @@
             )
         )
 
+    def _is_gathering(self, members: list[Member]) -> bool:
+        """Return whether members that start together are still coming."""
+        now_s = self._clock.now_s()
+        seen_s = [self._seen_s.get(one.incarnation, now_s) for one in members]
+        newest_s = max(seen_s, default=now_s)
+        oldest_s = min(seen_s, default=now_s)
+        is_quiet = now_s - newest_s > _SETTLE_S
+        return not is_quiet and now_s - oldest_s <= _GATHER_S
+
     def _is_settled(self, member: Member) -> bool:
         seen_s = self._seen_s.get(member.incarnation, math.inf)
         return self._clock.now_s() - seen_s > _SETTLE_S
--- /dev/null
+++ b/verbenadeck/placement/tests/test_first_assignment.py
@@ -0,0 +1,24 @@
+"""First assignment to members that do not start at one moment."""
+
+import asyncio
+from collections import Counter
+
+from verbenadeck.lease.tests.builders import owner_of, zoned_specs
+from verbenadeck.testing import VirtualFleet, run_processes
+
+_SHARDS = 16
+_APART_S = 0.8
+
+
+def test_members_that_come_a_little_later_get_their_part() -> None:
+    async def main() -> None:
+        specs = zoned_specs(1, 1, 1)
+        async with VirtualFleet(specs[:1], shard_count=_SHARDS) as fleet:
+            for spec in specs[1:]:
+                await asyncio.sleep(_APART_S)
+                await fleet.add(spec)
+            await fleet.until(fleet.is_served)
+            shares = Counter(owner_of(fleet, shard) for shard in range(_SHARDS))
+        assert sorted(shares.values()) == [5, 5, 6]
+
+    run_processes(main())
--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -112,6 +112,11 @@
             raise ValueError('the document was refused')
         self.document = document
 
+    async def add(self, spec: NodeSpec) -> None:
+        """Start one more node."""
+        self.nodes[spec.name] = self._make(spec)
+        await self.nodes[spec.name].start()
+
     async def restart(self, name: NodeId, *, is_same_vm: bool = True) -> None:
         """Start a killed node again, with or without its upstream."""
         old = self.nodes[name]
