--- a/verbenadeck/placement/tests/test_first_assignment.py
+++ b/verbenadeck/placement/tests/test_first_assignment.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections import Counter
 
-from verbenadeck.lease.tests.builders import owner_of, zoned_specs
-from verbenadeck.testing import VirtualFleet, run_processes
+from verbenadeck.lease.tests.builders import owner_of
+from verbenadeck.testing import VirtualFleet, run_processes, zoned_specs
 
 _SHARDS = 16
 _APART_S = 0.8
