--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -52,7 +52,7 @@
         traffic.count(message)
         notify(port, peer, message)
 
-    ProcessPort.notify = counted  # type: ignore[method-assign]
+    ProcessPort.notify = counted  # type: ignore[method-assign, assignment]
 
 
 async def _measure(size: int, traffic: _Traffic) -> dict[str, float]:
