--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -43,6 +43,8 @@
         Policy of the service; the shard count is set in it.
     timing : LeaseTiming or None
         Times of the lease protocol.
+    is_watched : bool
+        Whether the oracle looks.
     """
 
     def __init__(
@@ -53,15 +55,17 @@
         seed: int = 1,
         document: ConfigDocument | None = None,
         timing: LeaseTiming | None = None,
+        is_watched: bool = True,
     ) -> None:
         self.log = MemoryLog()
         self.network = FakeNetwork(seed=seed)
         self.shard_count = shard_count
         self.violations: list[str] = []
         self._seed = seed
+        self._is_watched = is_watched
         self._lives = 0
         self._timing = timing
-        self._document = document or keyed_document(shard_count)
+        self.document = document or keyed_document(shard_count)
         self.nodes: dict[NodeId, FleetNode] = {}
         for spec in specs:
             self.nodes[spec.name] = self._make(spec)
@@ -71,7 +75,7 @@
         self._oracle = asyncio.ensure_future(self._watch())
         for node in self.nodes.values():
             await node.start()
-        await self.publish(self._document)
+        await self.publish(self.document)
         return self
 
     async def __aexit__(self, kind: object, *_rest: object) -> None:
@@ -92,7 +96,10 @@
 
     async def publish(self, document: ConfigDocument) -> None:
         """Publish a configuration through any running node."""
-        node = next(each for each in self.nodes.values() if each.is_running)
+        running = [each for each in self.nodes.values() if each.is_running]
+        if not running:
+            raise ValueError('no node runs')
+        node = running[0]
         record = ConfigPublished(
             ConfigVersion(node.journal.fleet.config_version),
             encode_document(document),
@@ -103,7 +110,7 @@
         )
         if outcome.unwrap().verdict is not Verdict.ACCEPTED:
             raise ValueError('the document was refused')
-        self._document = document
+        self.document = document
 
     async def restart(self, name: NodeId, *, is_same_vm: bool = True) -> None:
         """Start a killed node again, with or without its upstream."""
@@ -157,7 +164,7 @@
         )
 
     async def _watch(self) -> None:
-        while True:
+        while self._is_watched:
             self._look()
             await asyncio.sleep(_ORACLE_S)
 
