Test the end of a call without a race against the dial

Cause: under load the dial took longer than the 10 ms deadline, so the call failed as not sent and the test with it. Change: a first call sets up the connection; the door answers the second call only after it ended.

--- a/verbenadeck/peers/tests/test_streams.py
+++ b/verbenadeck/peers/tests/test_streams.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from returns.pipeline import is_successful
 
 from verbenadeck.peers import PeerAddress, PeerFailure, PeerOptions
 from verbenadeck.peers._frames import (
@@ -24,7 +23,7 @@
     soon_s,
     started,
 )
-from verbenadeck.utils import pack
+from verbenadeck.utils import Clock, pack
 
 _LONG_BYTES = 1_000_000
 
@@ -274,17 +273,22 @@
 def test_a_call_ends_at_its_deadline() -> None:
     async def scenario() -> None:
         entry, door = make_port(), make_port()
+        may_answer = asyncio.Event()
 
-        async def answer(_peer: PeerAddress, _ask: Ask) -> Tell:
-            await asyncio.sleep(0.2)
-            return Tell(0)
+        async def answer(_peer: PeerAddress, ask: Ask) -> Tell:
+            if ask.number:
+                await may_answer.wait()
+            return Tell(ask.number)
 
         door.handle(Ask, answer)
         async with started(entry, door):
-            reply = await entry.call(
-                door.address, Ask(1), deadline_s=soon_s() - 29.99
+            # The first call sets up the connection.
+            first = await entry.call(door.address, Ask(0), deadline_s=soon_s())
+            late = await entry.call(
+                door.address, Ask(1), deadline_s=Clock().now_s() + 0.01
             )
-        assert not is_successful(reply)
-        assert reply.failure().failure is PeerFailure.NO_REPLY
+            may_answer.set()
+        assert first.unwrap() == Tell(0)
+        assert late.failure().failure is PeerFailure.NO_REPLY
 
     asyncio.run(scenario())
