Compare the logs of whole sessions with golden files

Cause: tests looked at single outcomes; a change in the order or number of decisions of a whole session went unseen.

'make golden' writes the files anew.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: setup format lint types unit test demo fuzz bench clean
+.PHONY: setup format lint types unit test demo fuzz bench clean golden
 
 setup: $(VENV)/.verbenadeck-$(shell cksum < requirements/lock.txt | cut -d' ' -f1)
 
@@ -28,6 +28,9 @@
 unit: setup
 	$(PY) -m pytest -n 6
 
+golden: setup
+	$(PY) -m verbenadeck.testing.tests.sessions
+
 test: lint types unit
 
 demo: setup
--- a/verbenadeck/testing/_process.py
+++ b/verbenadeck/testing/_process.py
@@ -162,3 +162,8 @@
     if process is not None:
         process.adopt(task)
     return task
+
+
+def current_process() -> VirtualProcess | None:
+    """Return the process whose code runs now, None outside of any."""
+    return _current.get()
