Say not-run of a resent deposit only when its ledger judged it

Cause: a deposit whose answer was lost had run; its resend, refused before it reached the owner's ledger, was told not-run (up to 5 deposits in a run of the demo on a saturated machine). True of the send, false of the deposit. Change: a non-repeatable request that comes with a request id is refused as unknown, unless the refusal comes from the ledger's judgement or the caller says that no earlier send can have run (Verbenadeck-New). The client library says so while none of its sends may have run. Ruled out: remembering ids at the entry, as a resend may take another one.

--- a/verbenadeck/adapters/_caller_calls.py
+++ b/verbenadeck/adapters/_caller_calls.py
@@ -10,6 +10,7 @@
     DEADLINE_HEADER,
     IDEMPOTENCY_HEADER,
     KEY_HEADER,
+    NEW_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     REPEATABLE_HEADER,
@@ -53,6 +54,8 @@
         Override of what the method implies.
     headers : tuple of (str, str)
         End-to-end headers.
+    is_new : bool
+        Whether no earlier send of the request id can have run.
     """
 
     service: ServiceName
@@ -62,6 +65,7 @@
     key: str | None = None
     is_repeatable: bool | None = None
     headers: Headers = ()
+    is_new: bool = False
 
 
 class OwnerHint(msgspec.Struct, frozen=True):
@@ -102,6 +106,8 @@
         own[KEY_HEADER] = call.key
     if call.is_repeatable is not None:
         own[REPEATABLE_HEADER] = str(call.is_repeatable).lower()
+    if call.is_new:
+        own[NEW_HEADER] = 'true'
     if not all(_is_header_text(text) for text in own.values()):
         return _bad_call('key or request id does not fit into a header')
     headers = (*end_to_end(call.headers), *own.items())
--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -19,6 +19,7 @@
 
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 REPEATABLE_HEADER = 'Verbenadeck-Repeatable'
+NEW_HEADER = 'Verbenadeck-New'
 KEY_HEADER = 'Verbenadeck-Key'
 DEADLINE_HEADER = 'Verbenadeck-Deadline-Ms'
 REQUEST_ID_HEADER = 'Verbenadeck-Request-Id'
@@ -70,6 +71,9 @@
         Time that the caller will wait, when it said so.
     headers : tuple of (str, str)
         Headers that go on to the upstream.
+    is_new : bool
+        Whether no earlier send of the same request id can have run: the
+        caller says so, or it sent no request id.
     """
 
     service: ServiceName
@@ -79,6 +83,7 @@
     is_repeatable: bool | None
     timeout_s: float | None
     headers: Headers
+    is_new: bool = False
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
@@ -125,6 +130,7 @@
                 own.get(REPEATABLE_HEADER.lower(), '').lower()
             ),
             timeout_s=_timeout_s(own),
+            is_new=_is_new(own),
             headers=tuple(
                 pair
                 for pair in end_to_end(pairs)
@@ -219,6 +225,11 @@
     return None if text is None else RequestId(text)
 
 
+def _is_new(own: Mapping[str, str]) -> bool:
+    is_said = own.get(NEW_HEADER.lower(), '').lower() == 'true'
+    return is_said or IDEMPOTENCY_HEADER.lower() not in own
+
+
 def _timeout_s(own: Mapping[str, str]) -> float | None:
     text = own.get(DEADLINE_HEADER.lower())
     return None if text is None else int(text) / _MS_PER_S
--- a/verbenadeck/client/_client.py
+++ b/verbenadeck/client/_client.py
@@ -181,6 +181,7 @@
                 key=call.key,
                 is_repeatable=call.is_repeatable,
                 headers=call.headers,
+                is_new=call.request_id is None and not progress.may_have_run,
             )
         )
         if not isinstance(written, Success):
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -19,6 +19,7 @@
 
 from verbenadeck.adapters import CallerAnswer, CallerFields, CallerFormat
 from verbenadeck.entry._options import EntryOptions
+from verbenadeck.entry._truth import outcome_of_request
 from verbenadeck.model import (
     AnswerResult,
     Outcome,
@@ -175,14 +176,17 @@
         )
         if not is_successful(request):
             return self._write_refusal(request.failure(), None)
-        return await self._route_request(request.unwrap())
+        return await self._route_request(request.unwrap(), read.unwrap())
 
-    async def _route_request(self, request: Request) -> HTTPResponse:
+    async def _route_request(
+        self, request: Request, fields: CallerFields
+    ) -> HTTPResponse:
         started_s = self._clock.now_s()
         result = await self._router.route(request)
         self._observe(request, result, self._clock.now_s() - started_s)
         if not is_successful(result):
-            return self._write_refusal(result.failure(), request.request_id)
+            refusal = outcome_of_request(result.failure(), fields, request)
+            return self._write_refusal(refusal, request.request_id)
         answer = self._vocabulary.write_answer(
             result.unwrap(), request.request_id
         )
--- a/verbenadeck/entry/tests/test_entry.py
+++ b/verbenadeck/entry/tests/test_entry.py
@@ -163,3 +163,28 @@
                 await router.is_cancelled.wait()
 
     asyncio.run(scenario())
+
+
+class _OwnerlessRouter:
+    async def route(self, request: Request) -> AnswerResult:
+        return Failure(Refusal(Outcome.NOT_RUN, RefusalReason.NO_OWNER))
+
+
+def test_a_resend_that_no_ledger_judged_is_unknown() -> None:
+    async def scenario() -> None:
+        resend = {'Idempotency-Key': 'd1'}
+        first = {'Verbenadeck-New': 'true', **resend}
+        cases = (
+            ('POST', resend, 'unknown'),
+            ('POST', first, 'not-run'),
+            ('POST', None, 'not-run'),
+            ('GET', resend, 'not-run'),
+        )
+        async with serving(make_entry(_OwnerlessRouter())) as session:
+            for method, headers, outcome in cases:
+                async with session.request(
+                    method, '/holds/1', headers=headers
+                ) as reply:
+                    assert reply.headers['Verbenadeck-Outcome'] == outcome
+
+    asyncio.run(scenario())
