Let a member resign whose witnesses have gone

The trace: b0 lost its lease in a log outage; meanwhile two of its three witnesses were evicted and joined anew, so the third could neither renew nor evict it alone, and b0 may not change its set without a lease. Ruled out: a new set without a lease, since a side that is cut off could grant itself one and evict the others.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: setup format lint types unit test demo fuzz bench clean golden
+.PHONY: setup format lint types unit test demo fuzz bench capacity clean golden
 
 setup: $(VENV)/.verbenadeck-$(shell cksum < requirements/lock.txt | cut -d' ' -f1)
 
@@ -36,5 +36,28 @@
 demo: setup
 	$(PY) -m verbenadeck.demo --out build/demo.json
 
+# Longer random runs; SEED chooses them.
+fuzz: setup
+	VERBENADECK_FUZZ_EXAMPLES=300 SEED=$(SEED) $(PY) -m pytest \
+		--timeout 3600 verbenadeck/lease/tests/test_fuzz.py
+
+BENCHES = peers route logs placement records relay control
+
+# All measurements, one after the other, into build/bench.
+bench: setup
+	mkdir -p build/bench
+	$(PY) -m benchmarks.bench_path --out build/bench/path.json
+	for name in $(BENCHES); do \
+		echo $$name; \
+		$(PY) -W ignore -m benchmarks.bench_$$name \
+			> build/bench/$$name.json 2> build/bench/$$name.err || exit 1; \
+	done
+	$(PY) -W ignore -m benchmarks.bench_policy --seed $(SEED) \
+		--plot build/bench/zone.png | tee build/bench/policy.txt
+	$(MAKE) capacity
+
+capacity: setup
+	$(PY) -m benchmarks.capacity
+
 clean:
 	rm -rf build .venv
--- a/verbenadeck/client/tests/builders.py
+++ b/verbenadeck/client/tests/builders.py
@@ -49,7 +49,7 @@
     async def start(self) -> None:
         app = web.Application()
         app.router.add_route('*', '/{rest:.*}', self._step)
-        self._runner = web.AppRunner(app, shutdown_timeout=0)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.01)
         await self._runner.setup()
         site = web.TCPSite(self._runner, '127.0.0.1', 0)
         await site.start()
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -7,12 +7,13 @@
 
 import msgspec
 from loguru import logger
-from returns.result import Result
 
 from verbenadeck.fleet import Member, MemberState
-from verbenadeck.journal import Applied, Journal, JournalError
+from verbenadeck.journal import Journal
 from verbenadeck.membership._heartbeats import Heartbeats
+from verbenadeck.membership._orphans import is_orphaned
 from verbenadeck.membership._predecessors import predecessors
+from verbenadeck.membership._proposer import make_proposer
 from verbenadeck.membership._renewals import Renewals
 from verbenadeck.membership._successors import has_successor
 from verbenadeck.membership._timing import LeaseTiming
@@ -74,6 +75,10 @@
         self._journal = journal
         self._describe = describe
         self._incarnation = NO_MEMBER
+        self._is_resigning = False
+        self._propose = make_proposer(
+            journal, clock=clock, timeout_s=self.timing.append_timeout_s
+        )
         self.is_stopping = False
         self._joined_s = -math.inf
         self._started_s = -math.inf
@@ -180,7 +185,7 @@
     @property
     def _renewed_s(self) -> float:
         member = self.member
-        if member is None or self.is_stopping:
+        if member is None or self.is_stopping or self._is_resigning:
             return -math.inf
         return self._renewals.renewed_s(self._keeper.sets(member))
 
@@ -189,6 +194,7 @@
             if self.member is None:
                 await self._join()
             await self._bury_predecessors()
+            await self._resign_when_orphaned()
             await asyncio.sleep(_RETRY_S * self._random.uniform(0.5, 1))
 
     async def _join(self) -> None:
@@ -203,6 +209,7 @@
             witnesses=choose_witnesses(candidates, random_source=self._random),
         )
         self._incarnation = NO_MEMBER
+        self._is_resigning = False
         self._renewals.reset()
         self._keeper.reset()
         applied = (await self._propose(record)).value_or(None)
@@ -211,6 +218,18 @@
             self._joined_s = self._clock.now_s()
             _log.info('joined as incarnation {}', applied.offset)
 
+    async def _resign_when_orphaned(self) -> None:
+        member = self.member
+        if member is None or not is_orphaned(self._journal.fleet, member):
+            return
+        lapsed_s = self._clock.now_s() - max(self._renewed_s, self._joined_s)
+        if lapsed_s > self.timing.last_resort_s:
+            # From here on this life holds no lease, whatever becomes of the
+            # append: others may be given its shards at any moment.
+            self._is_resigning = True
+            _log.info('resign as incarnation {}', member.incarnation)
+            await self._propose(NodeLeave(member.incarnation, LeavePhase.GONE))
+
     async def _bury_predecessors(self) -> None:
         own = self.member
         grants_end_s = self._started_s + self.timing.lease_s
@@ -240,9 +259,3 @@
                 asked = wanted
             tick += 1
             await asyncio.sleep(tick_s)
-
-    async def _propose(
-        self, record: NodeJoin | NodeLeave
-    ) -> Result[Applied, JournalError]:
-        deadline_s = self._clock.now_s() + self.timing.append_timeout_s
-        return await self._journal.propose(record, deadline_s=deadline_s)
--- /dev/null
+++ b/verbenadeck/membership/_proposer.py
@@ -0,0 +1,37 @@
+"""Proposals of a member about its own membership."""
+
+from collections.abc import Awaitable, Callable
+
+from returns.result import Result
+
+from verbenadeck.journal import Applied, Journal, JournalError
+from verbenadeck.records import NodeJoin, NodeLeave
+from verbenadeck.utils import Clock
+
+Propose = Callable[
+    [NodeJoin | NodeLeave], Awaitable[Result[Applied, JournalError]]
+]
+
+
+def make_proposer(
+    journal: Journal, *, clock: Clock, timeout_s: float
+) -> Propose:
+    """Return a function that proposes a record and waits a bounded time.
+
+    Parameters
+    ----------
+    journal : Journal
+        Log client.
+    clock : Clock
+        Clock of this VM.
+    timeout_s : float
+        Longest wait for the verdict.
+    """
+
+    async def propose(
+        record: NodeJoin | NodeLeave,
+    ) -> Result[Applied, JournalError]:
+        deadline_s = clock.now_s() + timeout_s
+        return await journal.propose(record, deadline_s=deadline_s)
+
+    return propose
