--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -93,6 +93,13 @@
     return target.config_changes_a_day + restarts + losses
 
 
+def _planner_looks_per_s(target: Target) -> float:
+    """Return looks a second: one for 30 s after a change, else 0.1."""
+    changes = target.config_changes_a_day + target.restarts_a_day
+    restless = min(1, (changes + target.losses_a_day) * 30 / _DAY_S)
+    return restless + (1 - restless) / 10
+
+
 def appends_at_zone_loss(target: Target) -> float:
     """Return the appends when a zone is lost.
 
@@ -148,11 +155,12 @@
         / slopes.relay_records_per_s.value,
         'two direct readers a zone, relay with a fan-out of four',
     )
+    looks_per_s = _planner_looks_per_s(target)
     yield Row(
         'planner (three nodes)',
         'none of its own',
-        'one look a second at each service',
-        4 * slopes.plan_ms.value / _KB_PER_MB * _PERCENT,
+        f'{looks_per_s:.2f} looks a second at each of four services',
+        4 * looks_per_s * slopes.plan_ms.value / _KB_PER_MB * _PERCENT,
         0,
         0,
         'one pass over flat arrays; no safety rests on it',
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -35,6 +35,8 @@
 _PLANNERS = 3
 _SETTLE_S = 2.0
 _GATHER_S = 6.0
+_RESTLESS_S = 30.0
+_CALM_LOOK_S = 10.0
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
 _BALANCE_DELAY_S = 10.0
@@ -82,6 +84,7 @@
         self._changed = asyncio.Event()
         self._changed_s = clock.now_s()
         self._assigned_s = clock.now_s()
+        self._heard_s = clock.now_s()
         self._seen_s: dict[Incarnation, float] = {}
         self._task: asyncio.Task[None] | None = None
         fleet.subscribe(self._on_applied)
@@ -101,6 +104,7 @@
     ) -> None:
         if verdict is not Verdict.ACCEPTED:
             return
+        self._heard_s = self._clock.now_s()
         if isinstance(record, Assign):
             self._assigned_s = self._clock.now_s()
         if isinstance(record, _URGENT):
@@ -117,12 +121,17 @@
                 await self._clock.sleep_until(self._changed_s + delay_s)
                 await self._plan_all()
             try:
-                async with asyncio.timeout(_LOOK_S):
+                async with asyncio.timeout(self._look_s()):
                     await self._changed.wait()
             except TimeoutError:
                 continue
             await asyncio.sleep(_PAUSE_S)
 
+    def _look_s(self) -> float:
+        """Return the time to the next look; short after any change."""
+        age_s = self._clock.now_s() - self._heard_s
+        return _LOOK_S if age_s < _RESTLESS_S else _CALM_LOOK_S
+
     def _note_members(self) -> None:
         now_s = self._clock.now_s()
         self._seen_s = {
@@ -188,7 +197,7 @@
         timeout_s = self._membership.timing.append_timeout_s
         deadline_s = self._clock.now_s() + timeout_s
         self._budget.spend(len(plan.balance))
-        reasons = (('lost', plan.forced), ('balance', plan.balance))
+        reasons = (('no owner', plan.forced), ('balance', plan.balance))
         proposals = [
             self._propose_one(record, reason, deadline_s)
             for reason, moves in reasons
