--- a/verbenadeck/journal/__init__.py
+++ b/verbenadeck/journal/__init__.py
@@ -3,6 +3,7 @@
 from verbenadeck.journal._appender import AppendOptions
 from verbenadeck.journal._checkpointer import Checkpointer, CheckpointOptions
 from verbenadeck.journal._client import JournalOptions, LogClient
+from verbenadeck.journal._follower import TailError
 from verbenadeck.journal._messages import MESSAGES
 from verbenadeck.journal._port import (
     Applied,
@@ -24,4 +25,5 @@
     'JournalOptions',
     'LogClient',
     'ReadOptions',
+    'TailError',
 )
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -31,6 +31,10 @@
 _CHANGES_MEMBERS = (NodeJoin, NodeLeave, Suspect, CheckpointChunk)
 
 
+class TailError(Exception):
+    """The tail of the log broke an invariant; its state is old from now."""
+
+
 class LogFollower:
     """Tails the log, directly or through peers.
 
@@ -193,6 +197,6 @@
         task.get_loop().call_exception_handler(
             {
                 'message': 'the log client broke an invariant',
-                'exception': task.exception(),
+                'exception': TailError(str(task.exception())),
             }
         )
--- a/verbenadeck/node/_daemon.py
+++ b/verbenadeck/node/_daemon.py
@@ -1,6 +1,7 @@
 """Daemon of one node: start, signals and planned stop."""
 
 import asyncio
+import os
 import signal
 import sys
 
@@ -14,6 +15,7 @@
 from verbenadeck.logs import setup_logs
 from verbenadeck.membership import Membership
 from verbenadeck.node._assembly import build_node
+from verbenadeck.node._invariants import make_loop_handler
 from verbenadeck.node._planned_stop import PlannedStop
 from verbenadeck.peers import StreamPort
 from verbenadeck.settings import NodeSettings
@@ -64,6 +66,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.set_exception_handler(
+        make_loop_handler(flush_logs=writer.flush, exit_process=os._exit)
+    )
     stop = PlannedStop(begin=stopping.set, is_begun=stopping.is_set)
     kernel = build_node(settings, stop=stop)
     try:
