Read the policy of a door by the configuration's own rule

Cause: two functions applied exceptions. Change: the door calls config.policy_for; the second reader of UUIDv7 times gives way to utils.uuid7_time_s.

--- a/verbenadeck/door/__init__.py
+++ b/verbenadeck/door/__init__.py
@@ -13,7 +13,7 @@
     Forward,
     ForwardAnswer,
 )
-from verbenadeck.door._policy import PolicyReader, effective_policy
+from verbenadeck.door._policy import PolicyReader
 from verbenadeck.door._port import Door, DoorLoad
 from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
 
@@ -29,7 +29,6 @@
     'Ledger',
     'PolicyReader',
     'UpstreamDoor',
-    'effective_policy',
     'gradient_limit',
     'not_run',
     'refusal_of',
--- a/verbenadeck/door/_takeovers.py
+++ b/verbenadeck/door/_takeovers.py
@@ -1,39 +1,14 @@
 """Shards taken over from owners whose ledgers are lost."""
 
-import uuid
-
 import msgspec
 
 from verbenadeck.door._history import OwnerHistory, WitnessSet
 from verbenadeck.model import RequestId, ServiceName
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, uuid7_time_s
 
 CLOCK_BOUND_S = 10.0
 """Most by which the clocks that mint UUIDv7 ids may be wrong, in seconds."""
 
-_MILLISECONDS_SHIFT = 80
-_MILLISECONDS = 1000
-_TIMED_VERSION = 7
-
-
-def minted_at_s(request_id: RequestId) -> float | None:
-    """Return the Unix time that a UUIDv7 carries, None for other ids.
-
-    Examples
-    --------
-    >>> minted_at_s(RequestId('01890a5d-ac96-774b-bcce-b302099a8057'))
-    1688096058.518
-    >>> minted_at_s(RequestId('deposit-17')) is None
-    True
-    """
-    try:
-        parsed = uuid.UUID(request_id)
-    except ValueError:
-        return None
-    if parsed.version != _TIMED_VERSION:
-        return None
-    return (parsed.int >> _MILLISECONDS_SHIFT) / _MILLISECONDS
-
 
 class KeptTakeover(msgspec.Struct, frozen=True, array_like=True):
     """A takeover as it travels with a shard that moves on."""
@@ -115,7 +90,7 @@
         if self._clock.now_s() >= takeover.until_s:
             self._shards.pop(shard)
             return None
-        minted_s = minted_at_s(request_id)
+        minted_s = uuid7_time_s(request_id)
         if minted_s is not None and self._is_new(minted_s, takeover):
             return None
         keep_s = takeover.until_s - self._clock.now_s()
