--- a/verbenadeck/demo/_events.py
+++ b/verbenadeck/demo/_events.py
@@ -1,4 +1,4 @@
-"""Events of a session: a zone leaves, an owner is killed, another pauses."""
+"""Events of a session: a zone leaves, owners are killed, paused, stopped."""
 
 import asyncio
 import signal
@@ -17,6 +17,7 @@
 _SETTLE_S = 3.5
 _DOWN_S = 3.5
 _PAUSE_S = 3.0
+_STOP_S = 3.0
 
 
 class Event(NamedTuple):
@@ -52,6 +53,8 @@
         Event(
             'owner continued', _send(fleet, paused, signal.SIGCONT, _SETTLE_S)
         ),
+        Event('owner stopped', _send(fleet, paused, signal.SIGTERM, _STOP_S)),
+        Event('owner back', _restart(fleet, paused)),
     ]
     return tuple(events)
 
