Close the way to the log once and drop slopes that nothing reads

Cause: a read-through. The log client closes its adapter when it stops, and a service of the kernel closed it a second time. Three slopes stood in the capacity file without a reader, and its rows were worked out three times. Change: the service 'log' is gone; the slopes and the repeats too.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -53,15 +53,12 @@
 
     entry_us: Slope
     door_us: Slope
-    log_line_us: Slope
     link_end_kb: Slope
     control_core_percent: Slope
     heartbeat_kb_per_s: Slope
     control_memory_mb: Slope
     state_mb: Slope
-    checkpoint_kb: Slope
     apply_us: Slope
-    owned_by_ms: Slope
     plan_ms: Slope
     relay_kb_per_s: Slope
     relay_records_per_s: Slope
@@ -180,12 +177,11 @@
 
 def verdicts(slopes: Slopes, target: Target) -> Iterator[str]:
     """Yield the lines that compare control with its bounds."""
+    rows = tuple(roles(slopes, target))
     control = [
-        row
-        for row in roles(slopes, target)
-        if row.role not in {'entry and router', 'door'}
+        row for row in rows if row.role not in {'entry and router', 'door'}
     ]
-    links_mb = next(roles(slopes, target)).memory_mb
+    links_mb = rows[0].memory_mb
     cores = sum(row.core_percent for row in control)
     memory_mb = links_mb + sum(row.memory_mb for row in control)
     traffic = sum(row.traffic_kb_per_s for row in control)
@@ -200,7 +196,7 @@
     yield _verdict('appends/s, ordinary day', day, target.appends_per_s)
     zone_s = appends_at_zone_loss(target) / target.appends_per_s
     yield _verdict('zone lost: s of appends at 300/s', zone_s, 2)
-    data = sum(row.core_percent for row in roles(slopes, target)) - cores
+    data = sum(row.core_percent for row in rows) - cores
     yield _verdict('data path, % of one core', data, _PERCENT)
 
 
--- a/verbenadeck/node/_assembly.py
+++ b/verbenadeck/node/_assembly.py
@@ -71,7 +71,6 @@
     )
     upstream = UPSTREAM_FORMATS[settings.upstream.adapter](clock=Clock())
     edges = _make_edges(settings, upstream)
-    kernel.register('log', Closing(edges.log))
     kernel.register('peers', edges.peers, needs=('journal',))
     kernel.register('upstream', Closing(upstream))
     joining = Joining(
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -98,7 +98,7 @@
     timing : LeaseTiming or None
         Times of the lease protocol.
     """
-    kernel.register('journal', _make_journal(place, edges), needs=('log',))
+    kernel.register('journal', _make_journal(place, edges))
     kernel.register(
         'membership',
         _make_membership(kernel, edges, joining, timing),
