--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -21,11 +21,13 @@
     write_answer,
     write_refusal,
 )
+from verbenadeck.adapters._http_headers import Headers, end_to_end
 from verbenadeck.adapters._log import (
     LogAdapter,
     LogError,
     LogFailure,
     LogPage,
+    NewestRecords,
 )
 from verbenadeck.adapters._log_http import LogHttpAdapter
 from verbenadeck.adapters._registry import (
@@ -39,16 +41,24 @@
     UpstreamMaker,
 )
 from verbenadeck.adapters._upstream import (
+    WARM,
     Announcement,
     Grant,
     GrantedRange,
+    HeldRange,
+    HoldReply,
+    HoldReport,
+    KeyHandover,
     LoadReport,
     Order,
     UpstreamAdapter,
+    UpstreamEnd,
     UpstreamError,
     UpstreamFailure,
+    Warmth,
 )
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
+from verbenadeck.adapters._upstream_life import UpstreamLife
 
 __all__ = (
     'CALLER_FORMATS',
@@ -75,6 +85,8 @@
     'LogMaker',
     'UpstreamHttpAdapter',
     'UpstreamMaker',
+    'UpstreamLife',
+    'end_to_end',
     'read_announcement',
     'read_call',
     'write_answer',
@@ -82,13 +94,22 @@
     'Announcement',
     'Grant',
     'GrantedRange',
+    'Headers',
+    'HeldRange',
+    'HoldReply',
+    'HoldReport',
+    'KeyHandover',
+    'UpstreamEnd',
     'LoadReport',
     'LogAdapter',
     'LogError',
     'LogFailure',
     'LogPage',
+    'NewestRecords',
     'Order',
     'UpstreamAdapter',
     'UpstreamError',
     'UpstreamFailure',
+    'WARM',
+    'Warmth',
 )
--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -74,6 +74,8 @@
     is_new : bool
         Whether no earlier send of the same request id can have run: the
         caller says so, or it sent no request id.
+    max_sends : int
+        Most upstreams that the request may reach; 0 sets no bound.
     """
 
     service: ServiceName
@@ -84,6 +86,7 @@
     timeout_s: float | None
     headers: Headers
     is_new: bool = False
+    max_sends: int = 0
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -55,6 +55,21 @@
     records: tuple[bytes, ...]
 
 
+class NewestRecords(msgspec.Struct, frozen=True):
+    """Records that a log keeps beyond its retention time.
+
+    Parameters
+    ----------
+    records : tuple of (Offset, bytes)
+        Kept records by rising offset; there may be gaps.
+    end_offset : Offset
+        Offset of the next record to be appended.
+    """
+
+    records: tuple[tuple[Offset, bytes], ...]
+    end_offset: Offset
+
+
 class LogAdapter(Protocol):
     """Appends to and reads from one stream of the log."""
 
@@ -63,8 +78,17 @@
         record: bytes,
         *,
         deadline_s: float,
+        name: str = '',
     ) -> Result[Offset, LogError]:
-        """Append a record and return its offset."""
+        """Append a record and return its offset.
+
+        A log that keeps the newest record of each name keeps a named record
+        until the next one of that name; other logs ignore the name.
+        """
+        ...
+
+    async def newest(self) -> Result[NewestRecords | None, LogError]:
+        """Return what is kept for good, None for a log that keeps nothing."""
         ...
 
     async def read(
--- a/verbenadeck/adapters/_log_http.py
+++ b/verbenadeck/adapters/_log_http.py
@@ -7,7 +7,12 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import wire
-from verbenadeck.adapters._log import LogError, LogFailure, LogPage
+from verbenadeck.adapters._log import (
+    LogError,
+    LogFailure,
+    LogPage,
+    NewestRecords,
+)
 from verbenadeck.model import Offset
 from verbenadeck.utils import Clock
 
@@ -39,7 +44,7 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def append(
-        self, record: bytes, *, deadline_s: float
+        self, record: bytes, *, deadline_s: float, name: str = ''
     ) -> Result[Offset, LogError]:
         """Append a record and return its offset."""
         timeout = self._timeout(deadline_s)
@@ -74,6 +79,10 @@
             kind = type(error).__name__
             return _failed(LogFailure.UNAVAILABLE, f'no answer, {kind}')
 
+    async def newest(self) -> Result[NewestRecords | None, LogError]:
+        """Return None: this log keeps no record for good."""
+        return Success(None)
+
     async def close(self) -> None:
         """Close connections."""
         if self._session is not None:
--- a/verbenadeck/adapters/_upstream.py
+++ b/verbenadeck/adapters/_upstream.py
@@ -10,6 +10,25 @@
 from verbenadeck.model import Answer, Fence, Request, RequestId, ServiceName
 
 
+class Warmth(msgspec.Struct, frozen=True):
+    """For how long an upstream bears only few requests a second.
+
+    Parameters
+    ----------
+    cold_until_s : float
+        Moment on the boot clock from which it is warm.
+    requests_per_s : float
+        Requests a second that it bears until then.
+    """
+
+    cold_until_s: float = 0
+    requests_per_s: float = 0
+
+
+WARM = Warmth()
+"""An upstream that bears requests in all its slots."""
+
+
 class Announcement(msgspec.Struct, frozen=True):
     """What an upstream says of itself when it comes up.
 
@@ -29,6 +48,8 @@
         Connections it can hold.
     bearable : int
         Requests it can run at once now; lower than `slots` while cold.
+    warmth : Warmth
+        How cold it is.
     """
 
     service: ServiceName
@@ -38,6 +59,7 @@
     slots: int
     connections: int
     bearable: int
+    warmth: Warmth = WARM
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -53,12 +75,15 @@
         Requests it says it can run at once now.
     instance : str
         Identity of the life that reports.
+    warmth : Warmth
+        How cold it is.
     """
 
     is_healthy: bool
     running: int
     bearable: int
     instance: str
+    warmth: Warmth = WARM
 
 
 class GrantedRange(msgspec.Struct, frozen=True):
@@ -79,6 +104,22 @@
     fence: Fence
 
 
+class KeyHandover(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream left for the next holder of a range of keys.
+
+    Parameters
+    ----------
+    first_key, last_key : int
+        Keys of the range, both included.
+    text : str
+        Opaque text that saves the next holder a slow start.
+    """
+
+    first_key: int
+    last_key: int
+    text: str
+
+
 class Grant(msgspec.Struct, frozen=True):
     """All shards that an upstream may serve until a deadline.
 
@@ -100,6 +141,71 @@
     deadline_s: float
 
 
+class HeldRange(msgspec.Struct, frozen=True):
+    """Keys that an upstream holds, or is to hold, under one fence.
+
+    Parameters
+    ----------
+    first_key, last_key : int
+        Keys of the range, both included.
+    fence : Fence
+        Fencing token.
+    handover : str
+        Text of the last holder, empty when there is none.
+    """
+
+    first_key: int
+    last_key: int
+    fence: Fence
+    handover: str = ''
+
+
+class HoldReport(msgspec.Struct, frozen=True):
+    """What an upstream that asks for its grants says with each heartbeat.
+
+    Parameters
+    ----------
+    instance : str
+        Identity of the life that reports.
+    held : tuple of HeldRange
+        Keys that it holds or still works on.
+    freed : tuple of KeyHandover
+        Keys that it released since its last answered heartbeat.
+    """
+
+    instance: str
+    held: tuple[HeldRange, ...]
+    freed: tuple[KeyHandover, ...]
+
+
+class HoldReply(msgspec.Struct, frozen=True):
+    """All keys that such an upstream is to hold.
+
+    Parameters
+    ----------
+    held : tuple of HeldRange
+        The keys; it releases all others.
+    hold_s : float
+        Seconds for which it holds them, counted from its heartbeat.
+    """
+
+    held: tuple[HeldRange, ...]
+    hold_s: float
+
+
+class UpstreamEnd(enum.Enum):
+    """How an upstream leaves.
+
+    `DRAINING` and `LEFT` are its own words: it takes no new requests soon,
+    or at once. With `SILENT` nothing was heard for longer than any grant
+    lasts.
+    """
+
+    DRAINING = 'draining'
+    LEFT = 'left'
+    SILENT = 'silent'
+
+
 class UpstreamFailure(enum.Enum):
     """What is known about an order that an upstream did not answer."""
 
--- a/verbenadeck/config/_policy_rules.py
+++ b/verbenadeck/config/_policy_rules.py
@@ -17,6 +17,7 @@
 _MAX_TIMEOUT_S = 3_600.0
 _MAX_QUEUE = 100_000
 _MAX_KEEP_S = 604_800.0
+_MAX_KEY_SPACE = 2**63
 _METHOD = re.compile('[A-Z][A-Z0-9-]*')
 _Check = Callable[[Any], bool]
 
@@ -61,6 +62,10 @@
             _above_zero(_MAX_KEEP_S),
             f'must be above 0 and at most {_MAX_KEEP_S:g}',
         ),
+        'key_space': (
+            _between(0, _MAX_KEY_SPACE),
+            f'must be from 0 to {_MAX_KEY_SPACE}',
+        ),
         'repeatable_methods': (_are_methods, 'must be methods in upper case'),
     }
 )
--- a/verbenadeck/door/__init__.py
+++ b/verbenadeck/door/__init__.py
@@ -5,6 +5,7 @@
 from verbenadeck.door._limit import (
     Adapt,
     ConcurrencyLimit,
+    fixed_limit,
     gradient_limit,
 )
 from verbenadeck.door._messages import (
@@ -29,6 +30,7 @@
     'Ledger',
     'PolicyReader',
     'UpstreamDoor',
+    'fixed_limit',
     'gradient_limit',
     'not_run',
     'refusal_of',
--- a/verbenadeck/door/_admission.py
+++ b/verbenadeck/door/_admission.py
@@ -10,7 +10,7 @@
 from verbenadeck.door._poison import fingerprint_of
 from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
 from verbenadeck.door._runs import NO_SHARD, Run
-from verbenadeck.fleet import shard_of
+from verbenadeck.fleet import request_shard
 from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     AnswerResult,
@@ -19,7 +19,6 @@
     Refusal,
     RefusalReason,
     Request,
-    ServicePolicy,
 )
 
 _decide = decision_log('door')
@@ -71,7 +70,8 @@
         policy = self._gate.policy
         if policy is None:
             return refuse(self._unready_refusal(request))
-        shard = _shard_of(request, policy)
+        owned = request_shard(request, policy)
+        shard = NO_SHARD if owned is None else int(owned)
         if request.is_repeatable:
             return await self._run_inline(Run(attempt_id, request, shard))
         return await self._run_once(attempt_id, request, shard)
@@ -208,11 +208,3 @@
         'the request ledger is full',
         retry_after_s=1,
     )
-
-
-def _shard_of(request: Request, policy: ServicePolicy) -> int:
-    if policy.is_keyed:
-        return shard_of(request.key or '', policy.shard_count)
-    if request.is_repeatable:
-        return NO_SHARD
-    return shard_of(request.request_id, policy.shard_count)
--- /dev/null
+++ b/verbenadeck/door/_cold_pace.py
@@ -0,0 +1,80 @@
+"""Rate at which a cold upstream gets requests."""
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from verbenadeck.adapters import WARM, Warmth
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='door')
+
+BURST_REQUESTS = 2.0
+"""Requests that a cold upstream may get at one moment; with the stated rate
+they stay below the platform's bound of 1.5 times the rate and 5 more."""
+
+
+class ColdPace:
+    """Token bucket that is open while the upstream is warm.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of this VM.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.on_token: Callable[[], None] = _nothing
+        self._clock = clock
+        self._warmth = WARM
+        self._tokens = BURST_REQUESTS
+        self._filled_s = clock.now_s()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def rate_per_s(self) -> float:
+        """Requests a second that may start, infinite when warm."""
+        if self._clock.now_s() >= self._warmth.cold_until_s:
+            return float('inf')
+        return self._warmth.requests_per_s
+
+    def take_warmth(self, warmth: Warmth) -> None:
+        """Note how cold the upstream is."""
+        is_colder = warmth.cold_until_s > self._warmth.cold_until_s
+        if is_colder and self.rate_per_s == float('inf'):
+            _log.info('cold: at most {}/s', warmth.requests_per_s)
+        self._warmth = warmth
+
+    def try_take(self) -> bool:
+        """Take one token; without one, `on_token` is called later."""
+        rate_per_s = self.rate_per_s
+        if rate_per_s == float('inf'):
+            return True
+        now_s = self._clock.now_s()
+        gained = (now_s - self._filled_s) * rate_per_s
+        self._tokens = min(BURST_REQUESTS, self._tokens + gained)
+        self._filled_s = now_s
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return True
+        self._wake_at(now_s, rate_per_s)
+        return False
+
+    def _wake_at(self, now_s: float, rate_per_s: float) -> None:
+        if self._timer is not None:
+            return
+        cold_s = self._warmth.cold_until_s - now_s
+        wait_s = cold_s
+        if rate_per_s > 0:
+            wait_s = min(cold_s, (1 - self._tokens) / rate_per_s)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(wait_s, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.on_token()
+
+
+def _nothing() -> None:
+    """Do nothing."""
--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -107,11 +107,21 @@
         return DoorLoad(
             parts.slots.in_use,
             parts.slots.queued,
-            parts.limit.limit,
+            self._limit(),
             parts.limit.service_time_s,
             parts.gate.is_admitting,
         )
 
+    def _limit(self) -> int:
+        """Return the concurrency that slots and a cold start allow."""
+        limit = self._parts.limit
+        rate_per_s = self._parts.pace.rate_per_s
+        return max(1, int(min(limit.limit, rate_per_s * limit.service_time_s)))
+
+    def refuse_new(self, *, is_leaving: bool) -> None:
+        """Refuse new requests while the upstream leaves, or no longer."""
+        self._parts.gate.is_draining = is_leaving
+
     async def start(self) -> None:
         """Follow the log and the upstream's reports."""
         self._parts.history.start()
--- a/verbenadeck/door/_limit.py
+++ b/verbenadeck/door/_limit.py
@@ -36,6 +36,11 @@
     return limit + _SMOOTHING * (target - limit) / limit
 
 
+def fixed_limit(limit: float, short_s: float, long_s: float) -> float:
+    """Return no bound, for upstreams whose announced slots are exact."""
+    return math.inf
+
+
 class ConcurrencyLimit:
     """Requests that a door may run at once.
 
--- a/verbenadeck/door/_messages.py
+++ b/verbenadeck/door/_messages.py
@@ -28,7 +28,8 @@
     remaining_s : float
         Time until the request's deadline, in seconds; each VM has its own
         clock, so no moment is sent.
-    request_id, service, key, method, path, headers, body, is_repeatable
+    request_id, service, key, method, path, headers, body, is_repeatable,
+    max_sends
         Fields of `Request`.
     """
 
@@ -42,6 +43,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     is_repeatable: bool
+    max_sends: int = 0
 
     @classmethod
     def pack(
@@ -59,6 +61,7 @@
             request.headers,
             request.body,
             request.is_repeatable,
+            request.max_sends,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -73,6 +76,7 @@
             self.body,
             self.is_repeatable,
             now_s + self.remaining_s,
+            self.max_sends,
         )
 
 
--- a/verbenadeck/door/_monitor.py
+++ b/verbenadeck/door/_monitor.py
@@ -30,6 +30,7 @@
         self._gate = parts.gate
         self._limit = parts.limit
         self._slots = parts.slots
+        self._pace = parts.pace
         self._sender = parts.sender
         self._runs = parts.runs
         self._crashes = parts.crashes
@@ -49,6 +50,7 @@
 
     def _on_announce(self, announcement: Announcement) -> None:
         self._gate.service = announcement.service
+        self._pace.take_warmth(announcement.warmth)
         self._on_life(
             announcement.instance,
             announcement.slots,
@@ -81,6 +83,7 @@
     def _on_report(self, report: LoadReport) -> None:
         if self._instance is None:
             return
+        self._pace.take_warmth(report.warmth)
         before = self._limit.limit
         if report.instance != self._instance:
             self._on_life(report.instance, self._limit.slots, report.bearable)
--- a/verbenadeck/door/_once.py
+++ b/verbenadeck/door/_once.py
@@ -9,7 +9,7 @@
 from verbenadeck.door._ledger import KeptEntry
 from verbenadeck.door._messages import LedgerCopy
 from verbenadeck.door._refusals import not_run, unknown
-from verbenadeck.door._runs import Run
+from verbenadeck.door._runs import NO_SHARD, Run
 from verbenadeck.door._takeovers import Takeovers
 from verbenadeck.fleet import FleetView
 from verbenadeck.model import (
@@ -62,6 +62,8 @@
 
         `UNKNOWN` stands for a request that an earlier owner may have run.
         """
+        if run.shard == NO_SHARD:
+            return None
         earlier = await self._earlier_refusal(run)
         if earlier is not None:
             return earlier
@@ -82,6 +84,8 @@
 
     def withdraw(self, run: Run) -> None:
         """Take the copies back: the request did not run."""
+        if run.shard == NO_SHARD:
+            return
         witnesses = self._witnesses()
         if witnesses:
             self._copies.withdraw(
--- a/verbenadeck/door/_parts.py
+++ b/verbenadeck/door/_parts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from verbenadeck.adapters import UpstreamAdapter
+from verbenadeck.door._cold_pace import ColdPace
 from verbenadeck.door._copies import CopyClient, CopyKeeper
 from verbenadeck.door._crashes import CrashWatch
 from verbenadeck.door._gate import Gate
@@ -94,7 +95,9 @@
             clock=clock,
             quarantine=self.quarantine,
         )
+        self.pace = ColdPace(clock=clock)
         self.slots = SlotQueue(
+            pace=self.pace,
             clock=clock,
             limit=lambda: self.limit.limit,
             service_time_s=lambda: self.limit.service_time_s,
--- a/verbenadeck/door/_slots.py
+++ b/verbenadeck/door/_slots.py
@@ -1,9 +1,11 @@
 """Slots of an upstream and the queue for them."""
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 
+from verbenadeck.door._cold_pace import ColdPace
 from verbenadeck.door._refusals import not_run
 from verbenadeck.model import Refusal, RefusalReason
 from verbenadeck.utils import Clock
@@ -25,6 +27,11 @@
         self.shard = shard
         self.future: asyncio.Future[Refusal | None] | None = None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the wait has ended."""
+        return self.future is None or self.future.done()
+
     def settle(self, refusal: Refusal | None) -> bool:
         """End the wait; false when it has ended already."""
         if self.future is None or self.future.done():
@@ -44,6 +51,8 @@
         Slots that may be in use now.
     service_time_s : callable returning float
         Expected time of one request.
+    pace : ColdPace or None
+        Rate at which a cold upstream gets requests.
     """
 
     def __init__(
@@ -52,7 +61,10 @@
         clock: Clock,
         limit: Callable[[], int],
         service_time_s: Callable[[], float],
+        pace: ColdPace | None = None,
     ) -> None:
+        self._pace = pace or ColdPace(clock=clock)
+        self._pace.on_token = self.pump
         self.in_use = 0
         self._clock = clock
         self._limit = limit
@@ -69,8 +81,12 @@
         limit = self._limit()
         if self.in_use < limit and not self._waiting:
             return 0
-        rounds = (len(self._waiting) + 1) / max(1, limit)
-        return rounds * self._service_time_s()
+        ahead = len(self._waiting) + 1
+        slot_wait_s = ahead / max(1, limit) * self._service_time_s()
+        rate_per_s = self._pace.rate_per_s
+        if rate_per_s == 0:
+            return math.inf
+        return max(slot_wait_s, ahead / rate_per_s)
 
     def full_refusal(self, deadline_s: float, limit: int) -> Refusal | None:
         """Return why a request that comes now can't wait, if so."""
@@ -96,6 +112,8 @@
         """Take a slot if one is free and nobody waits."""
         if self._waiting or self.in_use >= self._limit():
             return False
+        if not self._pace.try_take():
+            return False
         self.in_use += 1
         return True
 
@@ -124,11 +142,16 @@
     def pump(self) -> None:
         """Give free slots to waiters that can still meet their deadlines."""
         while self._waiting and self.in_use < self._limit():
-            waiter = self._waiting.popleft()
-            if self._is_late(waiter):
+            waiter = self._waiting[0]
+            if waiter.is_settled or self._is_late(waiter):
                 waiter.settle(_late())
-            elif waiter.settle(None):
-                self.in_use += 1
+                self._waiting.popleft()
+                continue
+            if not self._pace.try_take():
+                return
+            self._waiting.popleft()
+            waiter.settle(None)
+            self.in_use += 1
 
     def refuse(
         self, refusal: Refusal, *, shards: frozenset[int] | None
--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -66,6 +66,7 @@
                 body=body,
                 is_repeatable=is_repeatable,
                 deadline_s=clock.now_s() + timeout_s,
+                max_sends=fields.max_sends,
             )
         )
 
--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -1,7 +1,7 @@
 """State of the fleet that every node derives from the log."""
 
 from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
-from verbenadeck.fleet._sharding import shard_of
+from verbenadeck.fleet._sharding import key_shard, request_shard, shard_of
 from verbenadeck.fleet._snapshot import pack_pieces
 from verbenadeck.fleet._state import FleetState
 from verbenadeck.fleet._view import (
@@ -22,7 +22,9 @@
     'MemberState',
     'ShardView',
     'eviction_quorum',
+    'key_shard',
     'pack_pieces',
     'renewal_quorum',
+    'request_shard',
     'shard_of',
 )
--- a/verbenadeck/fleet/_sharding.py
+++ b/verbenadeck/fleet/_sharding.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from verbenadeck.model import Shard
+from verbenadeck.model import Request, ServicePolicy, Shard
 
 
 def shard_of(key: str, shard_count: int) -> Shard:
@@ -21,3 +21,30 @@
     True
     """
     return Shard(xxhash.xxh3_64_intdigest(key.encode()) & (shard_count - 1))
+
+
+def key_shard(key: str, policy: ServicePolicy) -> Shard:
+    """Return the shard of a key under the policy of its service.
+
+    Keys of a numbered key space are split into ranges of equal length. What
+    is no number of that space is hashed: its upstream will refuse it.
+
+    Examples
+    --------
+    >>> policy = ServicePolicy(shard_count=16, key_space=65536)
+    >>> [key_shard(key, policy) for key in ('0', '4095', '4096', '65535')]
+    [0, 0, 1, 15]
+    """
+    is_number = key.isascii() and key.isdigit()
+    if not is_number or int(key) >= policy.key_space:
+        return shard_of(key, policy.shard_count)
+    return Shard(int(key) * policy.shard_count // policy.key_space)
+
+
+def request_shard(request: Request, policy: ServicePolicy) -> Shard | None:
+    """Return the shard whose owner must run a request, None for any door."""
+    if policy.is_keyed:
+        return key_shard(request.key or '', policy)
+    if request.is_repeatable or not policy.has_ledger_shards:
+        return None
+    return shard_of(request.request_id, policy.shard_count)
--- a/verbenadeck/journal/__init__.py
+++ b/verbenadeck/journal/__init__.py
@@ -12,6 +12,7 @@
     JournalFailure,
 )
 from verbenadeck.journal._reader import ReadOptions
+from verbenadeck.journal._waiters import finishes
 
 __all__ = (
     'MESSAGES',
@@ -26,4 +27,5 @@
     'LogClient',
     'ReadOptions',
     'TailError',
+    'finishes',
 )
--- a/verbenadeck/journal/_appender.py
+++ b/verbenadeck/journal/_appender.py
@@ -102,9 +102,7 @@
         """Append once; return early when the record is read back."""
         answer_at_s = self._clock.now_s() + self._options.answer_s
         attempt = asyncio.ensure_future(
-            self._append_once(
-                proposal.payload, peer, min(deadline_s, answer_at_s)
-            )
+            self._append_once(proposal, peer, min(deadline_s, answer_at_s))
         )
         try:
             await asyncio.wait(
@@ -117,14 +115,17 @@
         return LogFailure.UNKNOWN if attempt.cancelled() else attempt.result()
 
     async def _append_once(
-        self, payload: bytes, peer: PeerAddress | None, deadline_s: float
+        self, proposal: Proposal, peer: PeerAddress | None, deadline_s: float
     ) -> _Lost:
+        payload = proposal.payload
         if peer is not None and self._port is not None:
             reply = await self._port.call(
                 peer, RelayAppend(payload), deadline_s=deadline_s
             )
             return _lost_by_peer(reply)
-        answer = await self._adapter.append(payload, deadline_s=deadline_s)
+        answer = await self._adapter.append(
+            payload, deadline_s=deadline_s, name=proposal.name
+        )
         return None if is_successful(answer) else answer.failure().failure
 
     def _repeat_at_s(self, lost: _Lost, deadline_s: float) -> float:
--- a/verbenadeck/journal/_base.py
+++ b/verbenadeck/journal/_base.py
@@ -5,9 +5,11 @@
 from loguru import logger
 from returns.pipeline import is_successful
 
+from verbenadeck.adapters import LogAdapter, LogPage
 from verbenadeck.fleet import FleetState
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
+from verbenadeck.journal._recovery import Recovered, recover
 from verbenadeck.model import Offset
 from verbenadeck.utils import Clock
 
@@ -20,29 +22,41 @@
 
     Parameters
     ----------
+    adapter : LogAdapter
+        Way to the log.
     search : CheckpointSearch
-        Search of the log.
+        Search of a log that keeps no record for good.
     fleet : FleetState
         State to start.
     clock : Clock
         Clock of this VM.
     random_source : random.Random
         Spreads retries.
+
+    Attributes
+    ----------
+    waits_for : str
+        What the start waits for, empty when it waits for nothing.
+    tail : LogPage or None
+        Records after the loaded state that the log gave with it.
     """
 
     def __init__(
         self,
         *,
+        adapter: LogAdapter,
         search: CheckpointSearch,
         fleet: FleetState,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
+        self._adapter = adapter
         self._search = search
         self._fleet = fleet
         self._clock = clock
         self._random = random_source
         self.waits_for = 'the log'
+        self.tail: LogPage | None = None
 
     async def load(self) -> None:
         """Wait until the next record of the state can be read.
@@ -58,6 +72,14 @@
         self.waits_for = ''
 
     async def _try_load(self) -> bool:
+        self.tail = None
+        kept = await recover(self._adapter, self._fleet.applied_offset)
+        if not is_successful(kept):
+            self.waits_for = f'the log: {kept.failure().detail}'
+            return False
+        recovered = kept.unwrap()
+        if recovered is not None:
+            return self._start_recovered(recovered)
         first = await self._search.first_offset()
         if not is_successful(first):
             self.waits_for = f'the log: {first.failure().detail}'
@@ -69,6 +91,15 @@
             return False
         return self._start_from(found.unwrap(), first_offset)
 
+    def _start_recovered(self, recovered: Recovered) -> bool:
+        if not recovered.is_whole:
+            self.waits_for = 'a checkpoint that reaches the end of the log'
+            return False
+        self.tail = recovered.tail
+        return self._start_from(
+            recovered.checkpoint, recovered.tail.start_offset
+        )
+
     def _start_from(
         self, checkpoint: Checkpoint | None, first_offset: Offset
     ) -> bool:
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -79,6 +79,7 @@
             fleet=self._fleet, proposals=proposals, waiters=self._waiters
         )
         self._base = BaseLoader(
+            adapter=adapter,
             search=CheckpointSearch(
                 adapter=adapter, clock=clock, page_limit=options.page_limit
             ),
@@ -168,6 +169,8 @@
         self._ready.clear()
         await self._base.load()
         self.intake.restart()
+        if self._base.tail is not None:
+            self.intake.apply_page(self._base.tail)
 
     def _take(self, page: LogPage) -> None:
         self.intake.apply_page(page)
--- a/verbenadeck/journal/_proposals.py
+++ b/verbenadeck/journal/_proposals.py
@@ -8,6 +8,7 @@
 from verbenadeck.model import Offset, WriterId
 from verbenadeck.records import (
     FORMAT_VERSION,
+    CheckpointChunk,
     Envelope,
     Record,
     Verdict,
@@ -26,11 +27,14 @@
         What is appended, the same in every repeat.
     applied : asyncio.Future of Applied
         Resolved when the record is read back.
+    name : str
+        Name under which the log may keep the record for good.
     """
 
     sequence: int
     payload: bytes
     applied: 'asyncio.Future[Applied]'
+    name: str = ''
 
 
 class Proposals:
@@ -59,6 +63,7 @@
             sequence=envelope.sequence,
             payload=encode_envelope(envelope),
             applied=asyncio.get_running_loop().create_future(),
+            name=_name_of(record),
         )
         self._open[proposal.sequence] = proposal
         return proposal
@@ -78,3 +83,10 @@
             return
         if not proposal.applied.done():
             proposal.applied.set_result(Applied(offset, verdict))
+
+
+def _name_of(record: Record) -> str:
+    """Return the name of a checkpoint; it replaces the one before it."""
+    if isinstance(record, CheckpointChunk):
+        return f'checkpoint-{record.index}'
+    return ''
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -36,7 +36,7 @@
         self.reads = 0
 
     async def append(
-        self, record: bytes, *, deadline_s: float
+        self, record: bytes, *, deadline_s: float, name: str = ''
     ) -> Result[Offset, LogError]:
         if self.cut_appends:
             await asyncio.sleep(0.01)
--- a/verbenadeck/lease/__init__.py
+++ b/verbenadeck/lease/__init__.py
@@ -1,10 +1,13 @@
 """Leases by witnesses and grants by fences."""
 
+from verbenadeck.lease._beat_grants import BeatGrants
 from verbenadeck.lease._fence_rules import (
     checks_fences,
     longest_timeout_s,
     takeover_wait_s,
 )
+from verbenadeck.lease._grants import GrantKeeper
+from verbenadeck.lease._grants_port import Grants, GrantsMaker
 from verbenadeck.lease._messages import MESSAGES, Release, ReleaseAck
 from verbenadeck.lease._ownership import Ownership
 from verbenadeck.lease._ranges import ranges_of, shards_in
@@ -13,7 +16,11 @@
 
 __all__ = (
     'MESSAGES',
+    'BeatGrants',
     'DoorHandover',
+    'GrantKeeper',
+    'Grants',
+    'GrantsMaker',
     'Ownership',
     'OwnershipView',
     'Permit',
--- /dev/null
+++ b/verbenadeck/lease/_beat_grants.py
@@ -0,0 +1,215 @@
+"""Grants to an upstream that asks for them with its heartbeats."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from loguru import logger
+
+from verbenadeck.adapters import (
+    Announcement,
+    HoldReply,
+    HoldReport,
+    KeyHandover,
+    UpstreamAdapter,
+)
+from verbenadeck.lease._grants_port import Wanted
+from verbenadeck.lease._hold_rows import (
+    KeyLayout,
+    hold_rows,
+    within_rows,
+)
+from verbenadeck.model import Fence, ServiceName, Shard
+from verbenadeck.records import ReleasedRange
+from verbenadeck.utils import Clock
+
+_log = logger.bind(part='lease')
+
+CLOCK_RATIO = 1.02
+"""Seconds of true time per second of an upstream's slowest clock, as the
+platform's protocol states it."""
+
+LEAST_HOLD_S = 0.2
+"""Shortest hold worth granting, in seconds: two round trips of a release."""
+
+MOST_ROWS = 90
+"""Rows of one reply; about 40 bytes each, within the 4 KiB that an upstream
+reads of an answer to its heartbeat."""
+
+_POLL_S = 0.05
+
+
+class BeatGrants:
+    """Answers heartbeats with the keys that the upstream is to hold.
+
+    A hold never outlasts the node's own lease: it is counted from the
+    receipt of the heartbeat, which is later than its sending, and shortened
+    by the slowest clock of an upstream.
+
+    Parameters
+    ----------
+    clock : Clock
+        Boot clock of the VM.
+    upstream : UpstreamAdapter
+        Upstream that sends the heartbeats.
+    service : callable
+        Returns the service and its number of shards.
+    wanted : Wanted
+        Returns the fences of the shards that may be served now.
+    lease_deadline_s : callable
+        Returns the end of the node's lease.
+    key_space : int
+        Number of keys of a service.
+    most_hold_s : float
+        Longest hold that an upstream accepts, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        upstream: UpstreamAdapter,
+        service: Callable[[], tuple[ServiceName, int]],
+        wanted: Wanted,
+        lease_deadline_s: Callable[[], float],
+        key_space: int,
+        most_hold_s: float,
+    ) -> None:
+        self.on_restart: Callable[[], None] = _nothing
+        self._clock = clock
+        self._keys = KeyLayout(key_space, lambda: service()[1])
+        self._wanted = wanted
+        self._lease_deadline_s = lease_deadline_s
+        self._most_hold_s = most_hold_s
+        self._instance = ''
+        self._granted: dict[Shard, Fence] = {}
+        self._granted_until_s = -math.inf
+        # Until when a shard may still be held, whatever was granted since.
+        self._held_until_s: dict[Shard, float] = {}
+        self._unknown_until_s = clock.now_s() + most_hold_s * CLOCK_RATIO
+        self._handovers: dict[tuple[int, int], str] = {}
+        self._freed: dict[tuple[int, int], str] = {}
+        self._beat = asyncio.Event()
+        upstream.on_announce(self._on_announce)
+
+    @property
+    def is_past_settled(self) -> bool:
+        """Whether nothing of an earlier process's grants is left."""
+        is_known = self._clock.now_s() >= self._unknown_until_s
+        return is_known and self._held_shards() <= self._granted.keys()
+
+    def deadline_s(self, shard: Shard, fence: Fence) -> float:
+        """Return until when the upstream takes orders for a shard."""
+        if self._granted.get(shard) != fence:
+            return -math.inf
+        return self._granted_until_s
+
+    async def push(self) -> bool:
+        """Do nothing: the next heartbeat gets what is wanted then."""
+        return True
+
+    async def revoke(self) -> None:
+        """Return when the upstream holds nothing that is not wanted now."""
+        while True:
+            wanted = self._wanted()
+            is_known = self._clock.now_s() >= self._unknown_until_s
+            if is_known and self._held_shards() <= wanted.keys():
+                return
+            self._beat.clear()
+            try:
+                async with asyncio.timeout(_POLL_S):
+                    await self._beat.wait()
+            except TimeoutError:
+                continue
+
+    def handovers(
+        self, ranges: tuple[ReleasedRange, ...]
+    ) -> tuple[KeyHandover, ...]:
+        """Return and forget what the upstream left for these shards."""
+        found: list[KeyHandover] = []
+        for each in ranges:
+            first = self._keys.first_key(each.first_shard)
+            stop = self._keys.first_key(each.stop_shard)
+            for keys in tuple(self._freed):
+                if first <= keys[0] and keys[1] < stop:
+                    found.append(KeyHandover(*keys, self._freed.pop(keys)))
+        return tuple(found)
+
+    def note_handovers(self, handovers: tuple[KeyHandover, ...]) -> None:
+        """Note what goes to the upstream with the grants to come."""
+        for each in handovers:
+            self._handovers[(each.first_key, each.last_key)] = each.text
+
+    def answer(self, report: HoldReport) -> HoldReply | None:
+        """Return what the upstream is to hold, None to renew nothing."""
+        now_s = self._clock.now_s()
+        self._take(report, now_s)
+        left_s = self._lease_deadline_s() - now_s
+        hold_s = min(self._most_hold_s, left_s / CLOCK_RATIO)
+        is_leased = hold_s >= LEAST_HOLD_S
+        wanted = self._wanted() if is_leased else {}
+        if not is_leased and not self._has_foreign(report):
+            return None
+        rows = tuple(hold_rows(wanted, self._keys, self._handovers))
+        self._granted = wanted
+        if len(rows) > MOST_ROWS:
+            _log.warning('{} rows of grants, {} fit', len(rows), MOST_ROWS)
+            rows = rows[:MOST_ROWS]
+            self._granted = within_rows(wanted, self._keys, rows)
+        hold_s = max(hold_s, LEAST_HOLD_S) if wanted else LEAST_HOLD_S
+        self._granted_until_s = now_s + hold_s
+        for shard in self._granted:
+            self._held_until_s[shard] = now_s + hold_s * CLOCK_RATIO
+        self._beat.set()
+        return HoldReply(rows, hold_s)
+
+    def _take(self, report: HoldReport, now_s: float) -> None:
+        """Note what the upstream holds now; it says so after each change."""
+        held: set[Shard] = set()
+        for row in report.held:
+            held.update(self._keys.shards(row.first_key, row.last_key))
+        latest_s = now_s + self._most_hold_s * CLOCK_RATIO
+        self._held_until_s = {
+            shard: self._held_until_s.get(shard, latest_s) for shard in held
+        }
+        self._unknown_until_s = -math.inf
+        for row in report.held:
+            self._handovers.pop((row.first_key, row.last_key), None)
+        for each in report.freed:
+            self._freed[(each.first_key, each.last_key)] = each.text
+
+    def _has_foreign(self, report: HoldReport) -> bool:
+        """Return whether it holds what this process never granted."""
+        return any(
+            not self._granted.keys()
+            >= set(self._keys.shards(row.first_key, row.last_key))
+            for row in report.held
+        )
+
+    def _held_shards(self) -> set[Shard]:
+        now_s = self._clock.now_s()
+        return {
+            shard
+            for shard, until_s in self._held_until_s.items()
+            if until_s > now_s
+        }
+
+    def _on_announce(self, announcement: Announcement) -> None:
+        if announcement.instance == self._instance:
+            return
+        is_first = not self._instance
+        self._instance = announcement.instance
+        if is_first:
+            return
+        _log.warning('upstream {} is new', announcement.instance)
+        # A new life holds nothing of what its predecessor was granted.
+        self._granted = {}
+        self._held_until_s = {}
+        self._unknown_until_s = -math.inf
+        self._freed = {}
+        self._beat.set()
+        self.on_restart()
+
+
+def _nothing() -> None:
+    """Do nothing."""
--- a/verbenadeck/lease/_grants.py
+++ b/verbenadeck/lease/_grants.py
@@ -12,16 +12,17 @@
     Announcement,
     Grant,
     GrantedRange,
+    KeyHandover,
     UpstreamAdapter,
 )
+from verbenadeck.lease._grants_port import Wanted
 from verbenadeck.model import Fence, ServiceName, Shard
+from verbenadeck.records import ReleasedRange
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='lease')
 _RETRY_S = 0.05
 
-Wanted = Callable[[], dict[Shard, Fence]]
-
 
 class GrantKeeper:
     """Keeps the upstream's grant in step with the lease and the shards.
@@ -77,6 +78,15 @@
                 return
             await asyncio.sleep(_RETRY_S)
 
+    def handovers(
+        self, ranges: tuple[ReleasedRange, ...]
+    ) -> tuple[KeyHandover, ...]:
+        """Return nothing: an upstream that takes orders leaves nothing."""
+        return ()
+
+    def note_handovers(self, handovers: tuple[KeyHandover, ...]) -> None:
+        """Ignore what an upstream that takes orders has no use for."""
+
     async def _push(self) -> bool:
         instance = self._instance
         service, shard_count = self._service()
--- a/verbenadeck/lease/_handover.py
+++ b/verbenadeck/lease/_handover.py
@@ -9,7 +9,7 @@
 
 from verbenadeck.journal import Applied, Journal
 from verbenadeck.lease._fence_rules import longest_timeout_s
-from verbenadeck.lease._grants import GrantKeeper
+from verbenadeck.lease._grants_port import Grants
 from verbenadeck.lease._messages import Release
 from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
 from verbenadeck.lease._view import DoorHandover
@@ -42,7 +42,7 @@
         port: PeerPort,
         membership: Membership,
         door: DoorHandover,
-        grants: GrantKeeper,
+        grants: Grants,
     ) -> None:
         self._clock = clock
         self._journal = journal
@@ -123,10 +123,15 @@
             deadline_s=self._clock.now_s() + longest_s + _CLOSE_MARGIN_S,
         )
         await self._grants.revoke()
+        handovers = self._grants.handovers(ranges)
         give_up_s = self._clock.now_s() + _TELL_S
         while self._is_named(own, owner, keys):
             release = Release(
-                own, ranges, self._journal.fleet.applied_offset, entries
+                own,
+                ranges,
+                self._journal.fleet.applied_offset,
+                entries,
+                handovers,
             )
             if await self._tell(owner, release):
                 return True
--- a/verbenadeck/lease/_messages.py
+++ b/verbenadeck/lease/_messages.py
@@ -1,5 +1,6 @@
 """Messages of a planned move between the earlier and the new owner."""
 
+from verbenadeck.adapters import KeyHandover
 from verbenadeck.model import Incarnation, Offset
 from verbenadeck.peers import Message
 from verbenadeck.records import ReleasedRange
@@ -19,12 +20,15 @@
         covered.
     entries : bytes
         Entries of its door's request ledger for these shards.
+    handovers : tuple of KeyHandover
+        What its upstream left for the upstream that holds the keys next.
     """
 
     member: Incarnation
     ranges: tuple[ReleasedRange, ...]
     as_of_offset: Offset
     entries: bytes
+    handovers: tuple[KeyHandover, ...] = ()
 
 
 class ReleaseAck(Message, frozen=True, array_like=True, tag='release-ack'):
--- a/verbenadeck/lease/_ownership.py
+++ b/verbenadeck/lease/_ownership.py
@@ -10,6 +10,7 @@
 from verbenadeck.journal import Journal
 from verbenadeck.lease._fence_rules import checks_fences
 from verbenadeck.lease._grants import GrantKeeper
+from verbenadeck.lease._grants_port import GrantsMaker
 from verbenadeck.lease._handover import Handover
 from verbenadeck.lease._messages import Release, ReleaseAck
 from verbenadeck.lease._slots import (
@@ -58,6 +59,8 @@
         Service of that upstream.
     door : DoorHandover
         Door that closes and opens shards.
+    make_grants : GrantsMaker
+        Makes the keeper of the upstream's grants.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         upstream: UpstreamAdapter,
         service: ServiceName,
         door: DoorHandover,
+        make_grants: GrantsMaker = GrantKeeper,
     ) -> None:
         self._clock = clock
         self._journal = journal
@@ -81,7 +85,7 @@
         self._changed = asyncio.Event()
         self._opened = asyncio.Event()
         self._table = SlotTable(clock=clock, fleet=journal.fleet)
-        self._grants = GrantKeeper(
+        self._grants = make_grants(
             clock=clock,
             upstream=upstream,
             service=self._own_service,
@@ -211,6 +215,7 @@
         )
         if not is_applied:
             return None
+        self._grants.note_handovers(release.handovers)
         note = ReleaseNote(release.as_of_offset, release.entries)
         self._table.note_release(release.member, release.ranges, note)
         self._note_change()
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -9,10 +9,10 @@
 from loguru import logger
 
 from verbenadeck.fleet import Member, MemberState
-from verbenadeck.journal import Journal
+from verbenadeck.journal import Journal, finishes
 from verbenadeck.membership._heartbeats import Heartbeats
 from verbenadeck.membership._orphans import is_orphaned
-from verbenadeck.membership._predecessors import predecessors
+from verbenadeck.membership._predecessors import make_burial
 from verbenadeck.membership._proposer import make_proposer
 from verbenadeck.membership._renewals import Renewals
 from verbenadeck.membership._successors import has_successor
@@ -22,7 +22,7 @@
     choose_witnesses,
 )
 from verbenadeck.membership._witness_set import WitnessSetKeeper
-from verbenadeck.model import NO_MEMBER, Incarnation, Offset
+from verbenadeck.model import NO_MEMBER, Incarnation
 from verbenadeck.peers import PeerPort
 from verbenadeck.records import LeavePhase, NodeJoin, NodeLeave, Verdict
 from verbenadeck.utils import Clock
@@ -34,6 +34,10 @@
 _LEAVE_POLL_S = 0.05
 
 
+def _always() -> bool:
+    return True
+
+
 class Membership:
     """Membership and lease of this node.
 
@@ -52,6 +56,11 @@
         The node and its upstream as they are now; witnesses are ignored.
     timing : LeaseTiming
         Times that the whole fleet shares.
+    can_join : callable
+        Whether there is an upstream to join with.
+    is_past_over : callable or None
+        Whether what earlier processes of this node granted has ended; None
+        waits for a whole lease.
 
     Attributes
     ----------
@@ -68,6 +77,8 @@
         port: PeerPort,
         describe: Callable[[], NodeJoin],
         timing: LeaseTiming | None = None,
+        can_join: Callable[[], bool] = _always,
+        is_past_over: Callable[[], bool] | None = None,
     ) -> None:
         self.timing = timing or LeaseTiming()
         self._clock = clock
@@ -76,13 +87,23 @@
         self._describe = describe
         self._incarnation = NO_MEMBER
         self._is_resigning = False
+        self._can_join = can_join
+        self._wake = asyncio.Event()
         self._propose = make_proposer(
             journal, clock=clock, timeout_s=self.timing.append_timeout_s
         )
+
+        def is_lease_past() -> bool:
+            return clock.now_s() >= self._started_s + self.timing.lease_s
+
+        self._bury = make_burial(
+            journal.fleet,
+            propose=self._propose,
+            is_past_over=is_past_over or is_lease_past,
+        )
         self.is_stopping = False
         self._joined_s = -math.inf
         self._started_s = -math.inf
-        self._buried_at = Offset(-1)
         self._renewals = Renewals(clock=clock, timing=self.timing)
         self._heartbeats = Heartbeats(
             clock=clock,
@@ -156,6 +177,17 @@
             asyncio.ensure_future(self._beat()),
         ]
 
+    def end_life(self, reason: str) -> None:
+        """Resign at once and join afresh when there is an upstream again.
+
+        For a caller that knows that nothing which this life granted is held
+        any more.
+        """
+        if self.member is not None and not self._is_resigning:
+            _log.info('incarnation {} ends: {}', self._incarnation, reason)
+            self._is_resigning = True
+        self._wake.set()
+
     async def leave(self, *, deadline_s: float) -> bool:
         """Have the shards moved away; return whether all were in time."""
         own = self.incarnation
@@ -191,11 +223,19 @@
 
     async def _stay_joined(self) -> None:
         while True:
-            if self.member is None:
+            self._wake.clear()
+            if self._is_resigning and self.member is not None:
+                await self._propose(
+                    NodeLeave(self._incarnation, LeavePhase.GONE)
+                )
+            if self.member is None and self._can_join():
                 await self._join()
-            await self._bury_predecessors()
+            await self._bury(self.member)
             await self._resign_when_orphaned()
-            await asyncio.sleep(_RETRY_S * self._random.uniform(0.5, 1))
+            wait_s = _RETRY_S * self._random.uniform(0.5, 1)
+            await finishes(
+                self._wake.wait(), self._clock, self._clock.now_s() + wait_s
+            )
 
     async def _join(self) -> None:
         described = self._describe()
@@ -230,18 +270,6 @@
             _log.info('resign as incarnation {}', member.incarnation)
             await self._propose(NodeLeave(member.incarnation, LeavePhase.GONE))
 
-    async def _bury_predecessors(self) -> None:
-        own = self.member
-        grants_end_s = self._started_s + self.timing.lease_s
-        applied = self._journal.fleet.applied_offset
-        is_known = applied == self._buried_at
-        if own is None or is_known or self._clock.now_s() < grants_end_s:
-            return
-        self._buried_at = applied
-        for each in predecessors(self._journal.fleet, own):
-            _log.info('earlier life {} is over', each)
-            await self._propose(NodeLeave(each, LeavePhase.GONE))
-
     async def _beat(self) -> None:
         tick_s = self.timing.heartbeat_s / _TICKS_PER_HEARTBEAT
         tick = 0
--- a/verbenadeck/membership/_predecessors.py
+++ b/verbenadeck/membership/_predecessors.py
@@ -1,7 +1,16 @@
 """Earlier lives of one process slot."""
 
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
 from verbenadeck.fleet import FleetView, Member
-from verbenadeck.model import Incarnation
+from verbenadeck.membership._proposer import Propose
+from verbenadeck.model import Incarnation, Offset
+from verbenadeck.records import LeavePhase, NodeLeave
+
+_log = logger.bind(part='membership')
+Bury = Callable[[Member | None], Awaitable[None]]
 
 
 def predecessors(fleet: FleetView, own: Member) -> list[Incarnation]:
@@ -19,3 +28,32 @@
         if each.incarnation != own.incarnation
         and (each.node_id, each.address) == (own.node_id, own.address)
     ]
+
+
+def make_burial(
+    fleet: FleetView, *, propose: Propose, is_past_over: Callable[[], bool]
+) -> Bury:
+    """Return a function that ends earlier lives of a member in the log.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Fleet state.
+    propose : Propose
+        Appends a record.
+    is_past_over : callable
+        Whether what earlier lives granted has ended.
+    """
+    looked_at = Offset(-1)
+
+    async def bury(own: Member | None) -> None:
+        nonlocal looked_at  # noqa: WPS420
+        applied = fleet.applied_offset
+        if own is None or applied == looked_at or not is_past_over():
+            return
+        looked_at = applied
+        for each in predecessors(fleet, own):
+            _log.info('earlier life {} is over', each)
+            await propose(NodeLeave(each, LeavePhase.GONE))
+
+    return bury
--- a/verbenadeck/model/_config.py
+++ b/verbenadeck/model/_config.py
@@ -32,6 +32,13 @@
         Time in seconds that kept answers of non-repeatable requests stay.
     repeatable_methods : tuple of str
         HTTP methods that may run more than once.
+    key_space : int
+        Number of keys when keys are whole numbers whose neighbours belong
+        together, so that a shard is a range of keys; 0 hashes keys.
+    has_ledger_shards : bool
+        Whether non-repeatable requests of a service that is not divided by
+        key have an owner by their id. Without, each goes through one entry,
+        which never sends it again once it may have run.
     """
 
     is_keyed: bool = False
@@ -50,6 +57,8 @@
         'PUT',
         'DELETE',
     )
+    key_space: int = 0
+    has_ledger_shards: bool = True
 
 
 class Admission(enum.Enum):
--- a/verbenadeck/model/_outcomes.py
+++ b/verbenadeck/model/_outcomes.py
@@ -17,6 +17,7 @@
     """Why a request was refused or lost."""
 
     NO_CONFIG = 'no-config'
+    UNKNOWN_ROUTE = 'unknown-route'
     UNKNOWN_SERVICE = 'unknown-service'
     BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
--- a/verbenadeck/model/_requests.py
+++ b/verbenadeck/model/_requests.py
@@ -28,6 +28,8 @@
         Whether the request may run more than once.
     deadline_s : float
         Moment on the clock of this VM after which no answer is of use.
+    max_sends : int
+        Most upstreams that the request may reach; 0 sets no bound.
     """
 
     request_id: RequestId
@@ -39,3 +41,4 @@
     body: bytes
     is_repeatable: bool
     deadline_s: float
+    max_sends: int = 0
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -1,8 +1,10 @@
 """Assembly of the services of a node and its daemon."""
 
 from verbenadeck.node._assembly import build_node
+from verbenadeck.node._closing import Closing
 from verbenadeck.node._core import (
     MESSAGES,
+    CoreOptions,
     NodeEdges,
     NodePlace,
     register_core,
@@ -13,11 +15,16 @@
     run_node,
     stop_node,
 )
+from verbenadeck.node._departure import Departure
+from verbenadeck.node._invariants import make_loop_handler
 from verbenadeck.node._joining import Joining
 from verbenadeck.node._planned_stop import PlannedStop
 
 __all__ = (
     'MESSAGES',
+    'Closing',
+    'CoreOptions',
+    'Departure',
     'Joining',
     'NodeEdges',
     'NodePlace',
@@ -25,6 +32,7 @@
     'PlannedStop',
     'StartError',
     'build_node',
+    'make_loop_handler',
     'register_core',
     'run_node',
     'stop_node',
--- a/verbenadeck/node/_assembly.py
+++ b/verbenadeck/node/_assembly.py
@@ -37,6 +37,7 @@
 from verbenadeck.node._closing import Closing
 from verbenadeck.node._core import (
     MESSAGES,
+    CoreOptions,
     NodeEdges,
     NodePlace,
     register_core,
@@ -81,7 +82,7 @@
         place,
         edges,
         joining=joining,
-        timing=_timing(settings.lease),
+        options=CoreOptions(timing=_timing(settings.lease)),
     )
     metrics = _make_metrics(kernel, settings)
     views = _make_views(kernel, settings, joining, upstream, metrics, stop)
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -1,6 +1,7 @@
 """Services of a node between its adapters: all but HTTP."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from verbenadeck import door as door_package
@@ -8,10 +9,20 @@
 from verbenadeck import lease as lease_package
 from verbenadeck import membership as membership_package
 from verbenadeck.adapters import LogAdapter, UpstreamAdapter
-from verbenadeck.door import UpstreamDoor
-from verbenadeck.journal import Checkpointer, LogClient
+from verbenadeck.door import Adapt, UpstreamDoor, gradient_limit
+from verbenadeck.journal import (
+    Checkpointer,
+    CheckpointOptions,
+    JournalOptions,
+    LogClient,
+)
 from verbenadeck.kernel import Kernel
-from verbenadeck.lease import Ownership, WitnessDuty
+from verbenadeck.lease import (
+    GrantKeeper,
+    GrantsMaker,
+    Ownership,
+    WitnessDuty,
+)
 from verbenadeck.membership import LeaseTiming, Membership
 from verbenadeck.model import NodeId, Region, ServiceName, Zone
 from verbenadeck.node._joining import Joining
@@ -75,13 +86,51 @@
     random_source: random.Random
 
 
+def _always() -> bool:
+    return True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CoreOptions:
+    """What differs between the surroundings that a node runs in.
+
+    Parameters
+    ----------
+    timing : LeaseTiming or None
+        Times of the lease protocol.
+    journal : JournalOptions or None
+        Options of the log client.
+    checkpoints : CheckpointOptions or None
+        Options of writing checkpoints.
+    make_grants : GrantsMaker
+        Makes the keeper of the upstream's grants.
+    can_join : callable
+        Whether there is an upstream to join with.
+    is_past_over : callable or None
+        Whether what earlier processes of this node granted has ended.
+    adapt : Adapt
+        Step of the door's adaptive concurrency limit.
+    """
+
+    timing: LeaseTiming | None = None
+    journal: JournalOptions | None = None
+    checkpoints: CheckpointOptions | None = None
+    make_grants: GrantsMaker = GrantKeeper
+    can_join: Callable[[], bool] = _always
+    is_past_over: Callable[[], bool] | None = None
+    adapt: Adapt = gradient_limit
+
+
+_DEFAULTS = CoreOptions()
+
+
 def register_core(
     kernel: Kernel,
     place: NodePlace,
     edges: NodeEdges,
     *,
     joining: Joining,
-    timing: LeaseTiming | None = None,
+    options: CoreOptions = _DEFAULTS,
 ) -> None:
     """Register the services that decide, in a kernel.
 
@@ -95,19 +144,23 @@
         What the node touches.
     joining : Joining
         What the node says of itself when it joins.
-    timing : LeaseTiming or None
-        Times of the lease protocol.
+    options : CoreOptions
+        What differs between surroundings.
     """
-    kernel.register('journal', _make_journal(place, edges))
+    kernel.register('journal', _make_journal(place, edges, options))
     kernel.register(
         'membership',
-        _make_membership(kernel, edges, joining, timing),
+        _make_membership(kernel, edges, joining, options),
         needs=('journal', 'peers', 'upstream'),
         is_started_here=False,
     )
-    kernel.register('door', _make_door(kernel, place, edges), needs=('lease',))
     kernel.register(
-        'lease', _make_lease(kernel, place, edges), needs=('membership',)
+        'door', _make_door(kernel, place, edges, options), needs=('lease',)
+    )
+    kernel.register(
+        'lease',
+        _make_lease(kernel, place, edges, options),
+        needs=('membership',),
     )
     kernel.register(
         'witness', _make_witness(kernel, edges), needs=('membership',)
@@ -123,7 +176,9 @@
     kernel.register(
         'checkpoints',
         Checkpointer(
-            client=kernel.find('journal', LogClient), clock=edges.clock
+            client=kernel.find('journal', LogClient),
+            clock=edges.clock,
+            options=options.checkpoints,
         ),
         needs=('journal',),
     )
@@ -133,13 +188,16 @@
     )
 
 
-def _make_journal(place: NodePlace, edges: NodeEdges) -> LogClient:
+def _make_journal(
+    place: NodePlace, edges: NodeEdges, options: CoreOptions
+) -> LogClient:
     return LogClient(
         adapter=edges.log,
         clock=edges.clock,
         random_source=edges.random_source,
         node_id=place.node_id,
         port=edges.peers,
+        options=options.journal,
     )
 
 
@@ -147,7 +205,7 @@
     kernel: Kernel,
     edges: NodeEdges,
     joining: Joining,
-    timing: LeaseTiming | None,
+    options: CoreOptions,
 ) -> Membership:
     return Membership(
         clock=edges.clock,
@@ -155,12 +213,14 @@
         journal=kernel.find('journal', LogClient),
         port=edges.peers,
         describe=joining.describe,
-        timing=timing,
+        timing=options.timing,
+        can_join=options.can_join,
+        is_past_over=options.is_past_over,
     )
 
 
 def _make_door(
-    kernel: Kernel, place: NodePlace, edges: NodeEdges
+    kernel: Kernel, place: NodePlace, edges: NodeEdges, options: CoreOptions
 ) -> UpstreamDoor:
     membership = kernel.find('membership', Membership)
     return UpstreamDoor(
@@ -173,11 +233,12 @@
         peers=edges.peers,
         clock=edges.clock,
         random_source=edges.random_source,
+        adapt=options.adapt,
     )
 
 
 def _make_lease(
-    kernel: Kernel, place: NodePlace, edges: NodeEdges
+    kernel: Kernel, place: NodePlace, edges: NodeEdges, options: CoreOptions
 ) -> Ownership:
     return Ownership(
         clock=edges.clock,
@@ -187,6 +248,7 @@
         upstream=edges.upstream,
         service=place.service,
         door=kernel.find('door', UpstreamDoor),
+        make_grants=options.make_grants,
     )
 
 
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -152,10 +152,12 @@
         is_first = named == {NO_MEMBER}
         if is_first and self._is_gathering(members):
             return Plan({}, {})
+        homes = homes_of(fleet, members, named)
+        keeping = named | set(homes.values())
         weights = weights_of(
             members,
             is_settled=lambda each: is_first or self._is_settled(each),
-            is_owner=named.__contains__,
+            is_owner=keeping.__contains__,
         )
         moves_per_minute = fleet.config.moves_per_minute
         budget = self._budget.refill(moves_per_minute)
@@ -163,7 +165,7 @@
             PlanInput(
                 owners=owners,
                 weights=weights,
-                homes=homes_of(fleet, members, named),
+                homes=homes,
                 moving=frozenset(fleet.moving(service)),
                 budget=budget if self._is_balancing() else 0,
             )
--- /dev/null
+++ b/verbenadeck/platform/__main__.py
@@ -0,0 +1,28 @@
+"""Runs a node on the platform: `python -m verbenadeck.platform`."""
+
+import os
+import sys
+from pathlib import Path
+
+import uvloop
+from returns.pipeline import is_successful
+
+from verbenadeck.platform._daemon import run_node
+from verbenadeck.platform._settings import PATH_VARIABLE, load_settings
+
+
+def main() -> int:
+    """Run the node that the settings file describes; return the exit code."""
+    settings = load_settings(Path(os.environ.get(PATH_VARIABLE, '')))
+    if not is_successful(settings):
+        sys.stderr.write(f'verbenadeck: {settings.failure().detail}\n')
+        return 2
+    ended = uvloop.run(run_node(settings.unwrap()))
+    if not is_successful(ended):
+        sys.stderr.write(f'verbenadeck: {ended.failure().detail}\n')
+        return 1
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/verbenadeck/platform/_daemon.py
@@ -0,0 +1,56 @@
+"""Daemon of a node on the platform: start, signals and planned stop."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from verbenadeck.logs import setup_logs
+from verbenadeck.node import (
+    PlannedStop,
+    StartError,
+    make_loop_handler,
+    stop_node,
+)
+from verbenadeck.platform._assembly import PlatformNode
+from verbenadeck.platform._settings import PlatformSettings
+
+_log = logger.bind(part='node')
+_STOP_SHARE = 0.3
+
+
+async def run_node(settings: PlatformSettings) -> Result[None, StartError]:
+    """Run a node until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Checked settings.
+    """
+    writer = setup_logs(line_format='json', stream=sys.stdout)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _on_hangup)
+    loop.set_exception_handler(
+        make_loop_handler(flush_logs=writer.flush, exit_process=os._exit)
+    )
+    stop = PlannedStop(begin=stopping.set, is_begun=stopping.is_set)
+    node = PlatformNode(settings, stop)
+    try:
+        await node.kernel.start()
+    except OSError as error:
+        return Failure(StartError(f'{settings.node_id}: {error}'))
+    _log.info('{} started in {}', settings.node_id, settings.zone)
+    await stopping.wait()
+    await stop_node(node.kernel, timeout_s=settings.stop_s * _STOP_SHARE)
+    writer.flush()
+    return Success(None)
+
+
+def _on_hangup() -> None:
+    _log.info('SIGHUP: settings are read at the start only')
--- a/verbenadeck/router/_outcomes.py
+++ b/verbenadeck/router/_outcomes.py
@@ -22,6 +22,7 @@
 _STEPS = MappingProxyType(
     {
         RefusalReason.NO_CONFIG: Step.WAIT,
+        RefusalReason.UNKNOWN_ROUTE: Step.STOP,
         RefusalReason.UNKNOWN_SERVICE: Step.WAIT,
         RefusalReason.BAD_REQUEST: Step.STOP,
         RefusalReason.TOO_LARGE: Step.STOP,
@@ -45,7 +46,24 @@
 )
 
 
-def next_step(refusal: Refusal, *, is_repeatable: bool) -> Step:
+_AT_UPSTREAM = frozenset(
+    (
+        RefusalReason.SHED,
+        RefusalReason.UPSTREAM_FAILED,
+        RefusalReason.PEER_LOST,
+    )
+)
+
+
+def has_reached_upstream(refusal: Refusal) -> bool:
+    """Return whether an upstream may have seen the refused request."""
+    is_unknown = refusal.outcome is Outcome.UNKNOWN
+    return is_unknown or refusal.reason in _AT_UPSTREAM
+
+
+def next_step(
+    refusal: Refusal, *, is_repeatable: bool, is_owned: bool = True
+) -> Step:
     """Return what to do after a refusal.
 
     A request that may have run goes on only when it may run again, and
@@ -53,6 +71,16 @@
     not run twice whose door was lost: its id is safe with the next owner,
     which knows or asks whether it ran.
 
+    Parameters
+    ----------
+    refusal : Refusal
+        Refusal of the last attempt.
+    is_repeatable : bool
+        Whether the request may run more than once.
+    is_owned : bool
+        Whether one owner's ledger answers for the request's id. Without,
+        another door would run it again.
+
     Examples
     --------
     >>> broken = Refusal(Outcome.UNKNOWN, RefusalReason.UPSTREAM_FAILED)
@@ -65,7 +93,7 @@
         return _STEPS[refusal.reason]
     if is_repeatable:
         return Step.RETRY
-    if refusal.reason is RefusalReason.PEER_LOST:
+    if is_owned and refusal.reason is RefusalReason.PEER_LOST:
         return Step.WAIT
     return Step.STOP
 
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -11,7 +11,7 @@
     refusal_of,
     refuse,
 )
-from verbenadeck.fleet import FleetView, shard_of
+from verbenadeck.fleet import FleetView, request_shard
 from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     AnswerResult,
@@ -30,7 +30,12 @@
 from verbenadeck.router._choice import Choice, Choose, choose_by_wait
 from verbenadeck.router._directory import Directory
 from verbenadeck.router._hedges import Send, send_hedged
-from verbenadeck.router._outcomes import Step, merge, next_step
+from verbenadeck.router._outcomes import (
+    Step,
+    has_reached_upstream,
+    merge,
+    next_step,
+)
 from verbenadeck.router._quantile import LatencyQuantile
 from verbenadeck.router._stats import DoorStats
 from verbenadeck.utils import Clock
@@ -130,11 +135,16 @@
             if refusal is None:
                 return result
             is_uncertain |= refusal.outcome is Outcome.UNKNOWN
+            route.sends += has_reached_upstream(refusal)
             final = refuse(merge(refusal, is_uncertain=is_uncertain))
             if self._clock.now_s() + pause_s >= route.request.deadline_s:
                 return final
-            step = next_step(refusal, is_repeatable=route.request.is_repeatable)
-            if step is Step.STOP:
+            step = next_step(
+                refusal,
+                is_repeatable=route.request.is_repeatable,
+                is_owned=route.shard is not None,
+            )
+            if step is Step.STOP or route.is_spent:
                 return final
             if step is Step.RETRY and not route.state.retries.spend():
                 return final
@@ -222,7 +232,7 @@
 class _Route:
     """One request on its way."""
 
-    __slots__ = ('policy', 'request', 'shard', 'state', 'tried')
+    __slots__ = ('policy', 'request', 'sends', 'shard', 'state', 'tried')
 
     def __init__(
         self, request: Request, policy: ServicePolicy, state: _ServiceState
@@ -231,11 +241,14 @@
         self.policy = policy
         self.state = state
         self.tried: list[DoorStats] = []
-        self.shard: Shard | None = None
-        if policy.is_keyed:
-            self.shard = shard_of(request.key or '', policy.shard_count)
-        elif not request.is_repeatable:
-            self.shard = shard_of(request.request_id, policy.shard_count)
+        self.shard: Shard | None = request_shard(request, policy)
+        self.sends = 0
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether the request has reached as many upstreams as it may."""
+        most = self.request.max_sends
+        return 0 < most <= self.sends
 
 
 def _log_choice(request: Request, choice: Choice) -> None:
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
-from verbenadeck.adapters import LogError, LogFailure, LogPage
+from verbenadeck.adapters import LogError, LogFailure, LogPage, NewestRecords
 from verbenadeck.model import Offset
 from verbenadeck.utils import Clock
 
@@ -44,7 +44,7 @@
         self._clock = clock
 
     async def append(
-        self, record: bytes, *, deadline_s: float
+        self, record: bytes, *, deadline_s: float, name: str = ''
     ) -> Result[Offset, LogError]:
         """Append a record."""
         await asyncio.sleep(self._log.latency_s)
@@ -79,5 +79,9 @@
         found = tuple(log.records[start_offset:stop])
         return Success(LogPage(Offset(log.first_offset), start_offset, found))
 
+    async def newest(self) -> Result[NewestRecords | None, LogError]:
+        """Return None: this log keeps no record for good."""
+        return Success(None)
+
     async def close(self) -> None:
         """Do nothing."""
