Tell a reset answer from a whole one, and queue by objective

Doors queued in order of arrival, so calls that instances make expired behind their parents and most answers were late.

Change: the response watches how its connection ended. Waiters go by rank, then by whether they can meet their objective; a request that can't meet it is refused at once. A full door sends the router to another one.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -58,7 +58,7 @@
     Warmth,
 )
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
-from verbenadeck.adapters._upstream_life import UpstreamLife
+from verbenadeck.adapters._upstream_life import UpstreamLife, WatchedResponse
 
 __all__ = (
     'CALLER_FORMATS',
@@ -86,6 +86,7 @@
     'UpstreamHttpAdapter',
     'UpstreamMaker',
     'UpstreamLife',
+    'WatchedResponse',
     'end_to_end',
     'read_announcement',
     'read_call',
--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -76,6 +76,10 @@
         caller says so, or it sent no request id.
     max_sends : int
         Most upstreams that the request may reach; 0 sets no bound.
+    rank : int
+        Urgency; 0 is the most urgent.
+    objective_s : float or None
+        Time left in which an answer is worth most, None for all of it.
     """
 
     service: ServiceName
@@ -87,6 +91,8 @@
     headers: Headers
     is_new: bool = False
     max_sends: int = 0
+    rank: int = 0
+    objective_s: float | None = None
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
--- a/verbenadeck/adapters/_upstream_life.py
+++ b/verbenadeck/adapters/_upstream_life.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any, Self
 
 import aiohttp
+from aiohttp.connector import Connection
 from yarl import URL
 
 from verbenadeck.adapters._upstream import Announcement
@@ -12,6 +14,37 @@
 _SET_BY_CLIENT = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 
 
+class WatchedResponse(aiohttp.ClientResponse):
+    """Response that knows how its connection ended."""
+
+    def __init__(self, *given: Any, **named: Any) -> None:
+        super().__init__(*given, **named)
+        self._ending: asyncio.Future[None] | None = None
+
+    @property
+    def is_closed_cleanly(self) -> bool:
+        """Whether the connection ended, and without an error."""
+        ending = self._ending
+        if ending is None or not ending.done() or ending.cancelled():
+            return False
+        return ending.exception() is None
+
+    async def start(self, connection: Connection) -> Self:
+        """Watch the connection before anything of the answer is read."""
+        if connection.protocol is not None:
+            self._ending = connection.protocol.closed
+        if self._ending is not None:
+            self._ending.add_done_callback(_retrieve)
+        await super().start(connection)
+        return self
+
+
+def _retrieve(ending: 'asyncio.Future[None]') -> None:
+    """Mark the error as seen; those who wait for the answer get it too."""
+    if not ending.cancelled():
+        ending.exception()
+
+
 class ExchangeBrokenError(aiohttp.ClientError):
     """The connection broke after the request may have been sent."""
 
@@ -114,5 +147,6 @@
                 auto_decompress=False,
                 skip_auto_headers=_SET_BY_CLIENT,
                 middlewares=(_send_once,),
+                response_class=WatchedResponse,
             )
         return self._session
--- a/verbenadeck/door/_messages.py
+++ b/verbenadeck/door/_messages.py
@@ -29,8 +29,10 @@
         Time until the request's deadline, in seconds; each VM has its own
         clock, so no moment is sent.
     request_id, service, key, method, path, headers, body, is_repeatable,
-    max_sends
+    max_sends, rank
         Fields of `Request`.
+    objective_left_s : float or None
+        Time until the request's objective, in seconds.
     """
 
     attempt_id: AttemptId
@@ -44,12 +46,18 @@
     body: bytes
     is_repeatable: bool
     max_sends: int = 0
+    rank: int = 0
+    objective_left_s: float | None = None
 
     @classmethod
     def pack(
         cls, attempt_id: AttemptId, request: Request, remaining_s: float
     ) -> Self:
         """Return the message for a request."""
+        objective_left_s = None
+        if request.objective_at_s:
+            lead_s = request.deadline_s - request.objective_at_s
+            objective_left_s = remaining_s - lead_s
         return cls(
             attempt_id,
             remaining_s,
@@ -62,6 +70,8 @@
             request.body,
             request.is_repeatable,
             request.max_sends,
+            request.rank,
+            objective_left_s,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -77,6 +87,10 @@
             self.is_repeatable,
             now_s + self.remaining_s,
             self.max_sends,
+            self.rank,
+            0
+            if self.objective_left_s is None
+            else now_s + self.objective_left_s,
         )
 
 
--- a/verbenadeck/door/_pipeline.py
+++ b/verbenadeck/door/_pipeline.py
@@ -84,7 +84,7 @@
             return refusal
         policy = self._gate.policy
         queue_limit = 0 if policy is None else policy.queue_limit
-        refusal = self._slots.full_refusal(run.request.deadline_s, queue_limit)
+        refusal = self._slots.full_refusal(run.waiter, queue_limit)
         if refusal is None and not run.request.is_repeatable:
             refusal = await self._parts.once.refusal(run)
         return refusal
--- a/verbenadeck/door/_runs.py
+++ b/verbenadeck/door/_runs.py
@@ -31,7 +31,12 @@
         self.attempt_id = attempt_id
         self.request = request
         self.shard = shard
-        self.waiter = Waiter(request.deadline_s, shard)
+        self.waiter = Waiter(
+            request.deadline_s,
+            shard,
+            rank=request.rank,
+            objective_at_s=request.objective_at_s,
+        )
         self.is_sent = False
         self.is_abandoned = False
         self.task: asyncio.Task[None] | None = None
--- a/verbenadeck/door/_slots.py
+++ b/verbenadeck/door/_slots.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from collections import deque
 from collections.abc import Callable
 
 from verbenadeck.door._cold_pace import ColdPace
@@ -10,6 +9,13 @@
 from verbenadeck.model import Refusal, RefusalReason
 from verbenadeck.utils import Clock
 
+BRIEF_S = 0.75
+"""Time in seconds below which a request has no use for an answer that comes
+after its objective but in time; it is mostly a step of another one."""
+
+_Place = tuple[int, bool, float]
+"""Rank, whether the objective can't be met, and the moment that counts."""
+
 
 class Waiter:
     """One request that waits for a slot.
@@ -18,15 +24,41 @@
     ----------
     deadline_s : float
         Moment after which no answer is of use.
+    shard : int
+        Shard of the request.
+    rank : int
+        Urgency; 0 is the most urgent.
+    objective_at_s : float
+        Moment up to which an answer is worth most; 0 for the deadline.
     """
 
-    __slots__ = ('deadline_s', 'future', 'shard')
+    __slots__ = ('deadline_s', 'future', 'objective_at_s', 'rank', 'shard')
 
-    def __init__(self, deadline_s: float, shard: int) -> None:
+    def __init__(
+        self,
+        deadline_s: float,
+        shard: int,
+        *,
+        rank: int = 0,
+        objective_at_s: float = 0,
+    ) -> None:
         self.deadline_s = deadline_s
+        self.objective_at_s = objective_at_s or deadline_s
+        self.rank = rank
         self.shard = shard
         self.future: asyncio.Future[Refusal | None] | None = None
 
+    def place(self, ends_at_s: float, now_s: float) -> _Place:
+        """Return the place in the queue of a request that would end then.
+
+        Those that can meet their objective go first. Serving others on the
+        brink of their deadlines would make every request late.
+        """
+        if ends_at_s <= self.objective_at_s:
+            return self.rank, False, self.objective_at_s
+        is_brief = self.deadline_s - now_s <= BRIEF_S
+        return self.rank, not is_brief, self.deadline_s
+
     @property
     def is_settled(self) -> bool:
         """Whether the wait has ended."""
@@ -69,28 +101,32 @@
         self._clock = clock
         self._limit = limit
         self._service_time_s = service_time_s
-        self._waiting: deque[Waiter] = deque()
+        self._waiting: list[Waiter] = []
 
     @property
     def queued(self) -> int:
         """Requests that wait."""
         return len(self._waiting)
 
-    def expected_wait_s(self) -> float:
+    def expected_wait_s(self, waiter: Waiter) -> float:
         """Return the expected wait of a request that comes now."""
         limit = self._limit()
         if self.in_use < limit and not self._waiting:
             return 0
-        ahead = len(self._waiting) + 1
+        now_s = self._clock.now_s()
+        ends_at_s = now_s + self._service_time_s()
+        own = waiter.place(ends_at_s, now_s)
+        places = (each.place(ends_at_s, now_s) for each in self._waiting)
+        ahead = sum(place <= own for place in places) + 1
         slot_wait_s = ahead / max(1, limit) * self._service_time_s()
         rate_per_s = self._pace.rate_per_s
         if rate_per_s == 0:
             return math.inf
         return max(slot_wait_s, ahead / rate_per_s)
 
-    def full_refusal(self, deadline_s: float, limit: int) -> Refusal | None:
+    def full_refusal(self, waiter: Waiter, limit: int) -> Refusal | None:
         """Return why a request that comes now can't wait, if so."""
-        wait_s = self.expected_wait_s()
+        wait_s = self.expected_wait_s(waiter)
         if wait_s == 0:
             return None
         if len(self._waiting) >= limit:
@@ -99,15 +135,35 @@
                 'the queue is full',
                 retry_after_s=wait_s,
             )
-        ends_at_s = self._clock.now_s() + wait_s + self._service_time_s()
-        if ends_at_s > deadline_s:
+        now_s = self._clock.now_s()
+        ends_at_s = now_s + wait_s + self._service_time_s()
+        if ends_at_s > waiter.deadline_s:
             return not_run(
                 RefusalReason.DEADLINE,
                 'the queue is longer than the deadline allows',
                 retry_after_s=wait_s,
             )
+        if self._is_hopeless(waiter, ends_at_s, now_s):
+            return not_run(
+                RefusalReason.QUEUE_FULL,
+                'the queue is longer than the objective allows',
+                retry_after_s=wait_s,
+            )
         return None
 
+    def _is_hopeless(
+        self, waiter: Waiter, ends_at_s: float, now_s: float
+    ) -> bool:
+        """Return whether a request had better come back later.
+
+        One that has missed its objective already may wait while few do.
+        """
+        is_late = waiter.place(ends_at_s, now_s)[1]
+        if not is_late or waiter.objective_at_s > now_s:
+            return is_late
+        places = (each.place(now_s, now_s) for each in self._waiting)
+        return sum(place[1] for place in places) >= self._limit()
+
     def try_acquire(self) -> bool:
         """Take a slot if one is free and nobody waits."""
         if self._waiting or self.in_use >= self._limit():
@@ -118,7 +174,7 @@
         return True
 
     async def acquire(self, waiter: Waiter) -> Refusal | None:
-        """Take a slot, in order of arrival; a refusal when that failed."""
+        """Take a slot, in order of urgency; a refusal when that failed."""
         if self.try_acquire():
             return None
         loop = asyncio.get_running_loop()
@@ -142,22 +198,27 @@
     def pump(self) -> None:
         """Give free slots to waiters that can still meet their deadlines."""
         while self._waiting and self.in_use < self._limit():
-            waiter = self._waiting[0]
+            waiter = self._next()
             if waiter.is_settled or self._is_late(waiter):
                 waiter.settle(_late())
-                self._waiting.popleft()
+                self._waiting.remove(waiter)
                 continue
             if not self._pace.try_take():
                 return
-            self._waiting.popleft()
+            self._waiting.remove(waiter)
             waiter.settle(None)
             self.in_use += 1
 
+    def _next(self) -> Waiter:
+        now_s = self._clock.now_s()
+        ends_at_s = now_s + self._service_time_s()
+        return min(self._waiting, key=lambda each: each.place(ends_at_s, now_s))
+
     def refuse(
         self, refusal: Refusal, *, shards: frozenset[int] | None
     ) -> None:
         """Refuse all waiters, or those of some shards."""
-        kept: deque[Waiter] = deque()
+        kept: list[Waiter] = []
         for waiter in self._waiting:
             if shards is None or waiter.shard in shards:
                 waiter.settle(refusal)
--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -54,7 +54,11 @@
         is_repeatable = fields.is_repeatable
         if is_repeatable is None:
             is_repeatable = method in policy.repeatable_methods
-        timeout_s = fields.timeout_s or policy.request_timeout_s
+        now_s = clock.now_s()
+        timeout_s = fields.timeout_s
+        if timeout_s is None:
+            timeout_s = policy.request_timeout_s
+        objective_s = fields.objective_s
         return Success(
             Request(
                 request_id=fields.request_id or mint(),
@@ -65,8 +69,12 @@
                 headers=fields.headers,
                 body=body,
                 is_repeatable=is_repeatable,
-                deadline_s=clock.now_s() + timeout_s,
+                deadline_s=now_s + timeout_s,
                 max_sends=fields.max_sends,
+                rank=fields.rank,
+                objective_at_s=(
+                    0 if objective_s is None else now_s + objective_s
+                ),
             )
         )
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -50,8 +50,8 @@
 KEY_SPACE = 65_536
 """Number of keys of a service, as the platform states it."""
 
-SHARD_COUNT = 1_024
-"""Shards of a keyed service: 64 neighbouring keys each."""
+SHARD_COUNT = 2_048
+"""Shards of a keyed service: 32 neighbouring keys each."""
 
 MOVES_PER_MINUTE = 20_000
 """Churn budget; the platform prices a whole turnover of keys at half a
--- a/verbenadeck/platform/_callers.py
+++ b/verbenadeck/platform/_callers.py
@@ -70,6 +70,13 @@
         Returns the service of the upstream beside this node; requests that
         begin on this VM carry its name.
     """
+    usual_s: dict[str, float] = {}
+
+    def elapsed_s(route: Route, deadline_s: float) -> float:
+        """Return how much of its usual time a request has used already."""
+        longest_s = max(usual_s.get(route.name, 0), deadline_s)
+        usual_s[route.name] = longest_s
+        return longest_s - deadline_s
 
     def read_call(
         target: str, headers: _Pairs
@@ -85,6 +92,7 @@
                 RefusalReason.UNKNOWN_ROUTE, f'no route for {host}{target}'
             )
         request_id = given.get(REQUEST_ID.lower())
+        deadline_s = _deadline_s(given, route)
         relayed = [('Host', host), (CALLER_SERVICE, own_service())]
         relayed.extend(
             pair
@@ -98,11 +106,13 @@
                 key=given.get(KEY.lower()),
                 request_id=RequestId(request_id) if request_id else None,
                 is_repeatable=route.is_repeatable,
-                timeout_s=min(route.timeout_s, _deadline_s(given, route)),
+                timeout_s=min(route.timeout_s, deadline_s),
                 headers=tuple(relayed),
                 # Each attempt of a caller has an id of its own.
                 is_new=True,
                 max_sends=route.max_sends,
+                rank=route.rank,
+                objective_s=(route.objective_s - elapsed_s(route, deadline_s)),
             )
         )
 
--- a/verbenadeck/platform/_exchange.py
+++ b/verbenadeck/platform/_exchange.py
@@ -11,6 +11,7 @@
     UpstreamError,
     UpstreamFailure,
     UpstreamLife,
+    WatchedResponse,
     end_to_end,
 )
 from verbenadeck.model import Answer, Request
@@ -89,6 +90,9 @@
         response.close()
         return failed(UpstreamFailure.BROKEN, 'answer to another request')
     body = await response.read()
+    if _may_be_cut(response):
+        detail = 'the connection broke before the end of the answer'
+        return failed(UpstreamFailure.BROKEN, detail)
     is_refused = NOT_EXECUTED in response.headers
     if is_refused or response.status == _MISDIRECTED:
         failure = _REFUSALS.get(response.status, UpstreamFailure.REFUSED)
@@ -101,3 +105,16 @@
 def failed(failure: UpstreamFailure, detail: str) -> Failure[UpstreamError]:
     """Return a failed exchange."""
     return Failure(UpstreamError(failure, detail))
+
+
+def _may_be_cut(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer without a length may have been cut.
+
+    aiohttp takes the end of a connection for the end of such an answer,
+    however the connection ended.
+    """
+    headers = response.headers
+    if 'Content-Length' in headers or 'Transfer-Encoding' in headers:
+        return False
+    is_watched = isinstance(response, WatchedResponse)
+    return not (is_watched and response.is_closed_cleanly)
--- a/verbenadeck/router/_outcomes.py
+++ b/verbenadeck/router/_outcomes.py
@@ -10,11 +10,13 @@
     """Next step after a refusal.
 
     `WAIT` asks the owner of the moment again and costs nothing, since the
-    doors did no work. `RETRY` costs a token of the retry budget. `STOP`
-    gives the refusal to the caller.
+    doors did no work. `ELSEWHERE` asks another door that was not asked yet,
+    which costs nothing either. `RETRY` costs a token of the retry budget.
+    `STOP` gives the refusal to the caller.
     """
 
     WAIT = 'wait'
+    ELSEWHERE = 'elsewhere'
     RETRY = 'retry'
     STOP = 'stop'
 
@@ -33,10 +35,10 @@
         RefusalReason.NO_UPSTREAM: Step.WAIT,
         RefusalReason.ZONE_OUT: Step.WAIT,
         RefusalReason.DRAINING: Step.WAIT,
-        RefusalReason.QUEUE_FULL: Step.RETRY,
+        RefusalReason.QUEUE_FULL: Step.ELSEWHERE,
         RefusalReason.COLD: Step.RETRY,
         RefusalReason.SHED: Step.RETRY,
-        RefusalReason.DEADLINE: Step.RETRY,
+        RefusalReason.DEADLINE: Step.ELSEWHERE,
         RefusalReason.POISON: Step.STOP,
         RefusalReason.CANCELLED: Step.RETRY,
         RefusalReason.UPSTREAM_FAILED: Step.RETRY,
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -146,13 +146,17 @@
             )
             if step is Step.STOP or route.is_spent:
                 return final
+            if step is Step.ELSEWHERE and not self._is_another(route):
+                return final
+            if step is Step.WAIT and self._clock.now_s() >= route.wait_until_s:
+                return final
             if step is Step.RETRY and not route.state.retries.spend():
                 return final
             await asyncio.sleep(self._pause_s(route, step, pause_s))
             pause_s = min(_MOST_PAUSE_S, pause_s * 2)
 
     def _pause_s(self, route: '_Route', step: Step, pause_s: float) -> float:
-        if step is Step.RETRY and route.shard is None:
+        if step is not Step.WAIT and route.shard is None:
             return 0
         return pause_s * (1 + self._random.random()) / 2
 
@@ -200,6 +204,13 @@
             return None
         return self._choose(fresh, self._clock.now_s(), self._random)
 
+    def _is_another(self, route: '_Route') -> bool:
+        """Return whether a door that was not asked yet may answer."""
+        if route.shard is not None:
+            return False
+        doors = self._directory.open_doors(route.request.service)
+        return any(door not in route.tried for door in doors)
+
     def _may_hedge(self, route: '_Route') -> bool:
         return route.request.method in _READS and route.policy.hedge_ratio > 0
 
@@ -232,7 +243,15 @@
 class _Route:
     """One request on its way."""
 
-    __slots__ = ('policy', 'request', 'sends', 'shard', 'state', 'tried')
+    __slots__ = (
+        'policy',
+        'request',
+        'sends',
+        'shard',
+        'state',
+        'tried',
+        'wait_until_s',
+    )
 
     def __init__(
         self, request: Request, policy: ServicePolicy, state: _ServiceState
@@ -243,6 +262,9 @@
         self.tried: list[DoorStats] = []
         self.shard: Shard | None = request_shard(request, policy)
         self.sends = 0
+        # Longer than until its objective a caller is better told to come
+        # back than kept.
+        self.wait_until_s = request.objective_at_s or request.deadline_s
 
     @property
     def is_spent(self) -> bool:
