Place shards by measured load

The planner weighs shards by requests and members by what they can run, and moves shards for balance only while one member gets over 0.6 of its capacity, at most every 3 s.

--- a/verbenadeck/door/__init__.py
+++ b/verbenadeck/door/__init__.py
@@ -17,6 +17,7 @@
 from verbenadeck.door._policy import PolicyReader
 from verbenadeck.door._port import Door, DoorLoad
 from verbenadeck.door._refusals import not_run, refusal_of, refuse, unknown
+from verbenadeck.door._shard_rates import ShardRates
 
 __all__ = (
     'MESSAGES',
@@ -29,6 +30,7 @@
     'ForwardAnswer',
     'Ledger',
     'PolicyReader',
+    'ShardRates',
     'UpstreamDoor',
     'fixed_limit',
     'gradient_limit',
--- a/verbenadeck/door/_admission.py
+++ b/verbenadeck/door/_admission.py
@@ -72,6 +72,8 @@
             return refuse(self._unready_refusal(request))
         owned = request_shard(request, policy)
         shard = NO_SHARD if owned is None else int(owned)
+        if policy.is_keyed:
+            self._parts.rates.count(shard)
         if request.is_repeatable:
             return await self._run_inline(Run(attempt_id, request, shard))
         return await self._run_once(attempt_id, request, shard)
--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -16,6 +16,7 @@
 from verbenadeck.door._parts import Parts, Surroundings
 from verbenadeck.door._port import DoorLoad
 from verbenadeck.door._refusals import not_run
+from verbenadeck.door._shard_rates import ShardRates
 from verbenadeck.fleet import FleetView
 from verbenadeck.lease import OwnershipView
 from verbenadeck.model import (
@@ -112,6 +113,11 @@
             parts.gate.is_admitting,
         )
 
+    @property
+    def shard_rates(self) -> ShardRates:
+        """Measured requests a second by shard."""
+        return self._parts.rates
+
     def _limit(self) -> int:
         """Return the concurrency that slots and a cold start allow."""
         limit = self._parts.limit
--- a/verbenadeck/door/_parts.py
+++ b/verbenadeck/door/_parts.py
@@ -16,6 +16,7 @@
 from verbenadeck.door._poison import Quarantine
 from verbenadeck.door._runs import Runs
 from verbenadeck.door._sender import Sender
+from verbenadeck.door._shard_rates import ShardRates
 from verbenadeck.door._slots import SlotQueue
 from verbenadeck.door._takeovers import Takeovers
 from verbenadeck.fleet import FleetView
@@ -96,6 +97,7 @@
             quarantine=self.quarantine,
         )
         self.pace = ColdPace(clock=clock)
+        self.rates = ShardRates(clock=clock)
         self.slots = SlotQueue(
             pace=self.pace,
             clock=clock,
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -8,6 +8,7 @@
 from verbenadeck import journal as journal_package
 from verbenadeck import lease as lease_package
 from verbenadeck import membership as membership_package
+from verbenadeck import placement as placement_package
 from verbenadeck.adapters import LogAdapter, UpstreamAdapter
 from verbenadeck.door import Adapt, UpstreamDoor, gradient_limit
 from verbenadeck.journal import (
@@ -28,7 +29,7 @@
 from verbenadeck.node._joining import Joining
 from verbenadeck.node._ownership_by_name import OwnershipByName
 from verbenadeck.peers import PeerPort
-from verbenadeck.placement import Planner
+from verbenadeck.placement import LoadBoard, LoadReporter, Planner
 from verbenadeck.router import DoorRouter
 from verbenadeck.utils import Clock
 
@@ -37,6 +38,7 @@
     *journal_package.MESSAGES,
     *lease_package.MESSAGES,
     *membership_package.MESSAGES,
+    *placement_package.MESSAGES,
 )
 """All message types between nodes."""
 
@@ -168,11 +170,16 @@
     kernel.register(
         'router', _make_router(kernel, place, edges), needs=('door',)
     )
+    board = LoadBoard(clock=edges.clock)
+    board.register(edges.peers)
     kernel.register(
         'placement',
-        _make_planner(kernel, edges),
+        _make_planner(kernel, edges, board),
         needs=('membership',),
     )
+    kernel.register(
+        'loads', _make_reporter(kernel, edges, board), needs=('door',)
+    )
     kernel.register(
         'checkpoints',
         Checkpointer(
@@ -261,13 +268,31 @@
     )
 
 
-def _make_planner(kernel: Kernel, edges: NodeEdges) -> Planner:
+def _make_reporter(
+    kernel: Kernel, edges: NodeEdges, board: LoadBoard
+) -> LoadReporter:
+    door = kernel.find('door', UpstreamDoor)
+    return LoadReporter(
+        board=board,
+        rates=door.shard_rates,
+        load=lambda: door.load,
+        fleet=kernel.find('journal', LogClient).fleet,
+        membership=kernel.find('membership', Membership),
+        port=edges.peers,
+        clock=edges.clock,
+    )
+
+
+def _make_planner(
+    kernel: Kernel, edges: NodeEdges, board: LoadBoard
+) -> Planner:
     journal = kernel.find('journal', LogClient)
     return Planner(
         clock=edges.clock,
         journal=journal,
         fleet=journal.fleet,
         membership=kernel.find('membership', Membership),
+        board=board,
     )
 
 
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import math
+from collections.abc import Mapping
 
+import msgspec
 from loguru import logger
 from returns.result import Success
 
@@ -16,6 +18,7 @@
     serving_members,
     weights_of,
 )
+from verbenadeck.placement._load_reports import LoadBoard, MeasuredLoad
 from verbenadeck.placement._loads import PlanInput
 from verbenadeck.placement._moves import assign_records
 from verbenadeck.placement._plan import Plan, make_plan
@@ -40,6 +43,10 @@
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
 _BALANCE_DELAY_S = 10.0
+_LOAD_REST_S = 3.0
+_LOAD_HYSTERESIS = 0.2
+_LOAD_MOVES = 256
+_CAPACITY_UNIT = 10
 _URGENT = (CheckpointChunk, ConfigPublished, NodeJoin, NodeLeave, Suspect)
 
 
@@ -64,6 +71,8 @@
     rank_delay_s : float
         Time in seconds by which the second and the third planner hold back,
         each after the one before it.
+    board : LoadBoard or None
+        Measured load; None weighs all shards alike.
     """
 
     def __init__(
@@ -74,7 +83,10 @@
         fleet: FleetTables,
         membership: Membership,
         rank_delay_s: float = 0.4,
+        board: LoadBoard | None = None,
     ) -> None:
+        self._board = board
+        self._balanced_s: dict[ServiceName, float] = {}
         self._clock = clock
         self._journal = journal
         self._fleet = fleet
@@ -130,7 +142,9 @@
     def _look_s(self) -> float:
         """Return the time to the next look; short after any change."""
         age_s = self._clock.now_s() - self._heard_s
-        return _LOOK_S if age_s < _RESTLESS_S else _CALM_LOOK_S
+        if self._board is not None or age_s < _RESTLESS_S:
+            return _LOOK_S
+        return _CALM_LOOK_S
 
     def _note_members(self) -> None:
         now_s = self._clock.now_s()
@@ -159,16 +173,31 @@
             is_settled=lambda each: is_first or self._is_settled(each),
             is_owner=keeping.__contains__,
         )
-        moves_per_minute = fleet.config.moves_per_minute
-        budget = self._budget.refill(moves_per_minute)
-        return make_plan(
-            PlanInput(
-                owners=owners,
-                weights=weights,
-                homes=homes,
-                moving=frozenset(fleet.moving(service)),
-                budget=budget if self._is_balancing() else 0,
-            )
+        budget = self._budget.refill(fleet.config.moves_per_minute)
+        given = PlanInput(
+            owners=owners,
+            weights=weights,
+            homes=homes,
+            moving=frozenset(fleet.moving(service)),
+            budget=budget if self._is_balancing() else 0,
+        )
+        return make_plan(self._weighed(service, given))
+
+    def _weighed(self, service: ServiceName, given: PlanInput) -> PlanInput:
+        """Weigh shards and members by measured load, if there is some."""
+        measured = None
+        if self._board is not None:
+            measured = self._board.measured(service, given.owners)
+        if measured is None:
+            return given
+        rests_s = self._clock.now_s() - self._balanced_s.get(service, -math.inf)
+        is_due = measured.is_busy and rests_s >= _LOAD_REST_S
+        return msgspec.structs.replace(
+            given,
+            weights=_capacities(given.weights, measured),
+            costs=measured.costs,
+            hysteresis=_LOAD_HYSTERESIS,
+            budget=min(given.budget, _LOAD_MOVES) if is_due else 0,
         )
 
     def _is_gathering(self, members: list[Member]) -> bool:
@@ -199,6 +228,8 @@
         timeout_s = self._membership.timing.append_timeout_s
         deadline_s = self._clock.now_s() + timeout_s
         self._budget.spend(len(plan.balance))
+        if plan.balance:
+            self._balanced_s[service] = self._clock.now_s()
         reasons = (('no owner', plan.forced), ('balance', plan.balance))
         proposals = [
             self._propose_one(record, reason, deadline_s)
@@ -226,3 +257,17 @@
                 reason,
                 judged,
             )
+
+
+def _capacities(
+    weights: Mapping[Incarnation, int], measured: MeasuredLoad
+) -> dict[Incarnation, int]:
+    """Return capacities; members without a report count by their slots."""
+    known = measured.capacities
+    told = [each for each in weights if each in known]
+    slots = sum(weights[each] for each in told)
+    per_slot = sum(known[each] for each in told) / max(1, slots)
+    return {
+        each: max(1, int(_CAPACITY_UNIT * known.get(each, weight * per_slot)))
+        for each, weight in weights.items()
+    }
--- /dev/null
+++ b/verbenadeck/placement/tests/test_hot_keys.py
@@ -0,0 +1,108 @@
+"""A few neighbouring keys get much of the traffic for some seconds."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from verbenadeck.model import Incarnation, ServiceName, Shard
+from verbenadeck.placement import (
+    LoadBoard,
+    PlanInput,
+    ShardLoads,
+    make_plan,
+)
+from verbenadeck.testing import run_virtual, virtual_clock
+
+_SERVICE = ServiceName('catalogue')
+_SHARDS = 300
+_OWNERS = tuple(1 + shard // 100 for shard in range(_SHARDS))
+_CAPACITY_PER_S = 70.0
+_HOT = tuple((Shard(shard), 5.0) for shard in range(40, 47))
+_MEMBERS = tuple(map(Incarnation, (1, 2, 3)))
+
+
+def _report(
+    member: int, total_per_s: float, hot: tuple[tuple[Shard, float], ...] = ()
+) -> ShardLoads:
+    return ShardLoads(
+        Incarnation(member), _SERVICE, _CAPACITY_PER_S, total_per_s, hot
+    )
+
+
+def _board() -> LoadBoard:
+    return LoadBoard(clock=virtual_clock())
+
+
+def test_a_hot_stretch_is_split_among_the_members() -> None:
+    async def scenario() -> None:
+        board = _board()
+        for report in (_report(1, 60, _HOT), _report(2, 22), _report(3, 22)):
+            board.take(report)
+        measured = board.measured(_SERVICE, _OWNERS)
+        assert measured is not None
+        assert measured.is_busy
+        plan = make_plan(
+            PlanInput(
+                owners=_OWNERS,
+                weights={each: 700 for each in _MEMBERS},
+                costs=measured.costs,
+                hysteresis=0.2,
+                budget=256,
+            )
+        )
+        rates = dict(_HOT)
+        after = Counter({1: 60.0, 2: 22.0, 3: 22.0})
+        for shard, owner in plan.balance.items():
+            rate_per_s = rates.get(shard, 69 / 293)
+            after[_OWNERS[shard]] -= rate_per_s
+            after[owner] += rate_per_s
+        assert max(after.values()) < 1.25 * 104 / 3
+        assert len(plan.balance) < _SHARDS / 10
+
+    run_virtual(scenario())
+
+
+def test_a_wave_over_all_keys_moves_nothing() -> None:
+    async def scenario() -> None:
+        board = _board()
+        for member, total_per_s in ((1, 40), (2, 46), (3, 43)):
+            board.take(_report(member, total_per_s))
+        measured = board.measured(_SERVICE, _OWNERS)
+        assert measured is not None
+        given = PlanInput(
+            owners=_OWNERS,
+            weights={each: 700 for each in _MEMBERS},
+            costs=measured.costs,
+            hysteresis=0.2,
+            budget=256,
+        )
+        assert not make_plan(given).balance
+
+    run_virtual(scenario())
+
+
+def test_keys_are_not_moved_while_all_are_served_with_ease() -> None:
+    async def scenario() -> None:
+        board = _board()
+        for report in (_report(1, 30, _HOT), _report(2, 2), _report(3, 2)):
+            board.take(report)
+        measured = board.measured(_SERVICE, _OWNERS)
+        assert measured is not None
+        assert not measured.is_busy
+
+    run_virtual(scenario())
+
+
+def test_old_reports_say_nothing() -> None:
+    async def scenario() -> None:
+        board = _board()
+        for member in (1, 2, 3):
+            board.take(_report(member, 30))
+        await asyncio.sleep(1.9)
+        assert board.measured(_SERVICE, _OWNERS) is not None
+        board.take(msgspec.structs.replace(_report(1, 30)))
+        await asyncio.sleep(0.2)
+        assert board.measured(_SERVICE, _OWNERS) is None
+
+    run_virtual(scenario())
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -16,11 +16,17 @@
 from verbenadeck.model import Request, RequestId, ServiceName
 from verbenadeck.platform._exchange import Sent, exchange, order_headers
 
-_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n'
 _RESET = struct.pack('ii', 1, 0)
 _Act = Callable[[asyncio.StreamWriter], None]
 
 
+def _answer(
+    request_id: str, fields: str, body: str, *, status: int = 200
+) -> bytes:
+    start = f'HTTP/1.1 {status} OK\r\nRequest-Id: {request_id}\r\n'
+    return f'{start}{fields}\r\n{body}'.encode()
+
+
 def _request(request_id: str = 'r1') -> Request:
     return Request(
         RequestId(request_id),
@@ -71,7 +77,7 @@
 
 def _unframed(end: _Act) -> _Act:
     def act(writer: asyncio.StreamWriter) -> None:
-        writer.write(_HEAD % b'r1' + b'\r\nbytes')
+        writer.write(_answer('r1', '', 'bytes'))
         asyncio.get_running_loop().call_later(0.05, end, writer)
 
     return act
@@ -92,7 +98,7 @@
 
 def test_a_length_that_is_not_reached_is_not_complete() -> None:
     def act(writer: asyncio.StreamWriter) -> None:
-        writer.write(_HEAD % b'r1' + b'Content-Length: 9\r\n\r\nbytes')
+        writer.write(_answer('r1', 'Content-Length: 9\r\n', 'bytes'))
         writer.close()
 
     failure = asyncio.run(_send(act)).failure()
@@ -101,7 +107,7 @@
 
 def test_an_answer_to_another_request_is_none() -> None:
     def act(writer: asyncio.StreamWriter) -> None:
-        writer.write(_HEAD % b'r0' + b'Content-Length: 2\r\n\r\nab')
+        writer.write(_answer('r0', 'Content-Length: 2\r\n', 'ab'))
 
     failure = asyncio.run(_send(act)).failure()
     assert failure.failure is UpstreamFailure.BROKEN
@@ -119,8 +125,8 @@
     status: int, header: str, failure: UpstreamFailure
 ) -> None:
     def act(writer: asyncio.StreamWriter) -> None:
-        head = f'HTTP/1.1 {status} No\r\nRequest-Id: r1\r\n{header}\r\n'
-        writer.write(head.encode() + b'Content-Length: 0\r\n\r\n')
+        fields = f'{header}\r\nContent-Length: 0\r\n'
+        writer.write(_answer('r1', fields, '', status=status))
 
     assert asyncio.run(_send(act)).failure().failure is failure
 
