Test the platform's adapter against a stand-in of its store

Found by them: the wait for a token could be a rounding error long, so that a clock that advances by timers alone stood still; it is 1 ms at least now.

--- a/verbenadeck/door/_cold_pace.py
+++ b/verbenadeck/door/_cold_pace.py
@@ -14,6 +14,10 @@
 """Requests that a cold upstream may get at one moment; with the stated rate
 they stay below the platform's bound of 1.5 times the rate and 5 more."""
 
+LEAST_WAIT_S = 0.001
+"""Shortest wait for a token, in seconds: a fraction that rounding left must
+not be waited for in steps that advance no clock."""
+
 
 class ColdPace:
     """Token bucket that is open while the upstream is warm.
@@ -69,7 +73,7 @@
         if rate_per_s > 0:
             wait_s = min(cold_s, (1 - self._tokens) / rate_per_s)
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(wait_s, self._wake)
+        self._timer = loop.call_later(max(LEAST_WAIT_S, wait_s), self._wake)
 
     def _wake(self) -> None:
         self._timer = None
--- /dev/null
+++ b/verbenadeck/door/tests/test_cold_pace.py
@@ -0,0 +1,63 @@
+"""An upstream that bears only some requests a second for a while."""
+
+import asyncio
+
+import pytest
+
+from verbenadeck.adapters import WARM, Warmth
+from verbenadeck.door._cold_pace import BURST_REQUESTS, ColdPace
+from verbenadeck.door._slots import SlotQueue, Waiter
+from verbenadeck.testing import run_virtual, virtual_clock
+
+_RATE_PER_S = 19.0
+_SLACK = 5.0
+_OVER = 1.5
+
+
+def test_no_second_of_a_cold_start_gets_more_than_the_bound() -> None:
+    async def scenario() -> None:
+        clock = virtual_clock()
+        pace = ColdPace(clock=clock)
+        queue = SlotQueue(
+            clock=clock,
+            limit=lambda: 1000,
+            service_time_s=lambda: 0.01,
+            pace=pace,
+        )
+        pace.take_warmth(Warmth(clock.now_s() + 3, _RATE_PER_S))
+        starts_s: list[float] = []
+
+        async def one() -> None:
+            if await queue.acquire(Waiter(clock.now_s() + 60, -1)) is None:
+                starts_s.append(clock.now_s())
+
+        await asyncio.gather(*(one() for _ in range(200)))
+        cold = [at_s for at_s in starts_s if at_s < 3]
+        for at_s in cold:
+            within = sum(at_s <= other < at_s + 1 for other in cold)
+            assert within <= _RATE_PER_S * _OVER + _SLACK
+        assert len(cold) == pytest.approx(3 * _RATE_PER_S, abs=3)
+        assert len(starts_s) == 200
+        assert max(starts_s) == pytest.approx(3, abs=0.1)
+
+    run_virtual(scenario())
+
+
+def test_a_warm_upstream_has_no_pace() -> None:
+    async def scenario() -> None:
+        pace = ColdPace(clock=virtual_clock())
+        pace.take_warmth(WARM)
+        assert all(pace.try_take() for _ in range(100))
+
+    run_virtual(scenario())
+
+
+def test_a_burst_is_bounded_after_a_pause() -> None:
+    async def scenario() -> None:
+        clock = virtual_clock()
+        pace = ColdPace(clock=clock)
+        pace.take_warmth(Warmth(clock.now_s() + 60, _RATE_PER_S))
+        await asyncio.sleep(10)
+        assert sum(pace.try_take() for _ in range(50)) == BURST_REQUESTS
+
+    run_virtual(scenario())
--- /dev/null
+++ b/verbenadeck/lease/tests/test_beat_grants.py
@@ -0,0 +1,206 @@
+"""Grants that upstreams ask for with their heartbeats."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from verbenadeck.adapters import (
+    Announcement,
+    HeldRange,
+    HoldReport,
+    KeyHandover,
+)
+from verbenadeck.lease import BeatGrants
+from verbenadeck.lease._beat_grants import CLOCK_RATIO, MOST_ROWS
+from verbenadeck.model import Fence, ServiceName, Shard
+from verbenadeck.records import ReleasedRange
+from verbenadeck.testing import run_virtual, virtual_clock
+from verbenadeck.testing._fake_sides import FakeUpstream
+
+_SERVICE = ServiceName('catalogue')
+_SHARDS = 16
+_KEYS = 160
+_MOST_S = 10.0
+_LEASE_S = 3.0
+
+
+class _Node:
+    """Grants over a lease and a table that tests set."""
+
+    def __init__(self) -> None:
+        self.clock = virtual_clock()
+        self.lease_end_s = self.clock.now_s() + _LEASE_S
+        self.wanted: dict[Shard, Fence] = {}
+        self.upstream = FakeUpstream(self.clock, _SERVICE, checks_fences=True)
+        self.grants = BeatGrants(
+            clock=self.clock,
+            upstream=self.upstream,
+            service=lambda: (_SERVICE, _SHARDS),
+            wanted=lambda: dict(self.wanted),
+            lease_deadline_s=lambda: self.lease_end_s,
+            key_space=_KEYS,
+            most_hold_s=_MOST_S,
+        )
+
+    def want(self, first: int, stop: int, fence: int = 5) -> None:
+        for shard in range(first, stop):
+            self.wanted[Shard(shard)] = Fence(fence)
+
+
+def _report(
+    *held: tuple[int, int, int], freed: tuple[KeyHandover, ...] = ()
+) -> HoldReport:
+    rows = tuple(HeldRange(*row[:2], Fence(row[2])) for row in held)
+    return HoldReport('life-0', rows, freed)
+
+
+def _run(scenario: Callable[[_Node], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await scenario(_Node())
+
+    run_virtual(main())
+
+
+def test_a_hold_ends_before_the_lease_on_the_slowest_clock() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        reply = node.grants.answer(_report())
+        assert reply is not None
+        assert reply.held == (HeldRange(0, 39, Fence(5)),)
+        assert reply.hold_s * CLOCK_RATIO <= _LEASE_S
+        assert node.grants.deadline_s(Shard(0), Fence(5)) <= node.lease_end_s
+        assert node.grants.deadline_s(Shard(0), Fence(4)) < 0
+        assert node.grants.deadline_s(Shard(9), Fence(5)) < 0
+
+    _run(scenario)
+
+
+def test_without_a_lease_nothing_is_renewed() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.answer(_report())
+        node.lease_end_s = node.clock.now_s()
+        assert node.grants.answer(_report((0, 39, 5))) is None
+
+    _run(scenario)
+
+
+def test_a_new_process_takes_back_what_the_one_before_it_granted() -> None:
+    async def scenario(node: _Node) -> None:
+        node.lease_end_s = 0
+        assert not node.grants.is_past_settled
+        reply = node.grants.answer(_report((0, 39, 5)))
+        assert reply is not None
+        assert not reply.held
+        assert not node.grants.is_past_settled
+        node.grants.answer(_report())
+        assert node.grants.is_past_settled
+
+    _run(scenario)
+
+
+def test_without_a_heartbeat_the_past_ends_with_the_longest_hold() -> None:
+    async def scenario(node: _Node) -> None:
+        await asyncio.sleep(_MOST_S)
+        assert not node.grants.is_past_settled
+        await asyncio.sleep(_MOST_S * (CLOCK_RATIO - 1) + 0.01)
+        assert node.grants.is_past_settled
+
+    _run(scenario)
+
+
+def test_a_revocation_waits_until_the_upstream_reports_it() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.answer(_report())
+        node.grants.answer(_report((0, 39, 5)))
+        node.wanted = {Shard(0): Fence(5)}
+        revoking = asyncio.ensure_future(node.grants.revoke())
+        reply = node.grants.answer(_report((0, 39, 5)))
+        assert reply is not None
+        assert reply.held == (HeldRange(0, 9, Fence(5)),)
+        await asyncio.sleep(0.2)
+        assert not revoking.done()
+        node.grants.answer(
+            _report((0, 9, 5), freed=(KeyHandover(10, 39, 'text'),))
+        )
+        await asyncio.sleep(0.1)
+        assert revoking.done()
+        released = (ReleasedRange(_SERVICE, 1, 4),)
+        assert node.grants.handovers(released) == (KeyHandover(10, 39, 'text'),)
+        assert not node.grants.handovers(released)
+
+    _run(scenario)
+
+
+def test_a_revocation_of_a_silent_upstream_waits_for_the_hold_to_end() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.answer(_report())
+        node.wanted = {}
+        started_s = node.clock.now_s()
+        await node.grants.revoke()
+        assert _LEASE_S - 0.1 <= node.clock.now_s() - started_s
+        assert node.clock.now_s() - started_s <= _LEASE_S + 0.1
+
+    _run(scenario)
+
+
+def test_handovers_go_along_until_the_keys_are_held() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.note_handovers((KeyHandover(10, 19, 'text'),))
+        reply = node.grants.answer(_report())
+        assert reply is not None
+        assert reply.held == (
+            HeldRange(0, 9, Fence(5)),
+            HeldRange(10, 19, Fence(5), 'text'),
+            HeldRange(20, 39, Fence(5)),
+        )
+        reply = node.grants.answer(_report((0, 9, 5), (10, 19, 5), (20, 39, 5)))
+        assert reply is not None
+        assert reply.held == (HeldRange(0, 39, Fence(5)),)
+
+    _run(scenario)
+
+
+def test_a_new_life_holds_nothing() -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.answer(_report())
+        node.upstream.restart()
+        assert node.grants.deadline_s(Shard(0), Fence(5)) < 0
+        assert node.grants.is_past_settled
+
+    _run(scenario)
+
+
+def test_too_many_rows_are_cut_and_the_rest_is_not_served() -> None:
+    async def scenario(node: _Node) -> None:
+        for shard in range(_SHARDS):
+            node.wanted[Shard(shard)] = Fence(shard)
+        node.grants.note_handovers(
+            tuple(KeyHandover(key, key, 'x') for key in range(MOST_ROWS + 9))
+        )
+        reply = node.grants.answer(_report())
+        assert reply is not None
+        assert len(reply.held) == MOST_ROWS
+        assert node.grants.deadline_s(Shard(0), Fence(0)) > 0
+        assert node.grants.deadline_s(Shard(15), Fence(15)) < 0
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('slots', [4, 18])
+def test_announcements_of_the_same_life_change_nothing(slots: int) -> None:
+    async def scenario(node: _Node) -> None:
+        node.want(0, 4)
+        node.grants.answer(_report())
+        same = Announcement(
+            _SERVICE, node.upstream.instance, '127.0.0.1', 1, slots, 4, 4
+        )
+        node.grants._on_announce(same)
+        assert node.grants.deadline_s(Shard(0), Fence(5)) > 0
+
+    _run(scenario)
--- /dev/null
+++ b/verbenadeck/platform/tests/test_log.py
@@ -0,0 +1,135 @@
+"""The fleet's log in the store, and starting from what it keeps."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from returns.pipeline import is_successful
+
+from verbenadeck.adapters import LogFailure
+from verbenadeck.config import encode_document
+from verbenadeck.journal import Checkpointer, LogClient
+from verbenadeck.model import (
+    ConfigDocument,
+    ConfigVersion,
+    NodeId,
+    Offset,
+)
+from verbenadeck.platform._log import KEPT_RECORDS, TOPIC, StoreLog
+from verbenadeck.platform._store import StoreClient
+from verbenadeck.platform.tests.builders import (
+    CLOCK,
+    running_store,
+    soon_s,
+)
+from verbenadeck.records import ConfigPublished
+from verbenadeck.standins import StoreStandin
+
+_Scenario = Callable[[StoreStandin, StoreClient], Awaitable[None]]
+
+
+def _run(scenario: _Scenario, *, page: int = 500) -> None:
+    async def main() -> None:
+        async with running_store(page=page) as (store, client):
+            await scenario(store, client)
+
+    asyncio.run(main())
+
+
+def _log(client: StoreClient, name: str = 'n1') -> StoreLog:
+    return StoreLog(client, node_id=NodeId(name), life=0, clock=CLOCK)
+
+
+def _client(store: StoreClient, name: str) -> LogClient:
+    return LogClient(
+        adapter=_log(store, name),
+        clock=CLOCK,
+        random_source=random.Random(name),
+        node_id=NodeId(name),
+    )
+
+
+async def _publish(journal: LogClient, version: int) -> None:
+    document = ConfigDocument(moves_per_minute=version + 1)
+    record = ConfigPublished(
+        ConfigVersion(version), encode_document(document), 'test'
+    )
+    assert is_successful(await journal.propose(record, deadline_s=soon_s()))
+
+
+def test_records_come_back_without_their_keys() -> None:
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        log = _log(client)
+        for record in (b'a', b'bc'):
+            await log.append(record, deadline_s=soon_s())
+        page = (
+            await log.read(Offset(1), limit=9, deadline_s=soon_s())
+        ).unwrap()
+        assert page.records == (b'bc',)
+
+    _run(scenario)
+
+
+def test_what_is_known_about_an_append_that_failed() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        log = _log(client)
+        store.faults.is_down = True
+        refused = await log.append(b'a', deadline_s=soon_s())
+        assert refused.failure().failure is LogFailure.NOT_APPENDED
+        store.faults.is_down = False
+        store.faults.lost_answers = 1
+        lost = await log.append(b'a', deadline_s=soon_s())
+        assert lost.failure().failure is LogFailure.UNKNOWN
+
+    _run(scenario)
+
+
+def test_the_newest_records_are_kept_over_several_pages() -> None:
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        log = _log(client)
+        for number in range(KEPT_RECORDS + 6):
+            await log.append(bytes([number]), deadline_s=soon_s())
+        newest = (await log.newest()).unwrap()
+        assert newest is not None
+        assert newest.end_offset == KEPT_RECORDS + 6
+        offsets = [offset for offset, _ in newest.records]
+        assert offsets == list(range(6, KEPT_RECORDS + 6))
+
+    _run(scenario, page=10)
+
+
+def test_a_start_over_lost_history_takes_what_is_kept() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        first = _client(client, 'n1')
+        await first.start()
+        await _publish(first, 0)
+        assert await Checkpointer(client=first, clock=CLOCK).write()
+        await _publish(first, 1)
+        topic = store.topic(TOPIC)
+        topic.first = len(topic.records)
+        second = _client(client, 'n2')
+        await second.start()
+        assert await second.wait_ready(deadline_s=soon_s())
+        assert second.fleet.config_version == 2
+        assert second.fleet.config.moves_per_minute == 2
+        await _publish(second, 2)
+        await first.stop()
+        await second.stop()
+
+    _run(scenario)
+
+
+def test_a_gap_in_what_is_kept_is_no_start() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        log = _log(client)
+        for number in range(KEPT_RECORDS + 1):
+            await log.append(bytes([number]), deadline_s=soon_s())
+        topic = store.topic(TOPIC)
+        topic.first = len(topic.records)
+        late = _client(client, 'n2')
+        await late.start()
+        assert not await late.wait_ready(deadline_s=soon_s(0.5))
+        assert 'checkpoint' in late.waits_for
+        await late.stop()
+
+    _run(scenario)
--- /dev/null
+++ b/verbenadeck/platform/tests/test_operator.py
@@ -0,0 +1,160 @@
+"""Operators' records and the callers' vocabulary that follows from them."""
+
+import asyncio
+
+import pytest
+from returns.pipeline import is_successful
+
+from verbenadeck.model import Outcome, RefusalReason, ServiceName, Zone
+from verbenadeck.platform._callers import make_caller_format
+from verbenadeck.platform._operator import TOPIC, OperatorFeed, read_state
+from verbenadeck.platform.tests.builders import (
+    CLOCK,
+    make_config,
+    running_store,
+)
+from verbenadeck.routes import RouteBook, make_splitter
+
+_HEADERS = (
+    ('Host', 'a.example:80'),
+    ('Request-Id', 'abc'),
+    ('Deadline-Ms', '3000'),
+    ('Shard-Key', '77'),
+    ('Caller-Service', 'forged'),
+    ('X-Own', 'kept'),
+    ('Connection', 'close'),
+)
+
+
+def _book(*configs: bytes) -> RouteBook:
+    book = RouteBook()
+    for config in configs:
+        book.take(read_state(config, frozenset()).unwrap())
+    return book
+
+
+async def _until(is_met: object) -> None:
+    for _ in range(200):
+        if is_met():  # type: ignore[operator]
+            return
+        await asyncio.sleep(0.02)
+    pytest.fail('not met in time')
+
+
+def test_rows_become_routes_and_services() -> None:
+    state = read_state(make_config(), frozenset()).unwrap()
+    route = {one.name: one for one in state.routes}['r1']
+    assert state.version == 12
+    assert (route.timeout_s, route.objective_s) == (1.5, 0.5)
+    assert (route.host, route.is_repeatable) == ('a.example', True)
+    assert state.services[ServiceName('desk')].is_keyed
+    assert not state.services[ServiceName('till')].is_keyed
+    assert state.limits.body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    'record',
+    [
+        b'',
+        b'{}',
+        b'[]',
+        make_config(version='not a number'),
+        make_config(routes={'columns': ['name'], 'rows': [['r']]}),
+        make_config(limits={'idleTimeout': 15}),
+    ],
+)
+def test_a_record_that_cannot_be_read_is_a_failure(record: bytes) -> None:
+    assert not is_successful(read_state(record, frozenset()))
+
+
+def test_versions_never_go_back() -> None:
+    book = _book(make_config('0000000c'), make_config('0000000b'))
+    assert book.state is not None
+    assert book.state.version == 12
+
+
+def test_the_feed_follows_changes_evacuations_and_lost_history() -> None:
+    async def main() -> None:
+        async with running_store() as (store, client):
+            book = RouteBook()
+            feed = OperatorFeed(client, book=book, clock=CLOCK)
+            await store.write(TOPIC, 'config', make_config('00000001'))
+            await feed.start()
+            await _until(lambda: book.state)
+            await store.write(TOPIC, 'evacuate/suva', b'{}')
+            await _until(lambda: book.state and book.state.zones_out)
+            assert book.state is not None
+            assert book.state.zones_out == {Zone('suva')}
+            store.faults.is_down = True
+            await store.write(TOPIC, 'evacuate/suva', b'')
+            await store.write(TOPIC, 'config', make_config('00000005'))
+            store.topic(TOPIC).first = len(store.topic(TOPIC).records)
+            store.faults.is_down = False
+            await _until(lambda: book.state and book.state.version == 5)
+            assert not book.state.zones_out
+            await feed.stop()
+
+    asyncio.run(main())
+
+
+def test_a_call_gets_the_terms_of_its_route() -> None:
+    callers = make_caller_format(
+        book=_book(make_config()),
+        pick_service=make_splitter(),
+        own_service=lambda: ServiceName('here'),
+    )
+    fields = callers.read_call('/read/x?y=1', _HEADERS).unwrap()
+    assert (fields.service, fields.path) == ('desk', '/read/x?y=1')
+    assert (fields.key, fields.request_id) == ('77', 'abc')
+    assert (fields.timeout_s, fields.objective_s) == (1.5, 0.5)
+    assert fields.is_repeatable
+    assert dict(fields.headers) == {
+        'Host': 'a.example:80',
+        'Caller-Service': 'here',
+        'X-Own': 'kept',
+    }
+
+
+def test_a_returning_caller_has_used_up_part_of_its_objective() -> None:
+    callers = make_caller_format(
+        book=_book(make_config()),
+        pick_service=make_splitter(),
+        own_service=lambda: ServiceName('here'),
+    )
+    callers.read_call('/read/x', _HEADERS)
+    again = (('Host', 'a.example'), ('Deadline-Ms', '2800'))
+    fields = callers.read_call('/read/x', again).unwrap()
+    assert fields.objective_s == pytest.approx(0.3)
+
+
+def test_without_routes_nothing_is_denied() -> None:
+    callers = make_caller_format(
+        book=RouteBook(),
+        pick_service=make_splitter(),
+        own_service=lambda: ServiceName('here'),
+    )
+    refusal = callers.read_call('/read/x', _HEADERS).failure()
+    assert refusal.reason is RefusalReason.NO_CONFIG
+    answer = callers.write_refusal(refusal, None)
+    assert answer.status == 503
+    assert 'Retry-After' in dict(answer.headers)
+
+
+def test_an_unknown_route_is_not_found() -> None:
+    callers = make_caller_format(
+        book=_book(make_config()),
+        pick_service=make_splitter(),
+        own_service=lambda: ServiceName('here'),
+    )
+    refusal = callers.read_call('/write/x', _HEADERS).failure()
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert callers.write_refusal(refusal, None).status == 404
+
+
+def test_a_split_keeps_its_weights_over_short_spans() -> None:
+    book = _book(make_config())
+    route = book.find('a.example', '/read/split/1')
+    assert route is not None
+    pick = make_splitter()
+    picked = [pick(route) for _ in range(20)]
+    assert picked.count(ServiceName('till')) == 2
--- a/verbenadeck/standins/__init__.py
+++ b/verbenadeck/standins/__init__.py
@@ -13,6 +13,11 @@
     end_event,
     start_app,
 )
+from verbenadeck.standins._store_app import (
+    StoreFaults,
+    StoreStandin,
+    make_store_app,
+)
 from verbenadeck.standins._upstream_options import (
     EchoBody,
     LoadLie,
@@ -48,6 +53,8 @@
     'Served',
     'ServingReport',
     'Started',
+    'StoreFaults',
+    'StoreStandin',
     'Stream',
     'UpstreamFaults',
     'UpstreamOptions',
@@ -58,6 +65,7 @@
     'echo_digest',
     'end_event',
     'make_log_app',
+    'make_store_app',
     'make_upstream_app',
     'start_app',
 )
--- /dev/null
+++ b/verbenadeck/standins/_store_app.py
@@ -0,0 +1,151 @@
+"""Stand-in of the users' store: one partition a topic, some kept by key."""
+
+import asyncio
+import base64
+import struct
+
+import msgspec
+from aiohttp import web
+
+_LENGTH = struct.Struct('>I')
+_BOUNDS = struct.Struct('>QQ')
+_GONE = 410
+_UNAVAILABLE = 503
+_MS_PER_S = 1000
+_ZERO = '0'
+
+
+class StoreFaults(msgspec.Struct):
+    """Faults that calls meet from now on.
+
+    Parameters
+    ----------
+    is_down : bool
+        Whether calls are refused.
+    lost_answers : int
+        Appends to come that take effect without an answer.
+    """
+
+    is_down: bool = False
+    lost_answers: int = 0
+
+
+class Topic:
+    """Records of one topic, with those that expired."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.changed = asyncio.Condition()
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """Return the newest record of each key with its offset."""
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(self.records):
+            stop = 1 + record[0]
+            found[record[1:stop].decode()] = (offset, record[stop:])
+        return {key: entry for key, entry in found.items() if entry[1]}
+
+
+class StoreStandin:
+    """Topics of the store and its faults."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.topics: dict[str, Topic] = {}
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made when first used."""
+        return self.topics.setdefault(name, Topic())
+
+    async def write(self, name: str, key: str, content: bytes) -> int:
+        """Append a record of a keyed topic and return its offset."""
+        raw = key.encode()
+        topic = self.topic(name)
+        async with topic.changed:
+            topic.records.append(bytes((len(raw),)) + raw + content)
+            topic.changed.notify_all()
+        return len(topic.records) - 1
+
+
+def make_store_app(store: StoreStandin, *, page: int = 500) -> web.Application:
+    """Return the HTTP application of a store stand-in."""
+
+    async def append(request: web.Request) -> web.Response:
+        body = await request.read()
+        if store.faults.is_down:
+            return web.Response(status=_UNAVAILABLE)
+        topic = store.topic(request.query['topic'])
+        offset = len(topic.records)
+        async with topic.changed:
+            topic.records.extend(_split(body))
+            topic.changed.notify_all()
+        if store.faults.lost_answers:
+            store.faults.lost_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response({'offset': offset, 'end': len(topic.records)})
+
+    async def read(request: web.Request) -> web.Response:
+        if store.faults.is_down:
+            return web.Response(status=_UNAVAILABLE)
+        topic = store.topic(request.query['topic'])
+        start = int(request.query['from'])
+        if start < topic.first:
+            return web.json_response({'first': topic.first}, status=_GONE)
+        wait_s = int(request.query.get('waitMs', _ZERO)) / _MS_PER_S
+        await _wait(topic, start, wait_s)
+        bounds = _BOUNDS.pack(len(topic.records), topic.first)
+        return web.Response(body=bounds + _join(topic.records[start:]))
+
+    async def newest(request: web.Request) -> web.Response:
+        if store.faults.is_down:
+            return web.Response(status=_UNAVAILABLE)
+        topic = store.topic(request.query['topic'])
+        after = request.query.get('after', '')
+        kept = topic.newest()
+        keys = [key for key in sorted(kept) if key > after]
+        listed = [
+            {
+                'key': key,
+                'value': base64.b64encode(kept[key][1]).decode(),
+                'offset': kept[key][0],
+            }
+            for key in keys[:page]
+        ]
+        return web.json_response(
+            {
+                'items': listed,
+                'more': len(keys) > page,
+                'end': len(topic.records),
+            }
+        )
+
+    app = web.Application()
+    app.router.add_post('/v1/log-append', append)
+    app.router.add_get('/v1/log-read', read)
+    app.router.add_get('/v1/log-newest', newest)
+    return app
+
+
+async def _wait(topic: Topic, start: int, wait_s: float) -> None:
+    try:
+        async with asyncio.timeout(wait_s), topic.changed:
+            await topic.changed.wait_for(lambda: len(topic.records) > start)
+    except TimeoutError:
+        return
+
+
+def _split(body: bytes) -> list[bytes]:
+    records: list[bytes] = []
+    position = 0
+    while position < len(body):
+        length = _LENGTH.unpack_from(body, position)[0]
+        position += _LENGTH.size
+        records.append(body[position : position + length])
+        position += length
+    return records
+
+
+def _join(records: list[bytes]) -> bytes:
+    return b''.join(_LENGTH.pack(len(one)) + one for one in records)
