Serve a moving shard up to its release, and grant runs of keys in one row

A shard that moved was refused from the moment of the assignment, though its instance kept it until its next heartbeat.

Change: neighbouring shards share a row under the highest fence; handovers that don't fit are dropped before rows. The earlier owner serves until a heartbeat was answered without the shard, and routers ask it first. A request that was never sent is refused as not run. Reads of operators' records wait 1.2 s and count as lost 0.6 s later.

--- a/verbenadeck/door/_admission.py
+++ b/verbenadeck/door/_admission.py
@@ -171,6 +171,11 @@
             async with asyncio.timeout(left_s):
                 return await asyncio.shield(joined)
         except TimeoutError:
+            if not run.is_sent and run.waiting == 1:
+                # Given up below, so that it is never sent.
+                return refuse(
+                    not_run(RefusalReason.DEADLINE, 'it was not sent in time')
+                )
             return refuse(
                 unknown(RefusalReason.DEADLINE, 'it still runs at the deadline')
             )
--- a/verbenadeck/lease/_beat_grants.py
+++ b/verbenadeck/lease/_beat_grants.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from types import MappingProxyType
 
 from loguru import logger
 
 from verbenadeck.adapters import (
     Announcement,
+    HeldRange,
     HoldReply,
     HoldReport,
     KeyHandover,
@@ -37,6 +40,7 @@
 reads of an answer to its heartbeat."""
 
 _POLL_S = 0.05
+_NO_HANDOVERS: Mapping[tuple[int, int], str] = MappingProxyType({})
 
 
 class BeatGrants:
@@ -87,6 +91,8 @@
         # Until when a shard may still be held, whatever was granted since.
         self._held_until_s: dict[Shard, float] = {}
         self._unknown_until_s = clock.now_s() + most_hold_s * CLOCK_RATIO
+        # Highest fence that any life of the upstream was told of a shard.
+        self._told: dict[Shard, Fence] = {}
         self._handovers: dict[tuple[int, int], str] = {}
         self._freed: dict[tuple[int, int], str] = {}
         self._beat = asyncio.Event()
@@ -104,6 +110,17 @@
             return -math.inf
         return self._granted_until_s
 
+    def granted_fence(self, shard: Shard) -> Fence | None:
+        """Return the fence under which a shard is granted now."""
+        if self._clock.now_s() >= self._granted_until_s:
+            return None
+        return self._granted.get(shard)
+
+    async def await_release(self, shards: frozenset[Shard]) -> None:
+        """Return once a heartbeat was answered without these shards."""
+        while any(self.granted_fence(shard) is not None for shard in shards):
+            await self._next_beat()
+
     async def push(self) -> bool:
         """Do nothing: the next heartbeat gets what is wanted then."""
         return True
@@ -115,12 +132,7 @@
             is_known = self._clock.now_s() >= self._unknown_until_s
             if is_known and self._held_shards() <= wanted.keys():
                 return
-            self._beat.clear()
-            try:
-                async with asyncio.timeout(_POLL_S):
-                    await self._beat.wait()
-            except TimeoutError:
-                continue
+            await self._next_beat()
 
     def handovers(
         self, ranges: tuple[ReleasedRange, ...]
@@ -150,12 +162,10 @@
         wanted = self._wanted() if is_leased else {}
         if not is_leased and not self._has_foreign(report):
             return None
-        rows = tuple(hold_rows(wanted, self._keys, self._handovers))
-        self._granted = wanted
-        if len(rows) > MOST_ROWS:
-            _log.warning('{} rows of grants, {} fit', len(rows), MOST_ROWS)
-            rows = rows[:MOST_ROWS]
-            self._granted = within_rows(wanted, self._keys, rows)
+        rows = self._rows(wanted)
+        if self._granted != wanted:
+            self.on_restart()
+        self._granted = within_rows(wanted, self._keys, rows)
         hold_s = max(hold_s, LEAST_HOLD_S) if wanted else LEAST_HOLD_S
         self._granted_until_s = now_s + hold_s
         for shard in self._granted:
@@ -163,6 +173,30 @@
         self._beat.set()
         return HoldReply(rows, hold_s)
 
+    async def _next_beat(self) -> None:
+        self._beat.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_POLL_S):
+                await self._beat.wait()
+
+    def _rows(self, wanted: dict[Shard, Fence]) -> tuple[HeldRange, ...]:
+        """Return rows whose fences never fall for any shard."""
+        told = {
+            shard: max(fence, self._told.get(shard, fence))
+            for shard, fence in wanted.items()
+        }
+        rows = tuple(hold_rows(told, self._keys, self._handovers))
+        if len(rows) > MOST_ROWS:
+            _log.warning('{} rows of grants, at most {}', len(rows), MOST_ROWS)
+            # Without handovers some keys are slow for a while; without a row
+            # they are not served.
+            rows = tuple(hold_rows(told, self._keys, _NO_HANDOVERS))
+        rows = rows[:MOST_ROWS]
+        for row in rows:
+            for shard in self._keys.shards(row.first_key, row.last_key):
+                self._told[shard] = row.fence
+        return rows
+
     def _take(self, report: HoldReport, now_s: float) -> None:
         """Note what the upstream holds now; it says so after each change."""
         held: set[Shard] = set()
--- a/verbenadeck/lease/_grants.py
+++ b/verbenadeck/lease/_grants.py
@@ -60,6 +60,12 @@
             return -math.inf
         return self._granted_until_s
 
+    def granted_fence(self, shard: Shard) -> Fence | None:
+        """Return None: a grant is taken back as soon as a shard moves."""
+
+    async def await_release(self, shards: frozenset[Shard]) -> None:
+        """Return at once: shards are closed before they are taken back."""
+
     async def push(self) -> bool:
         """Grant what the node may serve now; return whether it took hold."""
         async with self._lock:
--- a/verbenadeck/lease/_grants_port.py
+++ b/verbenadeck/lease/_grants_port.py
@@ -27,6 +27,17 @@
         """Return until when the upstream takes orders for a shard."""
         ...
 
+    def granted_fence(self, shard: Shard) -> Fence | None:
+        """Return the fence of a shard that is served until its release.
+
+        None for upstreams that a grant is taken back from at once.
+        """
+        ...
+
+    async def await_release(self, shards: frozenset[Shard]) -> None:
+        """Return once these shards may be closed."""
+        ...
+
     async def push(self) -> bool:
         """Grant what the node may serve now; return whether it took hold."""
         ...
--- a/verbenadeck/lease/_handover.py
+++ b/verbenadeck/lease/_handover.py
@@ -118,6 +118,7 @@
             longest_timeout_s(self._journal.fleet.config, each.service)
             for each in ranges
         )
+        await self._grants.await_release(frozenset(shard for _, shard in keys))
         entries = await self._door.close_shards(
             ranges,
             deadline_s=self._clock.now_s() + longest_s + _CLOSE_MARGIN_S,
--- a/verbenadeck/lease/_hold_rows.py
+++ b/verbenadeck/lease/_hold_rows.py
@@ -46,16 +46,20 @@
 def hold_rows(
     wanted: Mapping[Shard, Fence], keys: KeyLayout, handovers: Handovers
 ) -> Iterator[HeldRange]:
-    """Yield the fewest rows for some shards, in order of their keys."""
+    """Yield one row for each run of neighbouring shards, in order.
+
+    A run gets the highest fence of its shards. Fences are positions of the
+    log that this node has applied, so the next assignment of any of these
+    shards gets a higher one.
+    """
     ordered = sorted(wanted.items())
     start = 0
     while start < len(ordered):
         stop = _run_stop(ordered, start)
-        shard, fence = ordered[start]
         whole = HeldRange(
-            keys.first_key(shard),
+            keys.first_key(ordered[start][0]),
             keys.first_key(ordered[stop - 1][0] + 1) - 1,
-            fence,
+            max(fence for _, fence in ordered[start:stop]),
         )
         yield from _split(whole, handovers)
         start = stop
@@ -65,7 +69,7 @@
     wanted: Mapping[Shard, Fence], keys: KeyLayout, rows: tuple[HeldRange, ...]
 ) -> dict[Shard, Fence]:
     """Return the shards that the first rows cover in full."""
-    stop_key = rows[-1].last_key + 1
+    stop_key = rows[-1].last_key + 1 if rows else 0
     return {
         shard: fence
         for shard, fence in wanted.items()
@@ -76,8 +80,7 @@
 def _run_stop(ordered: list[tuple[Shard, Fence]], start: int) -> int:
     stop = start + 1
     while stop < len(ordered):
-        (before, fence), (shard, other) = ordered[stop - 1], ordered[stop]
-        if other != fence or shard != before + 1:
+        if ordered[stop][0] != ordered[stop - 1][0] + 1:
             break
         stop += 1
     return stop
--- a/verbenadeck/lease/_ownership.py
+++ b/verbenadeck/lease/_ownership.py
@@ -116,6 +116,8 @@
         """Return whether this node may serve a shard now."""
         view = self._journal.fleet.shard(service, shard)
         own = self._membership.incarnation
+        if view.owner != own and own in view.earlier:
+            return self._permit_until_release(shard)
         if view.owner != own or self._is_stopping:
             return _refused(RefusalReason.NOT_OWNER)
         lease_s = self._membership.lease_deadline_s
@@ -129,6 +131,21 @@
             return _refused(RefusalReason.MOVING)
         return Success(Permit(slot.fence, deadline_s))
 
+    def _permit_until_release(self, shard: Shard) -> Result[Permit, Refusal]:
+        """Return a permit for a shard that moves away but is granted still.
+
+        The next owner can't serve it before this node has released it, so
+        there is no gain in refusing it any sooner.
+        """
+        fence = self._grants.granted_fence(shard)
+        if fence is None or not self._membership.is_leased:
+            return _refused(RefusalReason.NOT_OWNER)
+        deadline_s = min(
+            self._membership.lease_deadline_s,
+            self._grants.deadline_s(shard, fence),
+        )
+        return Success(Permit(fence, deadline_s))
+
     async def wait_permit(
         self, service: ServiceName, shard: Shard, *, deadline_s: float
     ) -> Result[Permit, Refusal]:
@@ -227,7 +244,8 @@
         while True:
             self._changed.clear()
             self._refresh()
-            is_granted = await self._renew_grant()
+            is_fenced = checks_fences(self._journal.fleet.config, self._service)
+            is_granted = not is_fenced or await self._grants.push()
             self._wake_waiters()
             wait_s = beat_s if is_granted else _RETRY_S
             try:
@@ -236,11 +254,6 @@
             except TimeoutError:
                 continue
 
-    async def _renew_grant(self) -> bool:
-        if not checks_fences(self._journal.fleet.config, self._service):
-            return True
-        return await self._grants.push()
-
     def _wake_waiters(self) -> None:
         opened = self._opened
         self._opened = asyncio.Event()
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -26,9 +26,10 @@
 TOPIC = 'keyed.op'
 """Topic that operators write to."""
 
-WAIT_S = 8.0
-"""Wait of one read for news, in seconds; a connection that went silent is
-found by its keep-alive probes meanwhile."""
+WAIT_S = 1.2
+"""Wait of one read for news, in seconds. An answer may be lost while its
+connection stays open, so this and the margin of an answer stay within the 2 s
+in which a configuration is to be in force."""
 
 _NEWEST_S = 2.0
 _RETRY_S = 0.3
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -28,8 +28,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time for a new connection, in seconds: some hundred round trips."""
 
-ANSWER_MARGIN_S = 1.0
-"""Time in seconds beyond the wait of a read after which it counts as lost."""
+ANSWER_MARGIN_S = 0.6
+"""Time in seconds beyond the wait of a read after which it counts as lost;
+a slow store takes 0.3 s."""
 
 _KEEPALIVE_S = 1
 _KEEPALIVE_PROBES = 2
--- a/verbenadeck/router/_directory.py
+++ b/verbenadeck/router/_directory.py
@@ -42,10 +42,15 @@
         self._refresh()
         return self._open.get(service, [])
 
-    def owner(self, service: ServiceName, shard: Shard) -> DoorStats | None:
-        """Return the door of a shard's owner, None when it has none."""
+    def owners(self, service: ServiceName, shard: Shard) -> list[DoorStats]:
+        """Return the doors that may serve a shard, the likeliest first.
+
+        While a shard moves its earlier owner serves it up to the release.
+        """
         self._refresh()
-        return self._doors.get(self._fleet.shard(service, shard).owner)
+        view = self._fleet.shard(service, shard)
+        named = (*reversed(view.earlier), view.owner)
+        return [self._doors[each] for each in named if each in self._doors]
 
     def is_member(self, door: DoorStats) -> bool:
         """Return whether a door's node is still a member."""
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -179,13 +179,16 @@
     async def _attempt_bound(
         self, route: '_Route', shard: Shard
     ) -> AnswerResult:
-        owner = self._directory.owner(route.request.service, shard)
-        if owner is None:
+        owners = self._directory.owners(route.request.service, shard)
+        if not owners:
             return refuse(
                 not_run(
                     RefusalReason.NO_OWNER, f'shard {shard} has no live owner'
                 )
             )
+        fresh = [each for each in owners if each not in route.tried]
+        owner = fresh[0] if fresh else owners[-1]
+        route.tried.append(owner)
         _log_choice(route.request, Choice(owner, f'owner of shard {shard}'))
         return await self._attempts.send(owner, route.request, is_bound=True)
 
