--- /dev/null
+++ b/verbenadeck/routes/tests/test_document_sync.py
@@ -0,0 +1,144 @@
+"""Operators' services and zones on their way into the fleet's log."""
+
+import asyncio
+import random
+from typing import Any
+
+from verbenadeck.config import encode_document
+from verbenadeck.fleet.tests.builders import make_join
+from verbenadeck.journal import LogClient
+from verbenadeck.model import (
+    ConfigDocument,
+    Incarnation,
+    NodeId,
+    ServiceName,
+    ServicePolicy,
+    Zone,
+)
+from verbenadeck.routes import (
+    DocumentSync,
+    OperatorState,
+    RouteBook,
+    ServiceTerms,
+)
+from verbenadeck.testing import (
+    MemoryLog,
+    MemoryLogAdapter,
+    run_virtual,
+    virtual_clock,
+)
+
+_DESK = ServiceName('desk')
+_SUVA = Zone('suva')
+
+
+class _Node:
+    """One member with its log client and the service under test."""
+
+    def __init__(self, log: MemoryLog, name: str) -> None:
+        self.clock = virtual_clock()
+        self.adapter = MemoryLogAdapter(log, self.clock)
+        self.book = RouteBook()
+        self.incarnation = Incarnation(-1)
+        self.name = name
+        self.journal = LogClient(
+            adapter=self.adapter,
+            clock=self.clock,
+            random_source=random.Random(name),
+            node_id=NodeId(name),
+        )
+        membership: Any = self
+        self.sync = DocumentSync(
+            book=self.book,
+            journal=self.journal,
+            membership=membership,
+            clock=self.clock,
+            policy_of=_policy_of,
+            moves_per_minute=60,
+        )
+
+    async def start(self) -> None:
+        await self.journal.start()
+        joined = await self.journal.propose(
+            make_join(self.name), deadline_s=self.clock.now_s() + 5
+        )
+        self.incarnation = Incarnation(joined.unwrap().offset)
+        await self.sync.start()
+
+    async def stop(self) -> None:
+        await self.sync.stop()
+        await self.journal.stop()
+
+    @property
+    def document(self) -> ConfigDocument:
+        return self.journal.fleet.config
+
+
+def _policy_of(terms: ServiceTerms) -> ServicePolicy:
+    return ServicePolicy(is_keyed=terms.is_keyed, shard_count=16)
+
+
+def _state(version: int, *zones: Zone) -> OperatorState:
+    terms = ServiceTerms(_DESK, True, '/health', 10, 19)
+    return OperatorState(
+        version, (), {_DESK: terms}, zones_out=frozenset(zones)
+    )
+
+
+def test_services_and_zones_reach_every_node() -> None:
+    async def scenario() -> None:
+        log = MemoryLog()
+        nodes = [_Node(log, name) for name in ('n1', 'n2')]
+        for node in nodes:
+            await node.start()
+            node.book.take(_state(1))
+        await asyncio.sleep(1)
+        assert all(_DESK in node.document.services for node in nodes)
+        versions = {node.journal.fleet.config_version for node in nodes}
+        assert versions == {1}
+        for node in nodes:
+            node.book.take(_state(1, _SUVA))
+        await asyncio.sleep(1)
+        assert all(_SUVA in node.document.zones_out for node in nodes)
+        for node in nodes:
+            node.book.take(_state(1))
+        await asyncio.sleep(1)
+        assert not any(node.document.zones_out for node in nodes)
+        assert nodes[0].journal.fleet.config_version == 3
+        for node in nodes:
+            await node.stop()
+
+    run_virtual(scenario())
+
+
+def test_the_next_member_publishes_when_the_first_cannot() -> None:
+    async def scenario() -> None:
+        log = MemoryLog()
+        nodes = [_Node(log, name) for name in ('n1', 'n2')]
+        for node in nodes:
+            await node.start()
+        nodes[0].adapter.is_cut = True
+        for node in nodes:
+            node.book.take(_state(1, _SUVA))
+        await asyncio.sleep(2)
+        assert _SUVA in nodes[1].document.zones_out
+        for node in nodes:
+            await node.stop()
+
+    run_virtual(scenario())
+
+
+def test_services_that_operators_no_longer_name_keep_their_shards() -> None:
+    async def scenario() -> None:
+        log = MemoryLog()
+        node = _Node(log, 'n1')
+        await node.start()
+        node.book.take(_state(1))
+        await asyncio.sleep(1)
+        node.book.take(OperatorState(2, (), {}))
+        await asyncio.sleep(1)
+        assert _DESK in node.document.services
+        assert encode_document(node.document)
+        await node.stop()
+
+    run_virtual(scenario())
