Explain a request from the nodes' logs; linger at a planned stop

Entries write one line for each refused request, routers one for each step after a refusal. A node goes on taking callers for 2.2 s after SIGTERM, since the platform turns them away after two misses of readiness only.

--- a/verbenadeck/commands/_catalogue.py
+++ b/verbenadeck/commands/_catalogue.py
@@ -10,6 +10,7 @@
 from verbenadeck.commands._check import CHECK
 from verbenadeck.commands._command import Command
 from verbenadeck.commands._exceptions import EXCEPTION_COMMANDS
+from verbenadeck.commands._explain import EXPLAIN
 from verbenadeck.commands._help import more_help
 from verbenadeck.commands._log_tail import LOG_TAIL
 from verbenadeck.commands._node import NODE
@@ -31,6 +32,7 @@
             STATUS,
             OWNER,
             LOG_TAIL,
+            EXPLAIN,
         )
     }
 )
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -20,6 +20,7 @@
 from verbenadeck.adapters import CallerAnswer, CallerFields, CallerFormat
 from verbenadeck.entry._options import EntryOptions
 from verbenadeck.entry._truth import outcome_of_request
+from verbenadeck.logs import decision_log
 from verbenadeck.model import (
     AnswerResult,
     Outcome,
@@ -32,6 +33,7 @@
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='entry')
+_decide = decision_log('entry')
 _METHODS = (
     'GET',
     'HEAD',
@@ -186,6 +188,15 @@
         self._observe(request, result, self._clock.now_s() - started_s)
         if not is_successful(result):
             refusal = outcome_of_request(result.failure(), fields, request)
+            _decide(
+                'refused {} {} after {:.3f} s: {} {}, {}',
+                request.service,
+                request.request_id,
+                self._clock.now_s() - started_s,
+                refusal.outcome.value,
+                refusal.reason.value,
+                refusal.detail,
+            )
             return self._write_refusal(refusal, request.request_id)
         answer = self._vocabulary.write_answer(
             result.unwrap(), request.request_id
--- a/verbenadeck/node/_daemon.py
+++ b/verbenadeck/node/_daemon.py
@@ -83,7 +83,9 @@
     return Success(None)
 
 
-async def stop_node(kernel: Kernel, *, timeout_s: float) -> None:
+async def stop_node(
+    kernel: Kernel, *, timeout_s: float, linger_s: float = 0
+) -> None:
     """Stop a node as planned: hand shards over, finish work, leave.
 
     Parameters
@@ -92,12 +94,18 @@
         Kernel of the node.
     timeout_s : float
         Longest time for handing shards over.
+    linger_s : float
+        Least time for which the entry goes on, until callers have been told
+        to go elsewhere.
     """
     _log.info('planned stop begins')
-    deadline_s = Clock().now_s() + timeout_s
+    clock = Clock()
+    linger_until_s = clock.now_s() + linger_s
+    deadline_s = clock.now_s() + timeout_s
     membership = kernel.find('membership', Membership)
     is_handed_over = await membership.leave(deadline_s=deadline_s)
     _log.info('shards handed over: {}', is_handed_over)
+    await clock.sleep_until(linger_until_s)
     await kernel.stop()
 
 
--- a/verbenadeck/platform/_daemon.py
+++ b/verbenadeck/platform/_daemon.py
@@ -21,6 +21,10 @@
 _log = logger.bind(part='node')
 _STOP_SHARE = 0.3
 
+LINGER_S = 2.2
+"""Time in seconds from SIGTERM for which the entry takes callers: the platform
+asks for readiness once a second and turns callers away after two misses."""
+
 
 async def run_node(settings: PlatformSettings) -> Result[None, StartError]:
     """Run a node until SIGTERM or SIGINT.
@@ -47,7 +51,11 @@
         return Failure(StartError(f'{settings.node_id}: {error}'))
     _log.info('{} started in {}', settings.node_id, settings.zone)
     await stopping.wait()
-    await stop_node(node.kernel, timeout_s=settings.stop_s * _STOP_SHARE)
+    await stop_node(
+        node.kernel,
+        timeout_s=settings.stop_s * _STOP_SHARE,
+        linger_s=LINGER_S,
+    )
     writer.flush()
     return Success(None)
 
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -128,6 +128,7 @@
 
     async def _try(self, route: '_Route') -> AnswerResult:
         pause_s = _FIRST_PAUSE_S
+        request = route.request
         is_uncertain = False
         while True:
             result = await self._attempt(route)
@@ -150,6 +151,16 @@
                 return final
             if step is Step.WAIT and self._clock.now_s() >= route.wait_until_s:
                 return final
+            _decide(
+                '{} {} {} after {} sends: {} {}, {}',
+                request.service,
+                request.request_id,
+                step.value,
+                route.sends,
+                refusal.outcome.value,
+                refusal.reason.value,
+                refusal.detail,
+            )
             if step is Step.RETRY and not route.state.retries.spend():
                 return final
             await asyncio.sleep(self._pause_s(route, step, pause_s))
