--- /dev/null
+++ b/verbenadeck/door/tests/test_urgency.py
@@ -0,0 +1,143 @@
+"""More callers than slots, with ranks, objectives and steps of others."""
+
+import asyncio
+
+import pytest
+
+from verbenadeck.door._slots import SlotQueue, Waiter
+from verbenadeck.model import RefusalReason
+from verbenadeck.testing import run_virtual, virtual_clock
+from verbenadeck.utils import Clock
+
+_SERVICE_S = 0.2
+
+
+class _Queue:
+    """One slot that is busy, and the order in which waiters get it."""
+
+    def __init__(self, *, slots: int = 1) -> None:
+        self.clock: Clock = virtual_clock()
+        self.order: list[str] = []
+        self.slots = SlotQueue(
+            clock=self.clock,
+            limit=lambda: slots,
+            service_time_s=lambda: _SERVICE_S,
+        )
+        for _ in range(slots):
+            self.slots.try_acquire()
+
+    def waiter(
+        self, *, timeout_s: float, objective_s: float = 0, rank: int = 1
+    ) -> Waiter:
+        now_s = self.clock.now_s()
+        objective_at_s = now_s + objective_s if objective_s else 0
+        return Waiter(
+            now_s + timeout_s,
+            -1,
+            rank=rank,
+            objective_at_s=objective_at_s,
+        )
+
+    def enter(self, name: str, waiter: Waiter) -> 'asyncio.Task[None]':
+        async def wait() -> None:
+            if await self.slots.acquire(waiter) is None:
+                self.order.append(name)
+                await asyncio.sleep(_SERVICE_S)
+                self.slots.release()
+
+        return asyncio.create_task(wait())
+
+
+def test_a_step_of_another_request_goes_before_new_work_of_its_rank() -> None:
+    async def scenario() -> None:
+        queue = _Queue()
+        tasks = [
+            queue.enter('deposit', queue.waiter(timeout_s=2, objective_s=0.6)),
+            queue.enter('check', queue.waiter(timeout_s=0.5, objective_s=0.2)),
+        ]
+        await asyncio.sleep(0.01)
+        queue.slots.release()
+        await asyncio.gather(*tasks)
+        assert queue.order == ['check', 'deposit']
+
+    run_virtual(scenario())
+
+
+def test_a_higher_rank_goes_first_whatever_its_objective() -> None:
+    async def scenario() -> None:
+        queue = _Queue()
+        tasks = [
+            queue.enter('low', queue.waiter(timeout_s=2, objective_s=0.3)),
+            queue.enter(
+                'high', queue.waiter(timeout_s=4, objective_s=1.2, rank=0)
+            ),
+        ]
+        await asyncio.sleep(0.01)
+        queue.slots.release()
+        await asyncio.gather(*tasks)
+        assert queue.order == ['high', 'low']
+
+    run_virtual(scenario())
+
+
+def test_who_can_meet_the_objective_goes_before_who_has_missed_it() -> None:
+    async def scenario() -> None:
+        queue = _Queue()
+        late = queue.enter('late', queue.waiter(timeout_s=2, objective_s=0.25))
+        await asyncio.sleep(0.3)
+        fresh = queue.enter('fresh', queue.waiter(timeout_s=2, objective_s=0.5))
+        await asyncio.sleep(0.01)
+        queue.slots.release()
+        await asyncio.gather(late, fresh)
+        assert queue.order == ['fresh', 'late']
+
+    run_virtual(scenario())
+
+
+def test_a_caller_that_would_be_late_is_told_at_once() -> None:
+    async def scenario() -> None:
+        queue = _Queue()
+        tasks = [
+            queue.enter(str(each), queue.waiter(timeout_s=2, objective_s=0.45))
+            for each in range(2)
+        ]
+        await asyncio.sleep(0.01)
+        asked = queue.waiter(timeout_s=3, objective_s=0.5)
+        refusal = queue.slots.full_refusal(asked, 64)
+        assert refusal is not None
+        assert refusal.reason is RefusalReason.QUEUE_FULL
+        assert refusal.retry_after_s == pytest.approx(3 * _SERVICE_S)
+        patient = queue.waiter(timeout_s=3, objective_s=1.2)
+        assert queue.slots.full_refusal(patient, 64) is None
+        queue.slots.release()
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
+def test_some_who_are_late_already_may_wait_for_room() -> None:
+    async def scenario() -> None:
+        queue = _Queue(slots=2)
+        tasks = []
+        for name in ('a', 'b'):
+            late = queue.waiter(timeout_s=2, objective_s=-1)
+            assert queue.slots.full_refusal(late, 64) is None
+            tasks.append(queue.enter(name, late))
+            await asyncio.sleep(0)
+        late = queue.waiter(timeout_s=2, objective_s=-1)
+        assert queue.slots.full_refusal(late, 64) is not None
+        for _ in range(2):
+            queue.slots.release()
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
+def test_a_free_slot_refuses_nobody() -> None:
+    async def scenario() -> None:
+        queue = _Queue(slots=2)
+        queue.slots.release()
+        hasty = queue.waiter(timeout_s=0.1, objective_s=0.01)
+        assert queue.slots.full_refusal(hasty, 64) is None
+
+    run_virtual(scenario())
