Stop the door of an evacuated zone on the operators' own word

The door waited for the fleet's log to carry the zone and then 2 s more.

Change: the door hears the operators' record from its own node as well, and serves its shards for 1.2 s after that, about one move on the platform.

--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -128,6 +128,10 @@
         """Refuse new requests while the upstream leaves, or no longer."""
         self._parts.gate.is_draining = is_leaving
 
+    def tell_out(self, *, is_out: bool) -> None:
+        """Take the operators' word that the zone of this door is out."""
+        self._parts.gate.tell_out(is_out=is_out)
+
     async def start(self) -> None:
         """Follow the log and the upstream's reports."""
         self._parts.history.start()
--- a/verbenadeck/door/_gate.py
+++ b/verbenadeck/door/_gate.py
@@ -17,7 +17,7 @@
 )
 from verbenadeck.utils import Clock
 
-OUT_GRACE_S = 2.0
+OUT_GRACE_S = 1.2
 """Time in seconds for which a door that is out still serves its own shards,
 
 so that they can move before it refuses their requests.
@@ -63,6 +63,7 @@
         )
         self._version: ConfigVersion | None = None
         self._out_since_s: float | None = None
+        self._is_told_out = False
 
     @property
     def policy(self) -> ServicePolicy | None:
@@ -77,13 +78,19 @@
         is_ready = self.service is not None and not self.is_draining
         return is_ready and self.out_since_s() is None
 
+    def tell_out(self, *, is_out: bool) -> None:
+        """Take the operators' word on this zone before the log has it."""
+        self._is_told_out = is_out
+        self._version = None
+
     def out_since_s(self) -> float | None:
         """Return since when the zone or the upstream is out, if it is."""
         if self._fleet.config_version != self._version:
             self._version = self._fleet.config_version
             config = self._fleet.config
             is_out = (
-                self._zone in config.zones_out
+                self._is_told_out
+                or self._zone in config.zones_out
                 or self._node_id in config.upstreams_out
             )
             if not is_out:
--- a/verbenadeck/door/tests/test_drain.py
+++ b/verbenadeck/door/tests/test_drain.py
@@ -84,6 +84,22 @@
     run_virtual(scenario())
 
 
+def test_the_word_of_operators_counts_before_the_log_has_it() -> None:
+    async def scenario() -> None:
+        site = Site()
+        node = await site.add(zone='nadi')
+        node.door.tell_out(is_out=True)
+        refused = make_request()
+        assert verdict(await admit(node, refused)) == (
+            Outcome.NOT_RUN,
+            RefusalReason.ZONE_OUT,
+        )
+        node.door.tell_out(is_out=False)
+        assert await admit(node, refused) == answered(refused)
+
+    run_virtual(scenario())
+
+
 def test_an_owner_that_is_out_serves_until_its_shards_had_time_to_move() -> (
     None
 ):
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -41,6 +41,7 @@
 from verbenadeck.router import DoorRouter
 from verbenadeck.routes import (
     DocumentSync,
+    OperatorState,
     RouteBook,
     ServiceTerms,
     make_splitter,
@@ -177,10 +178,15 @@
             ),
             move_s=self._settings.drain_s * _MOVE_SHARE,
         )
+        self._book.subscribe(self._on_operators)
         self._upstream.on_announce(departure.on_announce)
         self._upstream.on_end(departure.on_end)
         kernel.register('departure', departure, needs=('door', 'membership'))
 
+    def _on_operators(self, state: OperatorState) -> None:
+        door = self.kernel.find('door', UpstreamDoor)
+        door.tell_out(is_out=self._settings.zone in state.zones_out)
+
     def _register_servers(self, edges: NodeEdges) -> None:
         kernel = self.kernel
         settings = self._settings
