Tell callers when to come back, and wait for a move before refusing

The keys of services that are not divided by key were assigned too, for nothing.

Change: routers wait for a move for 0.4 s at least; refusals carry the expected wait, spread by a quarter either way and within a third of the caller's time. Services without ledger shards are not planned for.

--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -153,8 +153,10 @@
         }
 
     async def _plan_all(self) -> None:
-        # Services that are not divided by key have ledger shards.
-        for service in self._fleet.config.services:
+        # Services that are not divided by key may have ledger shards.
+        for service, policy in self._fleet.config.services.items():
+            if not policy.is_keyed and not policy.has_ledger_shards:
+                continue
             plan = self._plan(service)
             await self._propose(service, plan)
 
--- a/verbenadeck/router/_outcomes.py
+++ b/verbenadeck/router/_outcomes.py
@@ -1,8 +1,11 @@
 """What a router does after a refusal."""
 
 import enum
+import random
 from types import MappingProxyType
 
+import msgspec
+
 from verbenadeck.model import Outcome, Refusal, RefusalReason
 
 
@@ -21,6 +24,14 @@
     STOP = 'stop'
 
 
+MOVE_S = 0.4
+"""Usual time in seconds in which a shard finds its next owner: half of an
+upstream's interval between heartbeats."""
+
+_LEAST_SPREAD = 0.75
+_MOST_SPREAD = 1.25
+_RETURN_SHARE = 1 / 3
+
 _STEPS = MappingProxyType(
     {
         RefusalReason.NO_CONFIG: Step.WAIT,
@@ -111,3 +122,28 @@
     return Refusal(
         Outcome.UNKNOWN, last.reason, last.retry_after_s, last.detail
     )
+
+
+def with_return_time(
+    refusal: Refusal, left_s: float, source: random.Random
+) -> Refusal:
+    """Return a refusal that says when to come back.
+
+    Those who are refused together are spread, so that they don't come back
+    together. Callers heed up to a third of the time they have left.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        Refusal of a request that has not run.
+    left_s : float
+        Time until the caller's deadline, in seconds.
+    source : random.Random
+        Spreads the hints.
+    """
+    usual_s = refusal.retry_after_s
+    if _STEPS[refusal.reason] is Step.WAIT:
+        usual_s = max(usual_s, MOVE_S)
+    spread = source.uniform(_LEAST_SPREAD, _MOST_SPREAD)
+    return_s = min(usual_s * spread, left_s * _RETURN_SHARE)
+    return msgspec.structs.replace(refusal, retry_after_s=return_s)
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -31,10 +31,12 @@
 from verbenadeck.router._directory import Directory
 from verbenadeck.router._hedges import Send, send_hedged
 from verbenadeck.router._outcomes import (
+    MOVE_S,
     Step,
     has_reached_upstream,
     merge,
     next_step,
+    with_return_time,
 )
 from verbenadeck.router._quantile import LatencyQuantile
 from verbenadeck.router._stats import DoorStats
@@ -124,7 +126,14 @@
         state = self._services.setdefault(request.service, _ServiceState())
         state.retries.earn(policy.retry_ratio)
         state.hedges.earn(policy.hedge_ratio)
-        return await self._try(_Route(request, policy, state))
+        result = await self._try(
+            _Route(request, policy, state, now_s=self._clock.now_s())
+        )
+        refusal = refusal_of(result)
+        if refusal is None or refusal.outcome is Outcome.UNKNOWN:
+            return result
+        left_s = self._clock.remaining_s(request.deadline_s)
+        return refuse(with_return_time(refusal, left_s, self._random))
 
     async def _try(self, route: '_Route') -> AnswerResult:
         pause_s = _FIRST_PAUSE_S
@@ -268,7 +277,12 @@
     )
 
     def __init__(
-        self, request: Request, policy: ServicePolicy, state: _ServiceState
+        self,
+        request: Request,
+        policy: ServicePolicy,
+        state: _ServiceState,
+        *,
+        now_s: float,
     ) -> None:
         self.request = request
         self.policy = policy
@@ -278,7 +292,8 @@
         self.sends = 0
         # Longer than until its objective a caller is better told to come
         # back than kept.
-        self.wait_until_s = request.objective_at_s or request.deadline_s
+        objective_at_s = request.objective_at_s or request.deadline_s
+        self.wait_until_s = max(objective_at_s, now_s + MOVE_S)
 
     @property
     def is_spent(self) -> bool:
