--- a/verbenadeck/lease/_beat_grants.py
+++ b/verbenadeck/lease/_beat_grants.py
@@ -79,7 +79,7 @@
         key_space: int,
         most_hold_s: float,
     ) -> None:
-        self.on_restart: Callable[[], None] = _nothing
+        self.on_change: Callable[[], None] = _nothing
         self._clock = clock
         self._keys = KeyLayout(key_space, lambda: service()[1])
         self._wanted = wanted
@@ -164,7 +164,7 @@
             return None
         rows = self._rows(wanted)
         if self._granted != wanted:
-            self.on_restart()
+            self.on_change()
         self._granted = within_rows(wanted, self._keys, rows)
         hold_s = max(hold_s, LEAST_HOLD_S) if wanted else LEAST_HOLD_S
         self._granted_until_s = now_s + hold_s
@@ -242,7 +242,7 @@
         self._unknown_until_s = -math.inf
         self._freed = {}
         self._beat.set()
-        self.on_restart()
+        self.on_change()
 
 
 def _nothing() -> None:
--- a/verbenadeck/lease/_grants.py
+++ b/verbenadeck/lease/_grants.py
@@ -51,7 +51,7 @@
         self._unsure_until_s = -math.inf
         self._instance = ''
         self._lock = asyncio.Lock()
-        self.on_restart: Callable[[], None] = _nothing
+        self.on_change: Callable[[], None] = _nothing
         upstream.on_announce(self._on_announce)
 
     def deadline_s(self, shard: Shard, fence: Fence) -> float:
@@ -119,7 +119,7 @@
         self._instance = announcement.instance
         # A new life of the upstream holds no grant.
         self._granted = {}
-        self.on_restart()
+        self.on_change()
 
 
 def _nothing() -> None:
--- a/verbenadeck/lease/_grants_port.py
+++ b/verbenadeck/lease/_grants_port.py
@@ -17,11 +17,11 @@
 
     Attributes
     ----------
-    on_restart : callable
-        Called when a new life of the upstream holds nothing.
+    on_change : callable
+        Called when what the upstream holds has changed.
     """
 
-    on_restart: Callable[[], None]
+    on_change: Callable[[], None]
 
     def deadline_s(self, shard: Shard, fence: Fence) -> float:
         """Return until when the upstream takes orders for a shard."""
--- a/verbenadeck/lease/_ownership.py
+++ b/verbenadeck/lease/_ownership.py
@@ -92,7 +92,7 @@
             wanted=self._wanted,
             lease_deadline_s=lambda: membership.lease_deadline_s,
         )
-        self._grants.on_restart = self._changed.set
+        self._grants.on_change = self._changed.set
         self._handover = Handover(
             clock=clock,
             journal=journal,
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -52,7 +52,6 @@
     """
 
     def __init__(self, address: Address, *, clock: Clock) -> None:
-        self.calls = 0
         self._base = f'http://{address.host}:{address.port}/v1'
         self._clock = clock
         self._session: aiohttp.ClientSession | None = None
@@ -61,7 +60,6 @@
         self, topic: str, key: str, content: bytes, *, deadline_s: float
     ) -> Result[Offset, LogError]:
         """Append one record to a keyed topic."""
-        self.calls += 1
         try:
             async with self._open().post(
                 f'{self._base}/log-append',
@@ -80,7 +78,6 @@
     ) -> Result[StorePage, LogError]:
         """Return the next records, waiting for the first one."""
         wait_s = self._clock.remaining_s(deadline_s)
-        self.calls += 1
         try:
             async with self._open().get(
                 f'{self._base}/log-read',
@@ -127,7 +124,6 @@
         params = {'topic': topic, 'part': '0'}
         if after:
             params['after'] = after
-        self.calls += 1
         try:
             async with self._open().get(
                 f'{self._base}/log-newest',
