--- a/verbenadeck/door/_shard_rates.py
+++ b/verbenadeck/door/_shard_rates.py
@@ -13,6 +13,8 @@
 MOST_SHARDS = 4096
 """Shards that are counted at once; the coolest are forgotten first."""
 
+_LEAST_COUNT = 0.05
+
 
 class ShardRates:
     """Exponentially decaying counts of requests by shard.
@@ -58,8 +60,5 @@
         }
 
 
-_LEAST_COUNT = 0.05
-
-
 def _count_of(entry: tuple[int, float]) -> float:
     return entry[1]
