--- a/verbenadeck/entry/_options.py
+++ b/verbenadeck/entry/_options.py
@@ -21,6 +21,9 @@
         connections that are left.
     close_poll_s : float
         Time between two checks for that.
+    refuses_when_stopping : bool
+        Whether a stopping entry refuses new requests on open connections,
+        since the process may be killed before they end.
     """
 
     host: str = '127.0.0.1'
@@ -29,3 +32,4 @@
     idle_timeout_s: float = 75
     close_after_s: float = 0.5
     close_poll_s: float = 0.05
+    refuses_when_stopping: bool = False
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -170,6 +170,11 @@
                 cast(Http, http.stream).keep_alive = False
 
     async def _route(self, http: HttpRequest) -> HTTPResponse:
+        if self._is_stopping and self._options.refuses_when_stopping:
+            refusal = Refusal(
+                Outcome.NOT_RUN, RefusalReason.DRAINING, detail='it stops'
+            )
+            return self._write_refusal(refusal, None)
         read = self._vocabulary.read_call(
             http.raw_url.decode('latin-1'), http.headers.items()
         )
--- a/verbenadeck/entry/tests/builders.py
+++ b/verbenadeck/entry/tests/builders.py
@@ -26,7 +26,9 @@
     return _POLICIES.get(service)
 
 
-def make_entry(router: Router, **others: object) -> Entry:
+def make_entry(
+    router: Router, *, refuses_when_stopping: bool = False, **others: object
+) -> Entry:
     """Make an entry on a free port in front of a router."""
     clock = Clock()
     read_request = make_request_reader(
@@ -38,7 +40,9 @@
         vocabulary=CALLER_FORMATS[STANDIN_FORMAT],
         clock=clock,
         options=EntryOptions(
-            body_limit_bytes=BODY_LIMIT_BYTES, close_after_s=0.05
+            body_limit_bytes=BODY_LIMIT_BYTES,
+            close_after_s=0.05,
+            refuses_when_stopping=refuses_when_stopping,
         ),
         **others,  # type: ignore[arg-type]
     )
--- a/verbenadeck/entry/tests/test_entry.py
+++ b/verbenadeck/entry/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure, Success
 
+from verbenadeck.adapters import OUTCOME_HEADER
 from verbenadeck.entry.tests.builders import (
     BODY_LIMIT_BYTES,
     make_entry,
@@ -188,3 +189,24 @@
                     assert reply.headers['Verbenadeck-Outcome'] == outcome
 
     asyncio.run(scenario())
+
+
+def test_a_stopping_entry_takes_nothing_new_that_a_kill_would_cut() -> None:
+    async def scenario() -> None:
+        router = _SlowRouter()
+        entry = make_entry(router, refuses_when_stopping=True)
+        async with serving(entry) as session:
+            running = asyncio.create_task(session.get('/holds/1'))
+            await router.arrived.wait()
+            (await session.get('/nowhere/1')).release()
+            stopping = asyncio.create_task(entry.stop())
+            await asyncio.sleep(0)
+            late = await session.get('/holds/2')
+            assert late.status == 503
+            assert late.headers[OUTCOME_HEADER] == 'not-run'
+            assert late.headers['Connection'] == 'close'
+            router.may_answer.set()
+            assert (await running).status == 200
+            await stopping
+
+    asyncio.run(scenario())
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -318,6 +318,7 @@
                 body_limit_bytes=67_108_864,
                 idle_timeout_s=15,
                 close_after_s=_CLOSE_AFTER_S,
+                refuses_when_stopping=True,
             ),
         )
 
