Ask in one place whether an upstream holds only what it may

The check stood in is_past_settled and in revoke, each with a set of all held shards built anew. Behaviour is the same.

--- a/verbenadeck/lease/_beat_grants.py
+++ b/verbenadeck/lease/_beat_grants.py
@@ -101,8 +101,7 @@
     @property
     def is_past_settled(self) -> bool:
         """Whether nothing of an earlier process's grants is left."""
-        is_known = self._clock.now_s() >= self._unknown_until_s
-        return is_known and self._held_shards() <= self._granted.keys()
+        return self._holds_only(self._granted)
 
     def deadline_s(self, shard: Shard, fence: Fence) -> float:
         """Return until when the upstream takes orders for a shard."""
@@ -127,11 +126,7 @@
 
     async def revoke(self) -> None:
         """Return when the upstream holds nothing that is not wanted now."""
-        while True:
-            wanted = self._wanted()
-            is_known = self._clock.now_s() >= self._unknown_until_s
-            if is_known and self._held_shards() <= wanted.keys():
-                return
+        while not self._holds_only(self._wanted()):
             await self._next_beat()
 
     def handovers(
@@ -220,13 +215,13 @@
             for row in report.held
         )
 
-    def _held_shards(self) -> set[Shard]:
+    def _holds_only(self, allowed: Mapping[Shard, Fence]) -> bool:
+        """Return whether it is known to hold no other shards."""
         now_s = self._clock.now_s()
-        return {
-            shard
+        return now_s >= self._unknown_until_s and all(
+            shard in allowed or until_s <= now_s
             for shard, until_s in self._held_until_s.items()
-            if until_s > now_s
-        }
+        )
 
     def _on_announce(self, announcement: Announcement) -> None:
         if announcement.instance == self._instance:
