Keep a restarted writer's records when it appends for others

All nodes waited for ever for 'a checkpoint that reaches the end of the log'. A node that had just started while the store was down appended for peers before it knew its own earlier records, so it began its ring of keys anew and replaced records that came after the last checkpoint; the kept records had a gap, and no node that started then could begin.

Change: a node appends nothing before it knows its earlier records; a process writes to the ring that the one before it did not, since the store may carry out a call of an ended process later; each writer keeps its own checkpoint, so that an older one that arrives late replaces none; and where kept records have a gap, they are read from the log as long as it has them. The line names what is missing.

Ruled out: a ring that wrapped (90 records by 13 writers), a torn checkpoint (2,025 bytes, one chunk).

--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -83,7 +83,8 @@
         """Append a record and return its offset.
 
         A log that keeps the newest record of each name keeps a named record
-        until the next one of that name; other logs ignore the name.
+        until the same writer's next one of that name; other logs ignore the
+        name.
         """
         ...
 
--- a/verbenadeck/journal/_base.py
+++ b/verbenadeck/journal/_base.py
@@ -9,7 +9,7 @@
 from verbenadeck.fleet import FleetState
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
-from verbenadeck.journal._recovery import Recovered, recover
+from verbenadeck.journal._recovery import recover
 from verbenadeck.model import Offset
 from verbenadeck.utils import Clock
 
@@ -78,28 +78,26 @@
             self.waits_for = f'the log: {kept.failure().detail}'
             return False
         recovered = kept.unwrap()
-        if recovered is not None:
-            return self._start_recovered(recovered)
+        if recovered is not None and recovered.is_whole:
+            self.tail = recovered.tail
+            return self._start_from(
+                recovered.checkpoint, recovered.tail.start_offset
+            )
         first = await self._search.first_offset()
         if not is_successful(first):
             self.waits_for = f'the log: {first.failure().detail}'
             return False
         first_offset = first.unwrap()
+        if recovered is not None:
+            # A record was replaced too early; the log may have it still.
+            _log.warning('kept records have a gap: {}', recovered.describe())
+            return self._start_from(recovered.checkpoint, first_offset)
         found = await self._search.find(first_offset)
         if not is_successful(found):
             self.waits_for = f'the log: {found.failure().detail}'
             return False
         return self._start_from(found.unwrap(), first_offset)
 
-    def _start_recovered(self, recovered: Recovered) -> bool:
-        if not recovered.is_whole:
-            self.waits_for = 'a checkpoint that reaches the end of the log'
-            return False
-        self.tail = recovered.tail
-        return self._start_from(
-            recovered.checkpoint, recovered.tail.start_offset
-        )
-
     def _start_from(
         self, checkpoint: Checkpoint | None, first_offset: Offset
     ) -> bool:
--- a/verbenadeck/journal/_proposals.py
+++ b/verbenadeck/journal/_proposals.py
@@ -86,7 +86,7 @@
 
 
 def _name_of(record: Record) -> str:
-    """Return the name of a checkpoint; it replaces the one before it."""
+    """Return the name of a checkpoint; it replaces its writer's last one."""
     if isinstance(record, CheckpointChunk):
         return f'checkpoint-{record.index}'
     return ''
--- a/verbenadeck/journal/_recovery.py
+++ b/verbenadeck/journal/_recovery.py
@@ -29,13 +29,30 @@
         Newest complete checkpoint.
     tail : LogPage
         Consecutive records from the one after the checkpoint on.
-    is_whole : bool
-        Whether the tail reaches the end of the log.
+    end_offset : Offset
+        End of the log.
     """
 
     checkpoint: Checkpoint | None
     tail: LogPage
-    is_whole: bool
+    end_offset: Offset
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the tail reaches the end of the log."""
+        return self._next_offset >= self.end_offset
+
+    @property
+    def _next_offset(self) -> int:
+        return self.tail.start_offset + len(self.tail.records)
+
+    def describe(self) -> str:
+        """Return what there is and what is missing, for a log line."""
+        return (
+            f'known up to {self.tail.start_offset - 1} by a checkpoint, '
+            f'{self._next_offset} is missing, the log ends at '
+            f'{self.end_offset}'
+        )
 
 
 async def recover(
@@ -75,7 +92,7 @@
     return Recovered(
         checkpoint=checkpoint,
         tail=LogPage(start, start, tail),
-        is_whole=start + len(tail) >= newest.end_offset,
+        end_offset=newest.end_offset,
     )
 
 
--- a/verbenadeck/platform/_log.py
+++ b/verbenadeck/platform/_log.py
@@ -6,17 +6,19 @@
 """
 
 import itertools
+from collections.abc import Iterable, Iterator
 
 from returns.result import Result
 
 from verbenadeck.adapters import (
     LogError,
+    LogFailure,
     LogPage,
     NewestRecords,
 )
 from verbenadeck.model import NodeId, Offset
-from verbenadeck.platform._frames import StorePage, key_and_content
-from verbenadeck.platform._newest import KeyedState
+from verbenadeck.platform._frames import StorePage, failed, key_and_content
+from verbenadeck.platform._newest import KeyedRecord, KeyedState
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.utils import Clock
 
@@ -28,6 +30,10 @@
 checkpoints."""
 
 _NEWEST_S = 2.0
+_RINGS = ('a', 'b')
+"""A process writes to the ring that the one before it did not: the store may
+carry out an append of an ended process seconds later, and that must not
+replace a newer record."""
 
 
 class StoreLog:
@@ -49,14 +55,25 @@
         self._store = store
         self._node_id = node_id
         self._clock = clock
-        self._numbers = itertools.count()
+        self._keys: Iterator[str] | None = None
 
     async def append(
         self, record: bytes, *, deadline_s: float, name: str = ''
     ) -> Result[Offset, LogError]:
-        """Append a record and return its offset."""
-        number = next(self._numbers) % KEPT_RECORDS
-        key = name or f'{self._node_id}/{number}'
+        """Append a record and return its offset.
+
+        Without knowledge of the records of earlier processes nothing is
+        appended: it could replace one that is still needed.
+        """
+        if self._keys is None:
+            await self.newest()
+        if self._keys is None:
+            return failed(
+                LogFailure.NOT_APPENDED, 'earlier records are not known yet'
+            )
+        # Named records have a key for each writer, so that an older one that
+        # arrives late does not replace a newer one of somebody else.
+        key = f'{name}/{self._node_id}' if name else next(self._keys)
         return await self._store.append(
             TOPIC, key, record, deadline_s=deadline_s
         )
@@ -78,14 +95,8 @@
         return answer.map(self._note_newest)
 
     def _note_newest(self, state: KeyedState) -> NewestRecords:
-        """Go on after the newest record of earlier processes of this node.
-
-        Their records may still be needed, the newest ones most of all.
-        """
-        for each in state.records:
-            writer, _, number = each.key.rpartition('/')
-            if writer == self._node_id and number.isdigit():
-                self._numbers = itertools.count(int(number) + 1)
+        if self._keys is None:
+            self._keys = _keys_after(self._node_id, state.records)
         return NewestRecords(
             tuple((each.offset, each.content) for each in state.records),
             state.end_offset,
@@ -101,3 +112,30 @@
         page.start_offset,
         tuple(key_and_content(one)[1] for one in page.records[:limit]),
     )
+
+
+def _keys_after(
+    node_id: NodeId, records: Iterable[KeyedRecord]
+) -> Iterator[str]:
+    """Return the keys that replace the oldest records of a writer first.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        The writer.
+    records : iterable of KeyedRecord
+        What the store keeps, by rising offset.
+    """
+    last_ring = _RINGS[-1]
+    newest = dict.fromkeys(_RINGS, -1)
+    for each in records:
+        writer, _, place = each.key.rpartition('/')
+        ring, number = place[:1], place[1:]
+        if writer == node_id and ring in newest and number.isdigit():
+            newest[ring] = int(number)
+            last_ring = ring
+    ring = next(other for other in _RINGS if other != last_ring)
+    return (
+        f'{node_id}/{ring}{number % KEPT_RECORDS}'
+        for number in itertools.count(newest[ring] + 1)
+    )
--- a/verbenadeck/platform/tests/test_log.py
+++ b/verbenadeck/platform/tests/test_log.py
@@ -153,6 +153,78 @@
     _run(scenario)
 
 
+def test_a_restarted_writer_that_knows_nothing_yet_replaces_nothing() -> None:
+    """A peer's record that it appends at once must not replace its own."""
+
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        first = _log(client)
+        for number in range(4):
+            await first.append(bytes([number]), deadline_s=soon_s())
+        await _log(client).append(b'of a peer', deadline_s=soon_s())
+        newest = (await first.newest()).unwrap()
+        assert newest is not None
+        assert [offset for offset, _ in newest.records] == [0, 1, 2, 3, 4]
+
+    _run(scenario)
+
+
+def test_a_writer_without_knowledge_of_its_records_appends_nothing() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        store.faults.is_down = True
+        answer = await _log(client).append(b'a', deadline_s=soon_s())
+        assert answer.failure().failure is LogFailure.NOT_APPENDED
+
+    _run(scenario)
+
+
+def test_a_late_append_of_an_earlier_process_replaces_nothing() -> None:
+    """The store may carry out a call seconds after its caller has ended."""
+
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        first = _log(client)
+        await first.append(b'0', deadline_s=soon_s())
+        again = _log(client)
+        await again.newest()
+        await again.append(b'1', deadline_s=soon_s())
+        await first.append(b'late', deadline_s=soon_s())
+        newest = (await again.newest()).unwrap()
+        assert newest is not None
+        assert [offset for offset, _ in newest.records] == [0, 1, 2]
+
+    _run(scenario)
+
+
+def test_an_older_checkpoint_does_not_replace_a_newer_one() -> None:
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        for node in ('n1', 'n2'):
+            await _log(client, node).append(
+                node.encode(), deadline_s=soon_s(), name='checkpoint/0'
+            )
+        newest = (await _log(client).newest()).unwrap()
+        assert newest is not None
+        assert [record for _, record in newest.records] == [b'n1', b'n2']
+
+    _run(scenario)
+
+
+def test_a_gap_in_what_is_kept_is_read_from_the_log() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        first = _client(client, 'n1')
+        await first.start()
+        await _publish(first, 0)
+        assert await Checkpointer(client=first, clock=CLOCK).write()
+        for version in range(1, KEPT_RECORDS + 4):
+            await _publish(first, version)
+        second = _client(client, 'n2')
+        await second.start()
+        assert await second.wait_ready(deadline_s=soon_s())
+        assert second.fleet.config_version == KEPT_RECORDS + 4
+        await first.stop()
+        await second.stop()
+
+    _run(scenario)
+
+
 def test_a_start_from_kept_records_waits_for_no_news() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
         first = _client(client, 'n1')
