Spread hot stretches of keys over all members within two plans

Cause: a stretch of 200 keys gets a third or more of a grown service's traffic for five seconds, but a plan moved four runs every three seconds, a shard of 32 keys was more than one upstream can run, and a shard that had just moved counted as cold until its new door had measured it.

Change: 8,192 shards of 8 keys on the platform; one run for each member in a plan, one plan a second; the rate of a shard is the sum over all reports. Tests: 23 members settle within two plans; a moved shard keeps its rate. Both failed before.

--- a/verbenadeck/placement/_load_reports.py
+++ b/verbenadeck/placement/_load_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
@@ -139,12 +140,16 @@
 def _costs(
     fresh: list[ShardLoads], owners: Sequence[int]
 ) -> dict[Shard, float]:
-    rates = {
-        shard: rate
-        for each in fresh
-        for shard, rate in each.hot
-        if shard < len(owners) and owners[shard] == each.member
-    }
+    """Return the costs of busy shards.
+
+    The counts of a shard that has just moved fade at the one door as they
+    grow at the other, so their sum is its rate.
+    """
+    rates: defaultdict[Shard, float] = defaultdict(float)
+    for each in fresh:
+        for shard, rate in each.hot:
+            if shard < len(owners):
+                rates[shard] += rate
     total = sum(each.total_per_s for each in fresh)
     others = max(1, len(owners) - len(rates))
     unit = max(total - sum(rates.values()), 0) / others
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -43,9 +43,9 @@
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
 _BALANCE_DELAY_S = 10.0
-_LOAD_REST_S = 3.0
+_LOAD_REST_S = 1.0
 _LOAD_HYSTERESIS = 0.2
-_LOAD_MOVES = 256
+_LOAD_MOVE_SHARE = 0.125
 _CAPACITY_UNIT = 10
 _URGENT = (CheckpointChunk, ConfigPublished, NodeJoin, NodeLeave, Suspect)
 
@@ -193,6 +193,7 @@
         if measured is None:
             return given
         rests_s = self._clock.now_s() - self._balanced_s.get(service, -math.inf)
+        most_moves = int(len(given.owners) * _LOAD_MOVE_SHARE)
         is_due = measured.is_busy and rests_s >= _LOAD_REST_S
         return msgspec.structs.replace(
             given,
@@ -200,7 +201,7 @@
             costs=measured.costs,
             hysteresis=_LOAD_HYSTERESIS,
             is_measured=True,
-            budget=min(given.budget, _LOAD_MOVES) if is_due else 0,
+            budget=min(given.budget, most_moves) if is_due else 0,
         )
 
     def _is_gathering(self, members: list[Member]) -> bool:
--- a/verbenadeck/placement/_run_balance.py
+++ b/verbenadeck/placement/_run_balance.py
@@ -6,8 +6,9 @@
 from verbenadeck.model import Incarnation, Shard
 from verbenadeck.placement._loads import Loads, Moves, PlanInput
 
-MOST_RUNS = 4
-"""Runs of shards that one plan moves; each is a moment without an owner."""
+LEAST_RUNS = 4
+"""Runs of shards that one plan may move at least; a large service may move
+one for each member, since a hot stretch has to be spread over most of them."""
 
 MOST_PIECES = 40
 """Pieces of the key space that one member may own; an upstream is told of
@@ -45,8 +46,11 @@
     """
     owners = list(given.owners)
     moves: Moves = {}
-    for _ in range(MOST_RUNS):
-        window = _next_window(given, loads, owners, given.budget - len(moves))
+    for _ in range(max(LEAST_RUNS, len(given.weights))):
+        left = given.budget - len(moves)
+        if left <= 0:
+            break
+        window = _next_window(given, loads, owners, left)
         if window is None:
             break
         taker = min(given.weights, key=loads.per_slot)
--- a/verbenadeck/placement/tests/test_hot_keys.py
+++ b/verbenadeck/placement/tests/test_hot_keys.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 
 from verbenadeck.lease._beat_grants import MOST_ROWS
 from verbenadeck.model import Incarnation, ServiceName, Shard
@@ -65,6 +66,54 @@
     run_virtual(scenario())
 
 
+def test_a_hot_stretch_settles_over_many_members_within_two_plans() -> None:
+    """200 neighbouring keys get 43% of the traffic of 23 upstreams."""
+    members = tuple(map(Incarnation, range(1, 24)))
+    shard_count = 8192
+    owners = [
+        Incarnation(1 + shard * len(members) // shard_count)
+        for shard in range(shard_count)
+    ]
+    hot_shards = range(3000, 3025)
+    cold_rate = 350 / (shard_count - len(hot_shards))
+    rates = dict.fromkeys(map(Shard, hot_shards), 264 / len(hot_shards))
+    costs = {shard: rate / cold_rate for shard, rate in rates.items()}
+    for _ in range(2):
+        given = PlanInput(
+            owners=owners,
+            weights={each: 400 for each in members},
+            costs=costs,
+            hysteresis=0.2,
+            budget=256,
+            is_measured=True,
+        )
+        for shard, owner in make_plan(given).balance.items():
+            owners[shard] = owner
+    load = dict.fromkeys(members, 0.0)
+    for shard, owner in enumerate(owners):
+        load[owner] += rates.get(Shard(shard), cold_rate)
+    mean = sum(load.values()) / len(members)
+    assert max(load.values()) < 1.5 * mean
+
+
+def test_a_shard_that_has_just_moved_keeps_its_measured_rate() -> None:
+    """Both doors count it for a while; a plan must not take it for cold."""
+
+    async def scenario() -> None:
+        board = _board()
+        moved = Shard(100)
+        board.take(_report(1, 60, ((moved, 12.0), (Shard(3), 9.0))))
+        board.take(_report(2, 25, ((moved, 4.0),)))
+        board.take(_report(3, 22))
+        measured = board.measured(_SERVICE, _OWNERS)
+        assert measured is not None
+        assert _OWNERS[moved] == 2
+        ratio = measured.costs[moved] / measured.costs[Shard(3)]
+        assert ratio == pytest.approx(16 / 9)
+
+    run_virtual(scenario())
+
+
 def test_a_wave_over_all_keys_moves_nothing() -> None:
     async def scenario() -> None:
         board = _board()
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -11,8 +11,9 @@
 KEY_SPACE = 65_536
 """Number of keys of a service, as the platform states it."""
 
-SHARD_COUNT = 2_048
-"""Shards of a keyed service: 32 neighbouring keys each."""
+SHARD_COUNT = 8_192
+"""Shards of a keyed service, 8 neighbouring keys each: the 60 to 200 keys that
+get much of the traffic at once are spread over several upstreams."""
 
 MOVES_PER_MINUTE = 20_000
 """Churn budget; the platform prices a whole turnover of keys at half a
