Use an instance until callers are told that its node stops

Cause: in a rolling restart each node left its instance unused for 5 to 7 s: from SIGTERM on no other node chose it, the stop waited 2.2 s however soon the platform had asked twice for readiness, the entry was waited for before the door, and the last grants were waited out since heartbeats were no longer answered.

Change: a node without shards stays a member until the second refused question for readiness; entry and door end beside each other; the server of heartbeats stops after the lease. A member that reports its load may get keys at once. The line about a cold upstream comes only when it is cold.

--- a/verbenadeck/door/_cold_pace.py
+++ b/verbenadeck/door/_cold_pace.py
@@ -45,8 +45,8 @@
 
     def take_warmth(self, warmth: Warmth) -> None:
         """Note how cold the upstream is."""
-        is_colder = warmth.cold_until_s > self._warmth.cold_until_s
-        if is_colder and self.rate_per_s == float('inf'):
+        is_cold = warmth.cold_until_s > self._clock.now_s()
+        if is_cold and self.rate_per_s == float('inf'):
             _log.info('cold: at most {}/s', warmth.requests_per_s)
         self._warmth = warmth
 
--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -98,6 +98,7 @@
         self._admission = Admission(self._parts)
         self._handover = Handover(self._parts)
         self._monitor = UpstreamMonitor(self._parts)
+        self._draining: asyncio.Task[None] | None = None
         endpoint = Endpoint(self._parts, door=self, admission=self._admission)
         endpoint.register(peers)
 
@@ -147,12 +148,16 @@
         """Refuse new work and wait until what was admitted has ended.
 
         Requests that still wait for a slot at the deadline are refused as
-        not run; those that run are waited for until their own deadlines.
+        not run; those that run are waited for until their own deadlines. A
+        later call waits for the first one.
         """
+        self._parts.gate.is_draining = True
+        if self._draining is None:
+            self._draining = asyncio.create_task(self._drain(deadline_s))
+        await asyncio.shield(self._draining)
+
+    async def _drain(self, deadline_s: float) -> None:
         parts = self._parts
-        if parts.gate.is_draining:
-            return
-        parts.gate.is_draining = True
         _log.info('draining {} requests', len(parts.runs))
         while len(parts.runs) and self._clock.now_s() < deadline_s:
             await asyncio.sleep(_POLL_S)
--- a/verbenadeck/membership/__init__.py
+++ b/verbenadeck/membership/__init__.py
@@ -6,6 +6,7 @@
     Heartbeat,
     HeartbeatAck,
 )
+from verbenadeck.membership._successors import has_shards
 from verbenadeck.membership._timing import LeaseTiming
 
 __all__ = (
@@ -14,4 +15,5 @@
     'HeartbeatAck',
     'LeaseTiming',
     'Membership',
+    'has_shards',
 )
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -15,7 +15,7 @@
 from verbenadeck.membership._predecessors import make_burial
 from verbenadeck.membership._proposer import make_proposer
 from verbenadeck.membership._renewals import Renewals
-from verbenadeck.membership._successors import has_successor
+from verbenadeck.membership._successors import has_shards, has_successor
 from verbenadeck.membership._timing import LeaseTiming
 from verbenadeck.membership._witness_choice import (
     candidates_for,
@@ -196,7 +196,7 @@
         while self.member and self._clock.now_s() < deadline_s:
             if self.member.state is not MemberState.DRAINING:
                 await self._propose(record)
-            if not any(fleet.owned_by(own)) and not any(fleet.held_by(own)):
+            if not has_shards(fleet, own):
                 return True
             if not has_successor(fleet, self._describe().service):
                 return False
--- a/verbenadeck/membership/_successors.py
+++ b/verbenadeck/membership/_successors.py
@@ -1,7 +1,12 @@
-"""Members that can take over the shards of a leaving one."""
+"""Shards of a leaving member and those who can take them over."""
 
 from verbenadeck.fleet import FleetView, MemberState
-from verbenadeck.model import ServiceName
+from verbenadeck.model import Incarnation, ServiceName
+
+
+def has_shards(fleet: FleetView, member: Incarnation) -> bool:
+    """Return whether a member owns shards or has some to release."""
+    return any(fleet.owned_by(member)) or any(fleet.held_by(member))
 
 
 def has_successor(fleet: FleetView, service: ServiceName) -> bool:
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -13,12 +13,12 @@
     NodeReady,
     StartError,
     run_node,
-    stop_node,
 )
 from verbenadeck.node._departure import Departure
 from verbenadeck.node._invariants import make_loop_handler
 from verbenadeck.node._joining import Joining
 from verbenadeck.node._planned_stop import PlannedStop
+from verbenadeck.node._stop import lay_down, stop_node
 
 __all__ = (
     'MESSAGES',
@@ -32,6 +32,7 @@
     'PlannedStop',
     'StartError',
     'build_node',
+    'lay_down',
     'make_loop_handler',
     'register_core',
     'run_node',
--- a/verbenadeck/node/_daemon.py
+++ b/verbenadeck/node/_daemon.py
@@ -13,13 +13,12 @@
 from verbenadeck.entry import Entry
 from verbenadeck.kernel import Kernel
 from verbenadeck.logs import setup_logs
-from verbenadeck.membership import Membership
 from verbenadeck.node._assembly import build_node
 from verbenadeck.node._invariants import make_loop_handler
 from verbenadeck.node._planned_stop import PlannedStop
+from verbenadeck.node._stop import stop_node
 from verbenadeck.peers import StreamPort
 from verbenadeck.settings import NodeSettings
-from verbenadeck.utils import Clock
 
 _log = logger.bind(part='node')
 
@@ -83,32 +82,6 @@
     return Success(None)
 
 
-async def stop_node(
-    kernel: Kernel, *, timeout_s: float, linger_s: float = 0
-) -> None:
-    """Stop a node as planned: hand shards over, finish work, leave.
-
-    Parameters
-    ----------
-    kernel : Kernel
-        Kernel of the node.
-    timeout_s : float
-        Longest time for handing shards over.
-    linger_s : float
-        Least time for which the entry goes on, until callers have been told
-        to go elsewhere.
-    """
-    _log.info('planned stop begins')
-    clock = Clock()
-    linger_until_s = clock.now_s() + linger_s
-    deadline_s = clock.now_s() + timeout_s
-    membership = kernel.find('membership', Membership)
-    is_handed_over = await membership.leave(deadline_s=deadline_s)
-    _log.info('shards handed over: {}', is_handed_over)
-    await clock.sleep_until(linger_until_s)
-    await kernel.stop()
-
-
 def _announce_ready(kernel: Kernel, settings: NodeSettings) -> None:
     ready = NodeReady(
         node_id=settings.node_id,
--- a/verbenadeck/placement/__init__.py
+++ b/verbenadeck/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: which member owns which shards."""
 
+from verbenadeck.placement._eligibility import is_proven
 from verbenadeck.placement._load_reports import (
     MESSAGES,
     LoadBoard,
@@ -22,5 +23,6 @@
     'Planner',
     'ShardLoads',
     'assign_records',
+    'is_proven',
     'make_plan',
 )
--- a/verbenadeck/placement/_eligibility.py
+++ b/verbenadeck/placement/_eligibility.py
@@ -5,6 +5,28 @@
 from verbenadeck.fleet import FleetView, Member, MemberState
 from verbenadeck.model import NO_MEMBER, Incarnation, ServiceName
 
+SETTLE_S = 2.0
+"""Time in seconds after which a member that nobody evicted is taken for one
+that its witnesses hear; two default leases."""
+
+
+def is_proven(*, known_for_s: float, is_reporting: bool) -> bool:
+    """Return whether a new member is connected to others.
+
+    Parameters
+    ----------
+    known_for_s : float
+        Time for which it has been a member, in seconds.
+    is_reporting : bool
+        Whether this node gets reports of it.
+
+    Examples
+    --------
+    >>> is_proven(known_for_s=0.1, is_reporting=True)
+    True
+    """
+    return is_reporting or known_for_s > SETTLE_S
+
 
 def serving_members(fleet: FleetView, service: ServiceName) -> list[Member]:
     """Return the members of a service that may keep their shards."""
--- a/verbenadeck/placement/_load_reports.py
+++ b/verbenadeck/placement/_load_reports.py
@@ -104,6 +104,11 @@
         """Note a report."""
         self._reports[report.member] = (self._clock.now_s(), report)
 
+    def is_reporting(self, member: Incarnation) -> bool:
+        """Return whether a member has reported lately."""
+        entry = self._reports.get(member)
+        return entry is not None and entry[0] >= self._clock.now_s() - FRESH_S
+
     def measured(
         self, service: ServiceName, owners: Sequence[int]
     ) -> MeasuredLoad | None:
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -14,7 +14,9 @@
 from verbenadeck.model import NO_MEMBER, Incarnation, Offset, ServiceName
 from verbenadeck.placement._budget import ChurnBudget
 from verbenadeck.placement._eligibility import (
+    SETTLE_S,
     homes_of,
+    is_proven,
     serving_members,
     weights_of,
 )
@@ -36,7 +38,6 @@
 
 _log = logger.bind(part='placement')
 _PLANNERS = 3
-_SETTLE_S = 2.0
 _GATHER_S = 6.0
 _RESTLESS_S = 30.0
 _CALM_LOOK_S = 10.0
@@ -210,12 +211,18 @@
         seen_s = [self._seen_s.get(one.incarnation, now_s) for one in members]
         newest_s = max(seen_s, default=now_s)
         oldest_s = min(seen_s, default=now_s)
-        is_quiet = now_s - newest_s > _SETTLE_S
+        is_quiet = now_s - newest_s > SETTLE_S
         return not is_quiet and now_s - oldest_s <= _GATHER_S
 
     def _is_settled(self, member: Member) -> bool:
         seen_s = self._seen_s.get(member.incarnation, math.inf)
-        return self._clock.now_s() - seen_s > _SETTLE_S
+        board = self._board
+        return is_proven(
+            known_for_s=self._clock.now_s() - seen_s,
+            is_reporting=(
+                board is not None and board.is_reporting(member.incarnation)
+            ),
+        )
 
     def _is_balancing(self) -> bool:
         rank = self._rank()
--- a/verbenadeck/placement/tests/test_hot_keys.py
+++ b/verbenadeck/placement/tests/test_hot_keys.py
@@ -90,8 +90,8 @@
         for shard, owner in make_plan(given).balance.items():
             owners[shard] = owner
     load = dict.fromkeys(members, 0.0)
-    for shard, owner in enumerate(owners):
-        load[owner] += rates.get(Shard(shard), cold_rate)
+    for index, holder in enumerate(owners):
+        load[holder] += rates.get(Shard(index), cold_rate)
     mean = sum(load.values()) / len(members)
     assert max(load.values()) < 1.5 * mean
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -65,6 +65,12 @@
         self._store = StoreClient(settings.store, clock=self._clock)
         self._upstream = PlatformUpstream(clock=self._clock, book=self._book)
         self._grants: BeatGrants | None = None
+        self._is_started = False
+        self._metrics = Metrics(
+            zone=settings.zone,
+            known_services=lambda: self._journal.fleet.config.services,
+        )
+        self.control = self._make_control()
         self._joining = Joining(
             upstream=self._upstream,
             describe_node=lambda told: self._describe(
@@ -75,9 +81,11 @@
 
     def why_unready(self) -> str:
         """Return why the node takes no requests, empty when it does."""
-        journal = self.kernel.find('journal', LogClient)
+        journal = self._journal
         if self._stop.is_begun():
             return 'the node is leaving'
+        if not self._is_started:
+            return 'the node starts'
         if self._book.state is None:
             return 'no routes are known'
         if not journal.is_ready:
@@ -86,12 +94,36 @@
             return 'no member has joined'
         return ''
 
+    def note_started(self) -> None:
+        """Note that all services have started."""
+        self._is_started = True
+
+    @property
+    def _journal(self) -> LogClient:
+        return self.kernel.find('journal', LogClient)
+
+    def _make_control(self) -> ControlServer:
+        settings = self._settings
+        return ControlServer(
+            addresses=(
+                settings.ready,
+                settings.heartbeats,
+                Address(settings.ready.host, METRICS_PORT),
+            ),
+            upstream=self._upstream,
+            expected=settings.upstream,
+            why_unready=self.why_unready,
+            read_metrics=make_exposition(self._metrics),
+        )
+
     def _register(self) -> None:
         edges = self._edges()
         kernel = self.kernel
         kernel.register('store', Closing(self._store))
         kernel.register('peers', edges.peers, needs=('journal',))
         kernel.register('upstream', Closing(self._upstream))
+        # Stops after the lease, whose last grants end by heartbeats.
+        kernel.register('control', self.control, needs=('store', 'upstream'))
         register_core(
             kernel,
             NodePlace(
@@ -105,11 +137,13 @@
             options=self._core_options(),
         )
         self._register_operators(edges)
-        self._register_servers(edges)
+        kernel.register(
+            'entry', self._entry(edges), needs=('router', 'control')
+        )
 
     def _register_operators(self, edges: NodeEdges) -> None:
         kernel = self.kernel
-        journal = kernel.find('journal', LogClient)
+        journal = self._journal
         membership = kernel.find('membership', Membership)
         kernel.register(
             'operators',
@@ -159,34 +193,6 @@
         door = self.kernel.find('door', UpstreamDoor)
         door.tell_out(is_out=self._settings.zone in state.zones_out)
 
-    def _register_servers(self, edges: NodeEdges) -> None:
-        kernel = self.kernel
-        settings = self._settings
-        fleet = kernel.find('journal', LogClient).fleet
-        metrics = Metrics(
-            zone=settings.zone, known_services=lambda: fleet.config.services
-        )
-        kernel.register(
-            'control',
-            ControlServer(
-                addresses=(
-                    settings.ready,
-                    settings.heartbeats,
-                    Address(settings.ready.host, METRICS_PORT),
-                ),
-                upstream=self._upstream,
-                expected=settings.upstream,
-                why_unready=self.why_unready,
-                read_metrics=make_exposition(metrics),
-            ),
-            needs=('operators', 'joining'),
-        )
-        kernel.register(
-            'entry',
-            self._entry(edges, metrics),
-            needs=('router', 'control'),
-        )
-
     def _edges(self) -> NodeEdges:
         settings = self._settings
         return NodeEdges(
@@ -243,9 +249,10 @@
             upstream_instance=instance,
         )
 
-    def _entry(self, edges: NodeEdges, metrics: Metrics) -> Entry:
+    def _entry(self, edges: NodeEdges) -> Entry:
         settings = self._settings
-        fleet = self.kernel.find('journal', LogClient).fleet
+        metrics = self._metrics
+        fleet = self._journal.fleet
         policies = PolicyReader(
             fleet=fleet,
             clock=edges.clock,
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -19,6 +19,9 @@
 METRICS_PORT = 9464
 """Port of the deploy file's `metrics`; the usual one of exporters."""
 
+MISSES = 2
+"""Refused questions for readiness after which callers get no new work."""
+
 _BACKLOG = 128
 _OK = 200
 _BAD_REQUEST = 400
@@ -60,8 +63,14 @@
         self._why_unready = why_unready
         self._read_metrics = read_metrics
         self._unready = 'not started'
+        self._misses = 0
         self._runner: web.AppRunner | None = None
 
+    @property
+    def are_callers_told(self) -> bool:
+        """Whether the platform has had enough refusals to spare this node."""
+        return self._misses >= MISSES
+
     async def start(self) -> None:
         """Listen.
 
@@ -97,6 +106,7 @@
         if unready != self._unready:
             _log.info('ready: {}', unready or 'yes')
             self._unready = unready
+        self._misses = self._misses + 1 if unready else 0
         return web.Response(status=_UNAVAILABLE if unready else _OK)
 
     async def _beat(self, request: web.Request) -> web.Response:
--- a/verbenadeck/platform/_daemon.py
+++ b/verbenadeck/platform/_daemon.py
@@ -22,8 +22,9 @@
 _STOP_SHARE = 0.3
 
 LINGER_S = 2.2
-"""Time in seconds from SIGTERM for which the entry takes callers: the platform
-asks for readiness once a second and turns callers away after two misses."""
+"""Longest time in seconds from SIGTERM for which the entry takes callers: the
+platform asks for readiness once a second and turns callers away after two
+misses."""
 
 
 async def run_node(settings: PlatformSettings) -> Result[None, StartError]:
@@ -49,12 +50,14 @@
         await node.kernel.start()
     except OSError as error:
         return Failure(StartError(f'{settings.node_id}: {error}'))
+    node.note_started()
     _log.info('{} started in {}', settings.node_id, settings.zone)
     await stopping.wait()
     await stop_node(
         node.kernel,
         timeout_s=settings.stop_s * _STOP_SHARE,
         linger_s=LINGER_S,
+        are_callers_told=lambda: node.control.are_callers_told,
     )
     writer.flush()
     return Success(None)
