--- a/verbenadeck/door/__init__.py
+++ b/verbenadeck/door/__init__.py
@@ -5,6 +5,7 @@
 from verbenadeck.door._limit import (
     Adapt,
     ConcurrencyLimit,
+    LimitOptions,
     fixed_limit,
     gradient_limit,
 )
@@ -22,6 +23,7 @@
 __all__ = (
     'MESSAGES',
     'Adapt',
+    'LimitOptions',
     'Cancel',
     'ConcurrencyLimit',
     'Door',
--- a/verbenadeck/door/_door.py
+++ b/verbenadeck/door/_door.py
@@ -11,7 +11,7 @@
 from verbenadeck.door._endpoint import Endpoint
 from verbenadeck.door._handover import Handover
 from verbenadeck.door._ledger import Ledger
-from verbenadeck.door._limit import Adapt, gradient_limit
+from verbenadeck.door._limit import LimitOptions
 from verbenadeck.door._monitor import UpstreamMonitor
 from verbenadeck.door._parts import Parts, Surroundings
 from verbenadeck.door._port import DoorLoad
@@ -35,6 +35,7 @@
 _log = logger.bind(part='door')
 _POLL_S = 0.01
 _DRAIN_S = 15.0
+_DEFAULT_LIMITS = LimitOptions()
 
 
 class UpstreamDoor:
@@ -62,8 +63,8 @@
         Source of jitter.
     ledger : Ledger or None
         Request ledger; None makes one with the default bounds.
-    adapt : Adapt
-        Step of the adaptive concurrency limit.
+    limits : LimitOptions
+        How the concurrency limit reacts.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         clock: Clock,
         random_source: random.Random,
         ledger: Ledger | None = None,
-        adapt: Adapt = gradient_limit,
+        limits: LimitOptions = _DEFAULT_LIMITS,
     ) -> None:
         around = Surroundings(
             node_id=node_id,
@@ -94,7 +95,7 @@
         )
         self._clock = clock
         kept = Ledger() if ledger is None else ledger
-        self._parts = Parts(around, ledger=kept, adapt=adapt)
+        self._parts = Parts(around, ledger=kept, limits=limits)
         self._admission = Admission(self._parts)
         self._handover = Handover(self._parts)
         self._monitor = UpstreamMonitor(self._parts)
--- a/verbenadeck/door/_limit.py
+++ b/verbenadeck/door/_limit.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 _SHORT_WEIGHT = 0.1
 _LONG_WEIGHT = 0.001
@@ -41,6 +42,27 @@
     return math.inf
 
 
+class LimitOptions(NamedTuple):
+    """How the concurrency limit reacts.
+
+    Parameters
+    ----------
+    adapt : Adapt
+        Step of the adaptive limit.
+    least_share : float
+        Share of the slots below which neither slow answers nor shed ones
+        that state no number take the limit. An upstream whose slots are
+        exact sheds or slows down for reasons of its own, and fewer requests
+        would not help it.
+    """
+
+    adapt: Adapt = gradient_limit
+    least_share: float = 0
+
+
+_DEFAULTS = LimitOptions()
+
+
 class ConcurrencyLimit:
     """Requests that a door may run at once.
 
@@ -50,17 +72,18 @@
 
     Parameters
     ----------
-    adapt : Adapt
-        Step of the adaptive limit.
+    options : LimitOptions
+        How it reacts.
     """
 
-    def __init__(self, *, adapt: Adapt = gradient_limit) -> None:
+    def __init__(self, *, options: LimitOptions = _DEFAULTS) -> None:
         self.slots = 0
         self.service_time_s = _FIRST_SERVICE_TIME_S
         self._long_s = _FIRST_SERVICE_TIME_S
         self._samples = 0
         self._slow_streak = 0
-        self._adapt = adapt
+        self._adapt = options.adapt
+        self._least_share = options.least_share
         self._bearable = 0
         self._ramp = 0.0
         self._safe_ramp = 0.0
@@ -113,7 +136,7 @@
                 self._cut_to(max(0, bearable), now_s)
                 return
         if sent_at_s > self._cut_at_s:
-            self._cut_ramp(min(self._ramp, self.limit) / 2, now_s)
+            self._cut_unstated(min(self._ramp, self.limit) / 2, now_s)
 
     def answer(self, service_time_s: float, *, now_s: float) -> None:
         """Take the service time of a complete answer."""
@@ -126,7 +149,7 @@
             self._slow_streak = 0
             self._long_s = service_time_s
             self.service_time_s = service_time_s
-            self._cut_ramp(self.limit / _JUMP_CUT, now_s)
+            self._cut_unstated(self.limit / _JUMP_CUT, now_s)
             return
         self._grow()
         self._adaptive = min(
@@ -157,6 +180,11 @@
         self._bearable = bearable
         self._cut_ramp(float(bearable), now_s)
 
+    def _cut_unstated(self, ramp: float, now_s: float) -> None:
+        """Cut the ramp on a sign that states no number."""
+        least = self._least_share * min(self.slots, self._bearable)
+        self._cut_ramp(max(ramp, min(least, self._ramp)), now_s)
+
     def _cut_ramp(self, ramp: float, now_s: float) -> None:
         self._ramp = max(1.0, ramp)
         self._safe_ramp = self._ramp
--- a/verbenadeck/door/_parts.py
+++ b/verbenadeck/door/_parts.py
@@ -11,7 +11,7 @@
 from verbenadeck.door._gate import Gate
 from verbenadeck.door._history import OwnerHistory
 from verbenadeck.door._ledger import Ledger
-from verbenadeck.door._limit import Adapt, ConcurrencyLimit
+from verbenadeck.door._limit import ConcurrencyLimit, LimitOptions
 from verbenadeck.door._once import OnceGuard
 from verbenadeck.door._poison import Quarantine
 from verbenadeck.door._runs import Runs
@@ -73,12 +73,12 @@
         The rest of the node.
     ledger : Ledger
         Request ledger.
-    adapt : Adapt
-        Step of the adaptive concurrency limit.
+    limits : LimitOptions
+        How the concurrency limit reacts.
     """
 
     def __init__(
-        self, around: Surroundings, *, ledger: Ledger, adapt: Adapt
+        self, around: Surroundings, *, ledger: Ledger, limits: LimitOptions
     ) -> None:
         clock = around.clock
         self.around = around
@@ -88,7 +88,7 @@
         self.keeper = CopyKeeper(clock=clock)
         self.history = OwnerHistory(fleet=around.fleet, clock=clock)
         self.takeovers = Takeovers(history=self.history, clock=clock)
-        self.limit = ConcurrencyLimit(adapt=adapt)
+        self.limit = ConcurrencyLimit(options=limits)
         self.gate = Gate(
             node_id=around.node_id,
             zone=around.zone,
--- a/verbenadeck/door/tests/builders.py
+++ b/verbenadeck/door/tests/builders.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Success
 
-from verbenadeck.door import Ledger, UpstreamDoor
+from verbenadeck.door import Ledger, LimitOptions, UpstreamDoor
 from verbenadeck.door.tests.fakes import (
     SERVICE,
     SHARDS,
@@ -45,6 +45,7 @@
 
 ZONES = ('suva', 'nadi', 'lautoka')
 
+_LIMITS = LimitOptions()
 _numbers = itertools.count(1)
 
 
@@ -106,6 +107,7 @@
         *,
         zone: str,
         ledger: Ledger | None = None,
+        limits: LimitOptions = _LIMITS,
     ) -> None:
         self.upstream = upstream
         self.incarnation = Incarnation(number)
@@ -126,6 +128,7 @@
             clock=site.clock,
             random_source=self.random,
             ledger=ledger,
+            limits=limits,
         )
 
     def member(self, witnesses: tuple[Incarnation, ...] = ()) -> Member:
@@ -160,6 +163,7 @@
         *,
         zone: str | None = None,
         ledger: Ledger | None = None,
+        limits: LimitOptions = _LIMITS,
         witnesses: tuple[Incarnation, ...] = (),
     ) -> Node:
         number = len(self.nodes) + 1
@@ -169,6 +173,7 @@
             upstream or FakeUpstream(),
             zone=zone or ZONES[number % len(ZONES)],
             ledger=ledger,
+            limits=limits,
         )
         self.nodes.append(node)
         self.fleet.join(node.member(witnesses))
--- /dev/null
+++ b/verbenadeck/door/tests/test_grey.py
@@ -0,0 +1,76 @@
+"""An upstream sheds half of its requests, however few it has."""
+
+import asyncio
+import random
+
+from returns.result import Success
+
+from verbenadeck.door import ConcurrencyLimit, LimitOptions, fixed_limit
+from verbenadeck.door.tests.builders import Site, admit, make_request
+from verbenadeck.door.tests.fakes import FakeUpstream
+from verbenadeck.testing import run_virtual
+
+_SHED_SHARE = 0.55
+_EXACT = LimitOptions(adapt=fixed_limit, least_share=0.8)
+
+
+def test_shed_answers_of_a_grey_upstream_leave_most_of_its_slots() -> None:
+    limit = ConcurrencyLimit(options=_EXACT)
+    limit.announce(9, 9, now_s=0)
+    source = random.Random(3)
+    least = 9
+    for step in range(400):
+        now_s = step * 0.02
+        if source.random() < _SHED_SHARE:
+            limit.shed(None, sent_at_s=now_s - 0.001, now_s=now_s)
+        else:
+            limit.answer(0.2, now_s=now_s)
+        least = min(least, limit.limit)
+    assert least >= 7
+
+
+def test_a_stated_number_still_lowers_the_limit_at_once() -> None:
+    limit = ConcurrencyLimit(options=_EXACT)
+    limit.announce(9, 9, now_s=0)
+    limit.shed(2, sent_at_s=1, now_s=1.1)
+    assert limit.limit == 2
+
+
+def test_a_slow_upstream_keeps_most_of_its_slots() -> None:
+    limit = ConcurrencyLimit(options=_EXACT)
+    limit.announce(9, 9, now_s=0)
+    for step in range(100):
+        limit.answer(0.2, now_s=step * 0.1)
+    for step in range(20):
+        limit.answer(2.4, now_s=10 + step * 0.1)
+    assert limit.limit >= 7
+
+
+def test_half_of_the_requests_of_a_grey_upstream_are_answered() -> None:
+    async def scenario() -> None:
+        site = Site()
+        upstream = FakeUpstream(slots=9, service_time_s=0.2)
+        node = await site.add(upstream, limits=_EXACT)
+        source = random.Random(5)
+        upstream.sheds_with_hint = False
+        loop = asyncio.get_running_loop()
+        answered = asked = 0
+
+        async def one() -> None:
+            nonlocal answered
+            # The stand-in sheds from this number of running requests on.
+            is_shed = source.random() < _SHED_SHARE
+            upstream.sheds_above = 0 if is_shed else None
+            result = await admit(node, make_request(timeout_s=1))
+            answered += isinstance(result, Success)
+
+        ends_s = loop.time() + 8
+        tasks = []
+        while loop.time() < ends_s:
+            asked += 1
+            tasks.append(asyncio.create_task(one()))
+            await asyncio.sleep(1 / 30)
+        await asyncio.gather(*tasks)
+        assert answered > 0.4 * asked
+
+    run_virtual(scenario())
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -10,7 +10,7 @@
 from verbenadeck import membership as membership_package
 from verbenadeck import placement as placement_package
 from verbenadeck.adapters import LogAdapter, UpstreamAdapter
-from verbenadeck.door import Adapt, UpstreamDoor, gradient_limit
+from verbenadeck.door import LimitOptions, UpstreamDoor
 from verbenadeck.journal import (
     Checkpointer,
     CheckpointOptions,
@@ -110,8 +110,8 @@
         Whether there is an upstream to join with.
     is_past_over : callable or None
         Whether what earlier processes of this node granted has ended.
-    adapt : Adapt
-        Step of the door's adaptive concurrency limit.
+    limits : LimitOptions
+        How the door's concurrency limit reacts.
     """
 
     timing: LeaseTiming | None = None
@@ -120,7 +120,7 @@
     make_grants: GrantsMaker = GrantKeeper
     can_join: Callable[[], bool] = _always
     is_past_over: Callable[[], bool] | None = None
-    adapt: Adapt = gradient_limit
+    limits: LimitOptions = LimitOptions()
 
 
 _DEFAULTS = CoreOptions()
@@ -240,7 +240,7 @@
         peers=edges.peers,
         clock=edges.clock,
         random_source=edges.random_source,
-        adapt=options.adapt,
+        limits=options.limits,
     )
 
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -3,7 +3,7 @@
 import random
 from functools import partial
 
-from verbenadeck.door import PolicyReader, UpstreamDoor, fixed_limit
+from verbenadeck.door import PolicyReader, UpstreamDoor
 from verbenadeck.entry import Entry, EntryOptions, make_request_reader
 from verbenadeck.journal import LogClient, StreamFollower
 from verbenadeck.kernel import Kernel
@@ -229,7 +229,7 @@
             make_grants=make_grants,
             can_join=lambda: self._upstream.is_known,
             is_past_over=self._is_past_over,
-            adapt=fixed_limit,
+            limits=_options.LIMITS,
         )
 
     def _is_past_over(self) -> bool:
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -1,5 +1,6 @@
 """Options of a node on the platform."""
 
+from verbenadeck.door import LimitOptions, fixed_limit
 from verbenadeck.journal import (
     AppendOptions,
     CheckpointOptions,
@@ -19,6 +20,11 @@
 """Churn budget; the platform prices a whole turnover of keys at half a
 percent of a day."""
 
+LIMITS = LimitOptions(adapt=fixed_limit, least_share=0.8)
+"""An instance states its slots, and its rate while it is cold. One that sheds
+below that is broken for a while; the fifth that is left out covers requests
+which it still works on after their connections have closed."""
+
 DIRECT_PER_ZONE = 2
 """Nodes of a zone that read the store themselves. Each call is priced, and a
 second one takes over at once when the way of the first is cut."""
@@ -54,8 +60,8 @@
     reads=ReadOptions(
         wait_s=2.0,
         stale_s=4.0,
-        reply_s=1.0,
-        pace_s=0.01,
+        reply_s=0.4,
+        pace_s=0.1,
         direct_per_zone=DIRECT_PER_ZONE,
     ),
     appends=AppendOptions(answer_s=1.0, repeat_s=0.6),
