Recover from a loss of power without waiting for the dead

The log still names the earlier life of every node: those were the readers of their zones, the planners and the witnesses that others chose, and each question to a dead one took 3 s; 'outcome unknown' for changes of witness sets up to 6 s after the restart. And the first node back heard its own load report first, was the only proven member, and got all 8,192 shards, which balance gave back after 12 s, since the planners of rank 0 and 1 were dead.

Change: an earlier life of a node that has joined again neither plans, nor relays, nor is chosen as a witness; a peer that has not answered since it was chosen is asked for records without a wait; where under half of a service's members are proven, all with witnesses get shards; a stand-in balances after 3 s; only shards of four times the mean rate count as hot, so that lost shards go out in long runs; one line for an assignment in place of one for each run. Tests name the pattern: a mass restart, dead members that are named first.

--- /dev/null
+++ b/verbenadeck/fleet/_lives.py
@@ -0,0 +1,25 @@
+"""Which member of a node is its present life."""
+
+from collections.abc import Iterable
+
+from verbenadeck.fleet._view import Member
+from verbenadeck.model import NodeId
+
+
+def newest_lives(members: Iterable[Member]) -> list[Member]:
+    """Return the newest member of each node, the oldest of them first.
+
+    A node that has joined again runs no earlier life any more, though the log
+    may name it until its end is known.
+
+    Parameters
+    ----------
+    members : iterable of Member
+        Members of the fleet.
+    """
+    newest: dict[NodeId, Member] = {}
+    for member in members:
+        known = newest.setdefault(member.node_id, member)
+        if known.incarnation < member.incarnation:
+            newest[member.node_id] = member
+    return sorted(newest.values(), key=lambda each: each.incarnation)
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -66,6 +66,9 @@
 
     A source that answers without news of the log's end counts as failed too,
     so a peer that is cut off from the log does not hold its readers back.
+    A peer that has not answered since it was chosen is asked without a wait:
+    after many nodes were lost at once, most members that the log names are
+    dead.
 
     Parameters
     ----------
@@ -105,6 +108,7 @@
         self._options = options
         self._sources: tuple[Source, ...] = (LOG,)
         self._index = 0
+        self._answered: PeerAddress | None = None
         self._failed = 0
         self._prefer_at_s = -math.inf
         self._tolerate_until_s = -math.inf
@@ -181,12 +185,13 @@
     ) -> ReadResult:
         if self._port is None:
             return _unavailable('no peers')
-        wait_s = self._options.wait_s
+        wait_s = self._options.wait_s if peer == self._answered else 0
         answer = await self._port.call(
             peer,
             self._make_fetch(next_offset, wait_s),
             deadline_s=self._clock.now_s() + wait_s + self._options.reply_s,
         )
+        self._answered = peer if is_successful(answer) else None
         return answer.alt(_as_log_error).bind(
             lambda reply: self._take(reply, next_offset)
         )
--- a/verbenadeck/journal/_sources.py
+++ b/verbenadeck/journal/_sources.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from verbenadeck.fleet import FleetView, Member
+from verbenadeck.fleet import FleetView, Member, newest_lives
 from verbenadeck.model import Incarnation, Offset
 from verbenadeck.peers import PeerAddress
 from verbenadeck.records import (
@@ -127,11 +127,10 @@
     me = members.get(own) if own is not None else None
     if me is None:
         return _distinct((LOG, *_some(members.values(), random_source)))
-    zone = sorted(
-        member.incarnation
-        for member in members.values()
-        if member.zone == me.zone
-    )
+    lives = newest_lives(members.values())
+    zone = [each.incarnation for each in lives if each.zone == me.zone]
+    if me.incarnation not in zone:
+        return _distinct((LOG, *_some(members.values(), random_source)))
     rank = zone.index(me.incarnation)
     near = [members[other] for other in zone if other != me.incarnation]
     far = [member for member in members.values() if member.zone != me.zone]
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -17,6 +17,7 @@
 from verbenadeck.testing import run_virtual
 
 _IN_FORCE_S = 7
+_DEAD_CALL_S = 0.7
 _ONE_ZONE = ('suva',) * 8
 
 
@@ -216,3 +217,32 @@
             assert not page.is_kept
 
     run_virtual(scenario())
+
+
+def test_dead_members_that_are_named_first_hold_nothing_up() -> None:
+    """All of a zone lost power; most members that the log names are dead."""
+
+    async def scenario() -> None:
+        async with make_site(*_ONE_ZONE) as site:
+            await site.settle(5)
+            for node in site.nodes[:-2]:
+                await node.stop()
+            late, other = site.nodes[-2:]
+            source = late.client._reader.source.peer
+            assert source is not None
+            assert not site.network.ports[source].is_up
+            delays_s = [await _delay_s(other, late) for _ in range(20)]
+            # The first call was out when the member died, and hangs.
+            assert sum(delay_s > _DEAD_CALL_S for delay_s in delays_s) <= 1
+
+    run_virtual(scenario())
+
+
+async def _delay_s(writer: Node, reader: Node) -> float:
+    """Return how long after its writer a reader knows a record."""
+    offset = await _publish(writer)
+    began_s = reader.clock.now_s()
+    assert await reader.client.wait_applied(offset, deadline_s=reader.in_s(9))
+    took_s = reader.clock.now_s() - began_s
+    await asyncio.sleep(0.7)
+    return took_s
--- a/verbenadeck/membership/_witness_choice.py
+++ b/verbenadeck/membership/_witness_choice.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from verbenadeck.fleet import Member
+from verbenadeck.fleet import Member, newest_lives
 from verbenadeck.model import Incarnation, NodeId, Region, Zone
 
 WITNESS_COUNT = 3
@@ -16,9 +16,12 @@
     """Return the members that may be witnesses of a node.
 
     They are in its own region, so that a region cut off from others keeps
-    its leases; a node alone in its region takes them from elsewhere.
+    its leases; a node alone in its region takes them from elsewhere. A member
+    whose node has joined again since is dead and nobody's witness.
     """
-    others = [member for member in members if member.node_id != node_id]
+    others = [
+        member for member in newest_lives(members) if member.node_id != node_id
+    ]
     nearby = [member for member in others if member.region == region]
     return nearby or others
 
--- a/verbenadeck/membership/tests/test_witness_choice.py
+++ b/verbenadeck/membership/tests/test_witness_choice.py
@@ -1,5 +1,6 @@
 import random
 
+import msgspec
 import pytest
 
 from verbenadeck.fleet import Member, MemberState
@@ -64,3 +65,18 @@
     alone = candidates_for(members, node_id=own, region=Region('third'))
     assert [each.incarnation for each in near] == [1]
     assert len(alone) == 2
+
+
+def test_an_earlier_life_of_a_node_is_no_candidate() -> None:
+    """All lost power; the log still names each node's earlier life."""
+    early = [_member(each, 'abc'[each % 3]) for each in range(6)]
+    again = [
+        msgspec.structs.replace(
+            one, incarnation=Incarnation(one.incarnation + 10)
+        )
+        for one in early[:4]
+    ]
+    found = candidates_for(
+        [*again, *early], node_id=NodeId('node-9'), region=Region('home')
+    )
+    assert sorted(each.incarnation for each in found) == [4, 5, 10, 11, 12, 13]
--- a/verbenadeck/placement/_eligibility.py
+++ b/verbenadeck/placement/_eligibility.py
@@ -2,14 +2,26 @@
 
 from collections.abc import Callable
 
-from verbenadeck.fleet import FleetView, Member, MemberState
+from verbenadeck.fleet import FleetView, Member, MemberState, newest_lives
 from verbenadeck.model import NO_MEMBER, Incarnation, ServiceName
 
+_PROVEN_SHARE = 0.5
+
 SETTLE_S = 2.0
 """Time in seconds after which a member that nobody evicted is taken for one
 that its witnesses hear; two default leases."""
 
 
+PLANNERS = 3
+"""Members that may plan: one that does, and two that stand in for it."""
+
+
+def planners(fleet: FleetView) -> list[Incarnation]:
+    """Return the members that may plan, the first of them first."""
+    lives = newest_lives(fleet.members.values())
+    return [member.incarnation for member in lives[:PLANNERS]]
+
+
 def is_proven(*, known_for_s: float, is_reporting: bool) -> bool:
     """Return whether a new member is connected to others.
 
@@ -51,7 +63,8 @@
 
     A member that joined a moment ago may be cut off from its witnesses, and
     one without witnesses can't be evicted. Neither gets shards while others
-    can take them.
+    can take them. After a loss of many, the few that are proven could not
+    bear what the rest leaves.
     """
     proven = [
         member
@@ -60,6 +73,8 @@
         or (member.witnesses and is_settled(member))
     ]
     witnessed = [member for member in members if member.witnesses]
+    if len(proven) < _PROVEN_SHARE * len(members):
+        proven = []
     chosen = proven or witnessed or members
     return {
         member.incarnation: max(1, member.slots)
--- a/verbenadeck/placement/_load_reports.py
+++ b/verbenadeck/placement/_load_reports.py
@@ -12,6 +12,7 @@
 from verbenadeck.membership import Membership
 from verbenadeck.model import NO_MEMBER, Incarnation, ServiceName, Shard
 from verbenadeck.peers import Message, PeerAddress, PeerPort
+from verbenadeck.placement._eligibility import planners
 from verbenadeck.utils import Clock
 
 REPORT_S = 0.5
@@ -23,15 +24,13 @@
 HOT_SHARDS = 48
 """Shards in one report; it fits into one datagram."""
 
-PLANNERS = 3
-"""Members that get reports: those that may plan."""
-
 BUSY_RATIO = 0.6
 """Load over capacity from which moving shards is worth a short wait for the
 requests of the moved ones."""
 
-LEAST_COST = 0.05
-"""Cost of a shard without requests, as a share of an ordinary one."""
+HOT_RATIO = 4.0
+"""Rate of a hot shard over the mean one; what is cooler counts as ordinary, so
+that it moves in long runs."""
 
 _CAPACITY_DECAY_S = 3.0
 
@@ -155,14 +154,14 @@
         for shard, rate in each.hot:
             if shard < len(owners):
                 rates[shard] += rate
-    total = sum(each.total_per_s for each in fresh)
-    others = max(1, len(owners) - len(rates))
-    unit = max(total - sum(rates.values()), 0) / others
-    if unit <= 0:
-        unit = max(total, 1.0) / len(owners)
-    return {
-        shard: max(LEAST_COST, rate / unit) for shard, rate in rates.items()
+    total = max(sum(each.total_per_s for each in fresh), 1.0)
+    mean = total / len(owners)
+    hot = {
+        shard: rate for shard, rate in rates.items() if rate > HOT_RATIO * mean
     }
+    others = max(1, len(owners) - len(hot))
+    unit = max(total - sum(hot.values()), mean) / others
+    return {shard: rate / unit for shard, rate in hot.items()}
 
 
 class LoadReporter:
@@ -236,7 +235,7 @@
             tuple(self._rates.hottest(HOT_SHARDS)),
         )
         self._board.take(report)
-        for incarnation in sorted(self._fleet.members)[:PLANNERS]:
+        for incarnation in planners(self._fleet):
             if incarnation != own:
                 address = self._fleet.members[incarnation].address
                 self._port.notify(address, report)
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -17,6 +18,7 @@
     SETTLE_S,
     homes_of,
     is_proven,
+    planners,
     serving_members,
     weights_of,
 )
@@ -37,13 +39,12 @@
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='placement')
-_PLANNERS = 3
 _GATHER_S = 6.0
 _RESTLESS_S = 30.0
 _CALM_LOOK_S = 10.0
 _LOOK_S = 1.0
 _PAUSE_S = 0.02
-_BALANCE_DELAY_S = 10.0
+_BALANCE_DELAY_S = 3.0
 _LOAD_REST_S = 1.0
 _LOAD_HYSTERESIS = 0.2
 _LOAD_MOVE_SHARE = 0.125
@@ -231,7 +232,7 @@
 
     def _rank(self) -> int | None:
         own = self._membership.incarnation
-        first = sorted(self._fleet.members)[:_PLANNERS]
+        first = planners(self._fleet)
         return first.index(own) if own in first else None
 
     async def _propose(self, service: ServiceName, plan: Plan) -> None:
@@ -258,16 +259,16 @@
                 judged = verdict.value
             case _:
                 judged = 'no verdict'
+        shards: Counter[Incarnation] = Counter()
         for move in record.moves:
-            _log.info(
-                'assign {} [{}, {}) to {}, {}: {}',
-                move.service,
-                move.first_shard,
-                move.stop_shard,
-                move.new_owner,
-                reason,
-                judged,
-            )
+            shards[move.new_owner] += move.stop_shard - move.first_shard
+        _log.info(
+            'assign in {} runs, shards by owner {}, {}: {}',
+            len(record.moves),
+            dict(shards),
+            reason,
+            judged,
+        )
 
 
 def _capacities(
--- a/verbenadeck/routes/_document_sync.py
+++ b/verbenadeck/routes/_document_sync.py
@@ -11,7 +11,7 @@
 from returns.pipeline import is_successful
 
 from verbenadeck.config.operations import publish_document
-from verbenadeck.fleet import FleetView
+from verbenadeck.fleet import FleetView, newest_lives
 from verbenadeck.journal import Journal, finishes
 from verbenadeck.membership import Membership
 from verbenadeck.model import (
@@ -149,6 +149,6 @@
 
 def _rank(fleet: FleetView, membership: Membership) -> int | None:
     own = membership.incarnation
-    if own not in fleet.members:
-        return None
-    return min(_MOST_RANKS, sorted(fleet.members).index(own))
+    lives = newest_lives(fleet.members.values())
+    ranked = [member.incarnation for member in lives]
+    return min(_MOST_RANKS, ranked.index(own)) if own in ranked else None
