Never block on the reader of the log lines

Cause: a reader that does not empty the pipe of a node's standard output stopped the node, since a full batch was written before a line was added.

The product's own daemon is unchanged.

--- a/verbenadeck/logs/__init__.py
+++ b/verbenadeck/logs/__init__.py
@@ -6,10 +6,12 @@
     json_renderer,
     plain_renderer,
 )
+from verbenadeck.logs._pipe import PipeStream
 from verbenadeck.logs._setup import (
     Decide,
     Format,
     decision_log,
+    open_pipe,
     setup_logs,
     teardown_logs,
 )
@@ -20,10 +22,12 @@
     'Format',
     'Line',
     'LineWriter',
+    'PipeStream',
     'Render',
     'Stream',
     'decision_log',
     'json_renderer',
+    'open_pipe',
     'plain_renderer',
     'setup_logs',
     'teardown_logs',
--- a/verbenadeck/logs/_setup.py
+++ b/verbenadeck/logs/_setup.py
@@ -15,6 +15,7 @@
     json_renderer,
     plain_renderer,
 )
+from verbenadeck.logs._pipe import PipeStream
 from verbenadeck.logs._writer import LineWriter, Stream
 
 if TYPE_CHECKING:
@@ -41,6 +42,32 @@
     is_deciding: bool = True
 
 
+def open_pipe(descriptor: int, *, line_format: Format) -> PipeStream:
+    """Return a stream to a descriptor that drops lines and never blocks.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go, such as that of standard output.
+    line_format : {'plain', 'json'}
+        Format of the line that tells of dropped ones.
+    """
+    render = _RENDERERS[line_format]()
+
+    def tell_dropped(count: int) -> str:
+        return render(
+            Line(
+                time.time(),
+                'WARNING',
+                'logs',
+                '{} lines dropped: their reader is too slow',
+                (count,),
+            )
+        )
+
+    return PipeStream(descriptor, tell_dropped=tell_dropped)
+
+
 def setup_logs(
     *,
     level: str = _INFO,
--- a/verbenadeck/platform/_daemon.py
+++ b/verbenadeck/platform/_daemon.py
@@ -8,7 +8,7 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from verbenadeck.logs import setup_logs
+from verbenadeck.logs import open_pipe, setup_logs
 from verbenadeck.node import (
     PlannedStop,
     StartError,
@@ -35,7 +35,10 @@
     settings : PlatformSettings
         Checked settings.
     """
-    writer = setup_logs(line_format='json', stream=sys.stdout)
+    writer = setup_logs(
+        line_format='json',
+        stream=open_pipe(sys.stdout.fileno(), line_format='json'),
+    )
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
