Refuse who turns late in a queue, and keep the late behind

Under overload those who can still meet their objective keep overtaking one that has missed it; and in the last 0.75 s of its time it went to the front after all, where it made others late.

Change: a waiter that can't meet its objective any more is refused when more urgent ones fill the slots before it, with a time to return; one whose deadline follows its objective within 0.5 s, a step of another request, keeps its place.

--- a/verbenadeck/door/_slots.py
+++ b/verbenadeck/door/_slots.py
@@ -9,9 +9,9 @@
 from verbenadeck.model import Refusal, RefusalReason
 from verbenadeck.utils import Clock
 
-BRIEF_S = 0.75
-"""Time in seconds below which a request has no use for an answer that comes
-after its objective but in time; it is mostly a step of another one."""
+BRIEF_S = 0.5
+"""Time in seconds from objective to deadline up to which an answer between
+the two is as good as one before; the request is mostly a step of another."""
 
 _Place = tuple[int, bool, float]
 """Rank, whether the objective can't be met, and the moment that counts."""
@@ -48,7 +48,7 @@
         self.shard = shard
         self.future: asyncio.Future[Refusal | None] | None = None
 
-    def place(self, ends_at_s: float, now_s: float) -> _Place:
+    def place(self, ends_at_s: float) -> _Place:
         """Return the place in the queue of a request that would end then.
 
         Those that can meet their objective go first. Serving others on the
@@ -56,8 +56,12 @@
         """
         if ends_at_s <= self.objective_at_s:
             return self.rank, False, self.objective_at_s
-        is_brief = self.deadline_s - now_s <= BRIEF_S
-        return self.rank, not is_brief, self.deadline_s
+        return self.rank, not self.is_brief, self.deadline_s
+
+    @property
+    def is_brief(self) -> bool:
+        """Whether the deadline follows the objective closely."""
+        return self.deadline_s - self.objective_at_s <= BRIEF_S
 
     @property
     def is_settled(self) -> bool:
@@ -115,8 +119,8 @@
             return 0
         now_s = self._clock.now_s()
         ends_at_s = now_s + self._service_time_s()
-        own = waiter.place(ends_at_s, now_s)
-        places = (each.place(ends_at_s, now_s) for each in self._waiting)
+        own = waiter.place(ends_at_s)
+        places = (each.place(ends_at_s) for each in self._waiting)
         ahead = sum(place <= own for place in places) + 1
         slot_wait_s = ahead / max(1, limit) * self._service_time_s()
         rate_per_s = self._pace.rate_per_s
@@ -158,10 +162,10 @@
 
         One that has missed its objective already may wait while few do.
         """
-        is_late = waiter.place(ends_at_s, now_s)[1]
+        is_late = waiter.place(ends_at_s)[1]
         if not is_late or waiter.objective_at_s > now_s:
             return is_late
-        places = (each.place(now_s, now_s) for each in self._waiting)
+        places = (each.place(now_s) for each in self._waiting)
         return sum(place[1] for place in places) >= self._limit()
 
     def try_acquire(self) -> bool:
@@ -182,6 +186,7 @@
         self._waiting.append(waiter)
         left_s = self._clock.remaining_s(waiter.deadline_s)
         timer = loop.call_later(left_s, self._expire, waiter)
+        self._review_later(waiter)
         try:
             return await waiter.future
         except asyncio.CancelledError:
@@ -199,7 +204,8 @@
         """Give free slots to waiters that can still meet their deadlines."""
         while self._waiting and self.in_use < self._limit():
             waiter = self._next()
-            if waiter.is_settled or self._is_late(waiter):
+            ends_at_s = self._clock.now_s() + self._service_time_s()
+            if waiter.is_settled or ends_at_s > waiter.deadline_s:
                 waiter.settle(_late())
                 self._waiting.remove(waiter)
                 continue
@@ -212,7 +218,7 @@
     def _next(self) -> Waiter:
         now_s = self._clock.now_s()
         ends_at_s = now_s + self._service_time_s()
-        return min(self._waiting, key=lambda each: each.place(ends_at_s, now_s))
+        return min(self._waiting, key=lambda each: each.place(ends_at_s))
 
     def refuse(
         self, refusal: Refusal, *, shards: frozenset[int] | None
@@ -226,9 +232,28 @@
                 kept.append(waiter)
         self._waiting = kept
 
-    def _is_late(self, waiter: Waiter) -> bool:
-        ends_at_s = self._clock.now_s() + self._service_time_s()
-        return ends_at_s > waiter.deadline_s
+    def _review_later(self, waiter: Waiter) -> None:
+        """Look at a waiter again when it can't meet its objective any more."""
+        service_s = self._service_time_s()
+        turns_late_s = waiter.objective_at_s - service_s
+        wait_s = max(service_s, self._clock.remaining_s(turns_late_s))
+        asyncio.get_running_loop().call_later(wait_s, self._review, waiter)
+
+    def _review(self, waiter: Waiter) -> None:
+        """Refuse a late waiter that more urgent ones keep behind."""
+        if waiter.is_settled:
+            return
+        now_s = self._clock.now_s()
+        ends_at_s = now_s + self._service_time_s()
+        own = waiter.place(ends_at_s)
+        is_late = own[1]
+        places = (each.place(ends_at_s) for each in self._waiting)
+        ahead = sum(place < own for place in places)
+        if is_late and ahead >= self._limit():
+            waiter.settle(_overtaken(self.expected_wait_s(waiter)))
+            self._forget(waiter)
+            return
+        self._review_later(waiter)
 
     def _expire(self, waiter: Waiter) -> None:
         if waiter.settle(_late()):
@@ -246,5 +271,13 @@
             self._waiting.remove(waiter)
 
 
+def _overtaken(wait_s: float) -> Refusal:
+    return not_run(
+        RefusalReason.QUEUE_FULL,
+        'more urgent requests keep it behind its objective',
+        retry_after_s=wait_s,
+    )
+
+
 def _late() -> Refusal:
     return not_run(RefusalReason.DEADLINE, 'the deadline passed in the queue')
--- a/verbenadeck/door/tests/test_urgency.py
+++ b/verbenadeck/door/tests/test_urgency.py
@@ -133,6 +133,64 @@
     run_virtual(scenario())
 
 
+def test_who_turns_late_behind_others_is_told_then() -> None:
+    """More come than can be served; waiting on would only end in a refusal."""
+
+    async def scenario() -> None:
+        queue = _Queue(slots=2)
+        clock = queue.clock
+        began_s = clock.now_s()
+        patient = queue.waiter(timeout_s=3, objective_s=0.9)
+        told = asyncio.create_task(queue.slots.acquire(patient))
+        others = []
+        for number in range(12):
+            # Others that are more urgent come faster than slots get free.
+            await asyncio.sleep(0.08)
+            hasty = queue.waiter(timeout_s=3, objective_s=0.35)
+            others.append(queue.enter(f'hasty-{number}', hasty))
+        refusal = await told
+        assert refusal is not None
+        assert refusal.reason is RefusalReason.QUEUE_FULL
+        assert clock.now_s() <= began_s + 1
+        for _ in range(2):
+            queue.slots.release()
+        await asyncio.gather(*others)
+
+    run_virtual(scenario())
+
+
+def test_who_turns_late_with_few_before_it_waits_on() -> None:
+    async def scenario() -> None:
+        queue = _Queue(slots=2)
+        waiting = queue.enter('a', queue.waiter(timeout_s=3, objective_s=0.4))
+        await asyncio.sleep(1)
+        queue.slots.release()
+        await waiting
+        assert queue.order == ['a']
+
+    run_virtual(scenario())
+
+
+def test_who_has_missed_its_objective_stays_behind_up_to_its_deadline() -> None:
+    """Else every request would be served on the brink of its deadline."""
+
+    async def scenario() -> None:
+        queue = _Queue(slots=2)
+        late = queue.enter('late', queue.waiter(timeout_s=1.2, objective_s=0.3))
+        await asyncio.sleep(0.8)
+        fresh = [
+            queue.enter(name, queue.waiter(timeout_s=2, objective_s=0.6))
+            for name in ('a', 'b')
+        ]
+        await asyncio.sleep(0.01)
+        for _ in range(2):
+            queue.slots.release()
+        await asyncio.gather(late, *fresh)
+        assert queue.order[:2] == ['a', 'b']
+
+    run_virtual(scenario())
+
+
 def test_a_free_slot_refuses_nobody() -> None:
     async def scenario() -> None:
         queue = _Queue(slots=2)
