--- a/verbenadeck/journal/_messages.py
+++ b/verbenadeck/journal/_messages.py
@@ -20,19 +20,8 @@
     wait_s: float
 
 
-class StreamFetch(Message, frozen=True, array_like=True, tag='stream-fetch'):
-    """Asks a peer for records of the stream beside the log.
-
-    Parameters
-    ----------
-    next_offset : Offset
-        First wanted position.
-    wait_s : float
-        Longest wait of the peer for that record.
-    """
-
-    next_offset: Offset
-    wait_s: float
+class StreamFetch(RelayFetch, frozen=True, array_like=True, tag='stream-fetch'):
+    """Asks a peer for records of the stream beside the log."""
 
 
 class RelayPage(Message, frozen=True, array_like=True, tag='relay-page'):
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -14,7 +14,6 @@
 from verbenadeck.journal._messages import (
     RelayFetch,
     RelayPage,
-    StreamFetch,
 )
 from verbenadeck.journal._sources import DIRECT_PER_ZONE, LOG, Source
 from verbenadeck.model import Offset
@@ -97,7 +96,7 @@
         random_source: random.Random,
         plan: Callable[[], tuple[Source, ...]],
         options: ReadOptions,
-        make_fetch: type[RelayFetch] | type[StreamFetch] = RelayFetch,
+        make_fetch: type[RelayFetch] = RelayFetch,
     ) -> None:
         self._make_fetch = make_fetch
         self._adapter = adapter
--- a/verbenadeck/journal/_relay.py
+++ b/verbenadeck/journal/_relay.py
@@ -10,7 +10,6 @@
     RelayAppended,
     RelayFetch,
     RelayPage,
-    StreamFetch,
 )
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._waiters import OffsetWaiters
@@ -58,9 +57,7 @@
         self._first_offset = first_offset
         self._age_s = age_s
 
-    async def fetch(
-        self, _peer: PeerAddress, asked: RelayFetch | StreamFetch
-    ) -> Message:
+    async def fetch(self, _peer: PeerAddress, asked: RelayFetch) -> Message:
         """Answer with records, waiting for the first one."""
         wanted = asked.next_offset
         if wanted > self._applied_offset():
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -18,7 +18,7 @@
 from verbenadeck.node._invariants import make_loop_handler
 from verbenadeck.node._joining import Joining
 from verbenadeck.node._planned_stop import PlannedStop
-from verbenadeck.node._stop import lay_down, stop_node
+from verbenadeck.node._stop import begin_drain, stop_node
 
 __all__ = (
     'MESSAGES',
@@ -32,7 +32,7 @@
     'PlannedStop',
     'StartError',
     'build_node',
-    'lay_down',
+    'begin_drain',
     'make_loop_handler',
     'register_core',
     'run_node',
--- a/verbenadeck/node/_stop.py
+++ b/verbenadeck/node/_stop.py
@@ -64,7 +64,7 @@
     now_s = clock.now_s()
     membership = kernel.find('membership', Membership)
     fleet = kernel.find('journal', LogClient).fleet
-    draining = await lay_down(
+    draining = await begin_drain(
         membership,
         kernel.find('door', UpstreamDoor),
         owns_shards=has_shards(fleet, membership.incarnation),
@@ -79,7 +79,7 @@
     await draining
 
 
-async def lay_down(
+async def begin_drain(
     membership: LeavingMember,
     door: DrainingDoor,
     *,
--- a/verbenadeck/node/tests/test_stop.py
+++ b/verbenadeck/node/tests/test_stop.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from verbenadeck.node import lay_down
+from verbenadeck.node import begin_drain
 from verbenadeck.testing import run_virtual, virtual_clock
 
 _LINGER_S = 2.2
@@ -31,8 +31,8 @@
         self.told_ms[what] = round((self.clock.now_s() - self.began_s) * 1000)
 
 
-async def _lay_down(seen: _Recorder, *, told_after_s: float) -> None:
-    draining = await lay_down(
+async def _stop(seen: _Recorder, *, told_after_s: float) -> None:
+    draining = await begin_drain(
         seen,
         seen,
         owns_shards=seen.owns_shards,
@@ -49,7 +49,7 @@
 def test_an_upstream_without_keys_is_used_until_callers_are_told() -> None:
     async def scenario() -> None:
         seen = _Recorder(owns_shards=False)
-        await _lay_down(seen, told_after_s=1.2)
+        await _stop(seen, told_after_s=1.2)
         assert 1200 <= seen.told_ms['leave'] < 1300
         assert 1200 <= seen.told_ms['drain'] < 1300
 
@@ -59,7 +59,7 @@
 def test_keys_move_away_from_the_first_moment_on() -> None:
     async def scenario() -> None:
         seen = _Recorder(owns_shards=True)
-        await _lay_down(seen, told_after_s=1.2)
+        await _stop(seen, told_after_s=1.2)
         assert seen.told_ms['leave'] == 0
         assert 1200 <= seen.told_ms['drain'] < 1300
 
@@ -69,7 +69,7 @@
 def test_callers_that_nobody_tells_hold_nothing_up() -> None:
     async def scenario() -> None:
         seen = _Recorder(owns_shards=False)
-        await _lay_down(seen, told_after_s=60)
+        await _stop(seen, told_after_s=60)
         assert seen.told_ms['drain'] < 2300
 
     run_virtual(scenario())
@@ -81,7 +81,7 @@
     async def scenario() -> None:
         seen = _Recorder(owns_shards=True)
         seen.move_takes_s = 60
-        await _lay_down(seen, told_after_s=1.2)
+        await _stop(seen, told_after_s=1.2)
         assert seen.told_ms['drain'] < 1900
 
     run_virtual(scenario())
@@ -90,7 +90,7 @@
 def test_the_drain_does_not_wait_for_the_rest_of_the_stop() -> None:
     async def scenario() -> None:
         seen = _Recorder(owns_shards=False)
-        task = asyncio.ensure_future(_lay_down(seen, told_after_s=0))
+        task = asyncio.ensure_future(_stop(seen, told_after_s=0))
         await asyncio.sleep(0.02)
         assert 'drain' in seen.told_ms
         await task
