Close the connection of an answer without end

Seen: a trial exchange with a server on 127.0.0.1 that never ends its body grew the node to 620 MB in under 2 s, in all three forms of a body (with a length, without one, in chunks); a VM has 200 MB or more.

Cause: the whole body was read before anything was checked, so that only the deadline of the request bounded it.

Fix: the response class that both formats share reads in blocks and closes the connection after 8 MiB, the limit that the client library has for answers; it now takes its default from there.

Tests: seven forms of an endless answer in both formats. The three forms of bodies failed before, in both; heads, header fields, trailers and bytes that are no HTTP were bounded by aiohttp already. An answer of just 8 MiB stays whole.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -59,6 +59,7 @@
 )
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
 from verbenadeck.adapters._upstream_session import (
+    MAX_ANSWER_BYTES,
     UpstreamSession,
     WatchedResponse,
 )
@@ -68,6 +69,7 @@
     'DEADLINE_HEADER',
     'IDEMPOTENCY_HEADER',
     'LOG_ADAPTERS',
+    'MAX_ANSWER_BYTES',
     'OUTCOME_HEADER',
     'REASON_HEADER',
     'RETRY_AFTER_MS_HEADER',
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -19,8 +19,16 @@
 )
 
 
+MAX_ANSWER_BYTES = 8_388_608
+"""Maximum size in bytes of the body of an answer."""
+
+
+class AnswerTooLargeError(aiohttp.ClientError):
+    """Failure of an answer whose body exceeds `MAX_ANSWER_BYTES`."""
+
+
 class WatchedResponse(aiohttp.ClientResponse):
-    """HTTP response that records how its connection was closed."""
+    """HTTP response of bounded size that records how its connection closed."""
 
     def __init__(self, *given: Any, **named: Any) -> None:
         super().__init__(*given, **named)
@@ -53,6 +61,29 @@
         await super().start(connection)
         return self
 
+    async def read(self) -> bytes:
+        """Read the whole body and close the connection if it is too large.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If the body is longer than `MAX_ANSWER_BYTES`.
+        """
+        body = bytearray()
+        try:
+            while block := await self.content.readany():
+                body += block
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise AnswerTooLargeError(
+                        f'the body is larger than {MAX_ANSWER_BYTES} bytes'
+                    )
+        finally:
+            if not self.content.is_eof():
+                self.close()
+        # The upstream may answer before it has received the whole request.
+        await self.wait_for_close()
+        return bytes(body)
+
 
 def _mark_error_retrieved(connection_closed: 'asyncio.Future[None]') -> None:
     """Mark the error as retrieved; readers of the answer get it as well."""
--- a/verbenadeck/adapters/tests/builders.py
+++ b/verbenadeck/adapters/tests/builders.py
@@ -2,17 +2,23 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from types import MappingProxyType
 
 import msgspec
 
-from verbenadeck.adapters import UpstreamHttpAdapter, UpstreamRequest
+from verbenadeck.adapters import (
+    MAX_ANSWER_BYTES,
+    UpstreamHttpAdapter,
+    UpstreamRequest,
+)
 from verbenadeck.adapters.wire import AnnounceBody
 from verbenadeck.model import Fence, Request, RequestId, ServiceName
 from verbenadeck.utils import Clock
 
 HOST = '127.0.0.1'
 DEADLINE_S = 30.0
+ENDLESS_BYTES = 4 * MAX_ANSWER_BYTES
 
 
 def build_announcement(port: int, *, instance: str = 'life-1') -> AnnounceBody:
@@ -113,3 +119,92 @@
     server.port = listener.sockets[0].getsockname()[1]
     async with listener:
         yield server
+
+
+class EndlessServer:
+    """TCP server whose answer repeats a block until the client closes.
+
+    It stops at `ENDLESS_BYTES`, to bound the memory of a failing test.
+
+    Parameters
+    ----------
+    head : bytes
+        First bytes of the answer.
+    block : bytes
+        Bytes that follow, again and again.
+
+    Attributes
+    ----------
+    sent_bytes : int
+        Bytes sent after the head.
+    closed : asyncio.Event
+        Set when the client has closed the connection.
+    port : int
+        TCP port on which it listens.
+    """
+
+    def __init__(self, head: bytes, block: bytes) -> None:
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+        self.port = 0
+        self._head = head
+        self._block = block
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a request until its connection fails."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._head)
+        with suppress(ConnectionError):
+            while self.sent_bytes < ENDLESS_BYTES:
+                writer.write(self._block)
+                await writer.drain()
+                self.sent_bytes += len(self._block)
+            await reader.read()
+        self.closed.set()
+        writer.close()
+
+
+@asynccontextmanager
+async def endless_server(
+    head: bytes, block: bytes
+) -> AsyncIterator[EndlessServer]:
+    """Yield a server with endless answers that listens until the block ends."""
+    server = EndlessServer(head, block)
+    listener = await asyncio.start_server(server.serve, HOST, 0)
+    server.port = listener.sockets[0].getsockname()[1]
+    async with listener:
+        yield server
+
+
+_BLOCK_BYTES = 65_536
+_BLOCK = bytes(_BLOCK_BYTES)
+_FIELDS = b'X-Many: a\r\n' * 4096
+
+
+def _make_head(fields: str) -> bytes:
+    return f'HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n{fields}'.encode()
+
+
+ENDLESS_ANSWERS = MappingProxyType(
+    {
+        'no answer': (b'', _BLOCK),
+        'header field': (_make_head('X-Long: '), b'a' * _BLOCK_BYTES),
+        'header fields': (_make_head(''), _FIELDS),
+        'body without length': (_make_head('\r\n'), _BLOCK),
+        'body with length': (
+            _make_head('Content-Length: 99999999999999\r\n\r\n'),
+            _BLOCK,
+        ),
+        'body in chunks': (
+            _make_head('Transfer-Encoding: chunked\r\n\r\n'),
+            b''.join((b'10000\r\n', _BLOCK, b'\r\n')),
+        ),
+        'trailers': (
+            _make_head('Transfer-Encoding: chunked\r\n\r\n0\r\n'),
+            _FIELDS,
+        ),
+    }
+)
+"""First bytes and repeated bytes of answers without end, by their form."""
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -9,16 +9,21 @@
 from returns.result import Result
 
 from verbenadeck.adapters import (
+    MAX_ANSWER_BYTES,
     Announcement,
     UpstreamError,
     UpstreamFailure,
     UpstreamHttpAdapter,
 )
 from verbenadeck.adapters.tests.builders import (
+    ENDLESS_ANSWERS,
+    ENDLESS_BYTES,
     HOST,
+    EndlessServer,
     build_adapter,
     build_announcement,
     build_upstream_request,
+    endless_server,
     raw_server,
 )
 from verbenadeck.model import Answer
@@ -62,6 +67,31 @@
     assert heads == 1
 
 
+# Guards against a node that exceeds its memory limit by buffering an answer.
+@pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
+def test_endless_answer_is_abandoned_before_deadline(form: str) -> None:
+    async def send() -> EndlessServer:
+        clock = Clock()
+        async with endless_server(*ENDLESS_ANSWERS[form]) as server:
+            adapter = build_adapter(clock, server.port)
+            result = await adapter.send(
+                build_upstream_request(clock, timeout_s=5)
+            )
+            assert result.failure().failure is UpstreamFailure.BROKEN
+            await asyncio.wait_for(server.closed.wait(), 5)
+            await adapter.close()
+            return server
+
+    assert asyncio.run(send()).sent_bytes < ENDLESS_BYTES
+
+
+def test_answer_of_maximum_size_is_returned_whole() -> None:
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {MAX_ANSWER_BYTES}\r\n\r\n'
+    reply = head.encode() + bytes(MAX_ANSWER_BYTES)
+    result, _ = asyncio.run(_send_to(reply))
+    assert len(result.unwrap().body) == MAX_ANSWER_BYTES
+
+
 def test_complete_answer_is_returned_without_hop_by_hop_headers() -> None:
     reply = (
         b'HTTP/1.1 418 Teapot\r\nContent-Length: 4\r\nX-Kept: 1\r\n'
--- a/verbenadeck/client/_options.py
+++ b/verbenadeck/client/_options.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from verbenadeck.adapters import MAX_ANSWER_BYTES
+
 
 class ClientOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Time-outs and limits of the client.
@@ -42,4 +44,4 @@
     avoid_s: float = 1
     connections: int = 100
     owners: int = 65_536
-    answer_limit_bytes: int = 8_388_608
+    answer_limit_bytes: int = MAX_ANSWER_BYTES
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -13,6 +13,11 @@
     UpstreamFailure,
     UpstreamSession,
 )
+from verbenadeck.adapters.tests.builders import (
+    ENDLESS_ANSWERS,
+    ENDLESS_BYTES,
+    endless_server,
+)
 from verbenadeck.model import Request, RequestId, ServiceName
 from verbenadeck.platform._exchange import (
     SendResult,
@@ -113,6 +118,23 @@
     assert failure.failure is UpstreamFailure.BROKEN
 
 
+# Guards against a node that exceeds its memory limit by buffering an answer.
+@pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
+def test_endless_answer_is_abandoned_before_deadline(form: str) -> None:
+    async def send() -> int:
+        request = _make_request('id-1')
+        headers = make_request_headers(request, 'i-1', 5)
+        async with endless_server(*ENDLESS_ANSWERS[form]) as server:
+            session = _make_session(server.port)
+            result = await exchange(session, request, headers, 5)
+            assert result.failure().failure is UpstreamFailure.BROKEN
+            await asyncio.wait_for(server.closed.wait(), 5)
+            await session.close()
+            return server.sent_bytes
+
+    assert asyncio.run(send()) < ENDLESS_BYTES
+
+
 def test_answer_with_another_request_id_is_broken() -> None:
     def respond(writer: asyncio.StreamWriter) -> None:
         writer.write(_make_answer('r0', 'Content-Length: 2\r\n', 'ab'))
