--- a/verbenadeck/placement/_load_reports.py
+++ b/verbenadeck/placement/_load_reports.py
@@ -71,6 +71,8 @@
     ----------
     capacities : mapping of Incarnation to float
         Requests per second that each member can run.
+    rates : mapping of Incarnation to float
+        Requests per second that each member receives.
     costs : mapping of Shard to float
         Cost of each hot shard; that of an ordinary one is 1.
     is_busy : bool
@@ -79,6 +81,7 @@
     """
 
     capacities: Mapping[Incarnation, float]
+    rates: Mapping[Incarnation, float]
     costs: Mapping[Shard, float]
     is_busy: bool
 
@@ -112,6 +115,17 @@
             and entry[0] >= self._clock.now_s() - MAX_REPORT_AGE_S
         )
 
+    def silent_owners(self, owners: Sequence[int]) -> set[Incarnation]:
+        """Return the owners without a recent report.
+
+        Parameters
+        ----------
+        owners : sequence of int
+            Owner of each shard.
+        """
+        named = map(Incarnation, set(owners) - {NO_MEMBER})
+        return {owner for owner in named if not self.is_reporting(owner)}
+
     def measured_load(
         self, service: ServiceName, owners: Sequence[int]
     ) -> MeasuredLoad | None:
@@ -145,6 +159,7 @@
             return None
         return MeasuredLoad(
             capacities={each.member: each.capacity_per_s for each in reports},
+            rates={each.member: each.total_per_s for each in reports},
             costs=_shard_costs(reports, owners),
             is_busy=any(
                 each.total_per_s > BUSY_LOAD_RATIO * each.capacity_per_s
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -21,6 +21,7 @@
     planner_members,
     serving_members,
 )
+from verbenadeck.placement._load_log import LoadLog
 from verbenadeck.placement._load_reports import LoadTable, MeasuredLoad
 from verbenadeck.placement._loads import PlanInput
 from verbenadeck.placement._moves import make_assign_records
@@ -95,6 +96,7 @@
         load_table: LoadTable | None = None,
     ) -> None:
         self._load_table = load_table
+        self._load_log = LoadLog(clock=clock)
         self._last_balance_at_s: dict[ServiceName, float] = {}
         self._clock = clock
         self._journal = journal
@@ -171,13 +173,40 @@
             await self._propose(service, plan)
 
     def _plan(self, service: ServiceName) -> Plan:
+        plan_input = self._make_plan_input(service)
+        load_table = self._load_table
+        if plan_input is None:
+            return Plan({}, {})
+        if load_table is None:
+            return make_plan(plan_input)
+        owners = plan_input.owners
+        measured_load = load_table.measured_load(service, owners)
+        if measured_load is None:
+            plan = make_plan(plan_input)
+            silent = load_table.silent_owners(owners)
+            self._load_log.log_unmeasured(service, silent, plan)
+            return plan
+        last_balance_at_s = self._last_balance_at_s.get(service, -math.inf)
+        since_balance_s = self._clock.now_s() - last_balance_at_s
+        plan = make_plan(
+            _with_measured_load(
+                plan_input,
+                measured_load,
+                may_balance=since_balance_s >= _MIN_LOAD_BALANCE_INTERVAL_S,
+            )
+        )
+        self._load_log.log_measured(service, measured_load, plan)
+        return plan
+
+    def _make_plan_input(self, service: ServiceName) -> PlanInput | None:
+        """Return the input of a plan without load; None to move no shards."""
         fleet = self._fleet
         members = serving_members(fleet, service)
         owners = fleet.owners(service)
         named = set(owners)
         is_first_assignment = named == {NO_MEMBER}
         if is_first_assignment and self._is_awaiting_members(members):
-            return Plan({}, {})
+            return None
         returning_owners = find_returning_owners(fleet, members, named)
         owners_with_state = named | set(returning_owners.values())
         weights = eligible_weights(
@@ -188,42 +217,13 @@
             is_owner=owners_with_state.__contains__,
         )
         budget = self._budget.refill(fleet.config.moves_per_minute)
-        plan_input = PlanInput(
+        return PlanInput(
             owners=owners,
             weights=weights,
             returning_owners=returning_owners,
             moving=frozenset(fleet.unreleased_shards(service)),
             budget=budget if self._may_balance() else 0,
         )
-        return make_plan(self._with_measured_load(service, plan_input))
-
-    def _with_measured_load(
-        self, service: ServiceName, plan_input: PlanInput
-    ) -> PlanInput:
-        """Replace costs and weights by measured load when it is available."""
-        measured_load = None
-        if self._load_table is not None:
-            measured_load = self._load_table.measured_load(
-                service, plan_input.owners
-            )
-        if measured_load is None:
-            return plan_input
-        since_balance_s = self._clock.now_s() - self._last_balance_at_s.get(
-            service, -math.inf
-        )
-        max_moves = int(len(plan_input.owners) * _MAX_LOAD_MOVE_RATIO)
-        may_move = (
-            measured_load.is_busy
-            and since_balance_s >= _MIN_LOAD_BALANCE_INTERVAL_S
-        )
-        return msgspec.structs.replace(
-            plan_input,
-            weights=_capacities(plan_input.weights, measured_load),
-            costs=measured_load.costs,
-            hysteresis=_LOAD_HYSTERESIS,
-            is_measured=True,
-            budget=min(plan_input.budget, max_moves) if may_move else 0,
-        )
 
     def _is_awaiting_members(self, members: list[Member]) -> bool:
         """Return whether more members of a fleet that starts are expected.
@@ -305,6 +305,22 @@
     return f'{text} and {left} more' if left > 0 else text
 
 
+def _with_measured_load(
+    plan_input: PlanInput, measured_load: MeasuredLoad, *, may_balance: bool
+) -> PlanInput:
+    """Return the input with costs, weights and budget by measured load."""
+    may_move = may_balance and measured_load.is_busy
+    max_moves = int(len(plan_input.owners) * _MAX_LOAD_MOVE_RATIO)
+    return msgspec.structs.replace(
+        plan_input,
+        weights=_capacities(plan_input.weights, measured_load),
+        costs=measured_load.costs,
+        hysteresis=_LOAD_HYSTERESIS,
+        is_measured=True,
+        budget=min(plan_input.budget, max_moves) if may_move else 0,
+    )
+
+
 def _capacities(
     weights: Mapping[Incarnation, int], measured_load: MeasuredLoad
 ) -> dict[Incarnation, int]:
