Balance by measured load although some owners do not report

Cause: load counted as measured only when each owner had reported within 2 s. With 23 owners some member is mostly lost, leaving or just back; the plan then fell back to slots and moved shards to equal numbers, whatever their owners can run and whichever are hot. The next measured plan moved them back.

Fix: reports that are there are used. Members without one neither give nor get shards by balancing; shards of lost owners are spread by measured capacity. With no report at all only those move.

--- a/verbenadeck/placement/_load_log.py
+++ b/verbenadeck/placement/_load_log.py
@@ -26,49 +26,21 @@
         self._clock = clock
         self._next_at_s: dict[ServiceName, float] = {}
 
-    def log_measured(
-        self, service: ServiceName, measured_load: MeasuredLoad, plan: Plan
+    def log_plan(
+        self,
+        service: ServiceName,
+        measured_load: MeasuredLoad | None,
+        silent: Collection[Incarnation],
+        plan: Plan,
     ) -> None:
-        """Log how the measured load is spread and what the plan moves.
+        """Log how the load is spread and what the plan moves.
 
         Parameters
         ----------
         service : ServiceName
             Service of the plan.
-        measured_load : MeasuredLoad
+        measured_load : MeasuredLoad or None
             Load from which the plan was computed.
-        plan : Plan
-            The plan.
-        """
-        if not measured_load.capacities or not self._may_log(service):
-            return
-        ratios = {
-            member: measured_load.rates[member] / max(1.0, capacity)
-            for member, capacity in measured_load.capacities.items()
-        }
-        busiest = max(ratios, key=ratios.__getitem__)
-        _log.info(
-            'load of {}: {:.2f} of capacity on average, {:.2f} at member {},'
-            ' {} hot shards, {} lost and {} balancing moves',
-            service,
-            sum(measured_load.rates.values())
-            / max(1.0, sum(measured_load.capacities.values())),
-            ratios[busiest],
-            busiest,
-            len(measured_load.costs),
-            len(plan.forced),
-            len(plan.balance),
-        )
-
-    def log_unmeasured(
-        self, service: ServiceName, silent: Collection[Incarnation], plan: Plan
-    ) -> None:
-        """Log that a plan was computed without measured load.
-
-        Parameters
-        ----------
-        service : ServiceName
-            Service of the plan.
         silent : collection of Incarnation
             Owners without a recent report.
         plan : Plan
@@ -77,9 +49,10 @@
         if not self._may_log(service):
             return
         _log.info(
-            'load of {} is not measured, {} owners do not report:'
+            'load of {}: {}, {} owners do not report:'
             ' {} lost and {} balancing moves',
             service,
+            _describe_load(measured_load),
             len(silent),
             len(plan.forced),
             len(plan.balance),
@@ -91,3 +64,18 @@
             return False
         self._next_at_s[service] = now_s + _LOG_INTERVAL_S
         return True
+
+
+def _describe_load(measured_load: MeasuredLoad | None) -> str:
+    if measured_load is None:
+        return 'not measured'
+    rates = measured_load.rates
+    capacities = measured_load.capacities
+    ratios = {each: rates[each] / capacities[each] for each in capacities}
+    busiest = max(ratios, key=ratios.__getitem__)
+    mean = sum(rates.values()) / sum(capacities.values())
+    return (
+        f'{mean:.2f} of capacity on average,'
+        f' {ratios[busiest]:.2f} at member {busiest},'
+        f' {len(measured_load.costs)} hot shards'
+    )
--- a/verbenadeck/placement/_load_reports.py
+++ b/verbenadeck/placement/_load_reports.py
@@ -131,6 +131,9 @@
     ) -> MeasuredLoad | None:
         """Return the measured load of a service.
 
+        Members without a recent report are left out: in a large fleet some
+        member is nearly always lost, leaving or just back.
+
         Parameters
         ----------
         service : ServiceName
@@ -141,7 +144,7 @@
         Returns
         -------
         MeasuredLoad or None
-            None unless every owner has a recent report.
+            None when no owner has a recent report.
         """
         min_reported_at_s = self._clock.now_s() - MAX_REPORT_AGE_S
         self._reports = {
@@ -154,8 +157,7 @@
             for _, report in self._reports.values()
             if report.service == service
         ]
-        named = set(owners) - {NO_MEMBER}
-        if not named or not named <= {each.member for each in reports}:
+        if not set(owners).intersection(each.member for each in reports):
             return None
         return MeasuredLoad(
             capacities={each.member: each.capacity_per_s for each in reports},
@@ -176,7 +178,23 @@
 def _shard_costs(
     reports: list[ShardLoads], owners: Sequence[int]
 ) -> dict[Shard, float]:
-    """Return the costs of hot shards relative to an ordinary shard.
+    """Return the costs of hot shards relative to an ordinary shard."""
+    reporting = {each.member for each in reports}
+    shard_count = sum(owner in reporting for owner in owners)
+    total = max(sum(each.total_per_s for each in reports), 1.0)
+    mean = total / shard_count
+    hot = {
+        shard: rate
+        for shard, rate in _reported_rates(reports).items()
+        if rate > HOT_SHARD_RATIO * mean and shard < len(owners)
+    }
+    others = max(1, shard_count - len(hot))
+    ordinary_rate = max(total - sum(hot.values()), mean) / others
+    return {shard: rate / ordinary_rate for shard, rate in hot.items()}
+
+
+def _reported_rates(reports: list[ShardLoads]) -> dict[Shard, float]:
+    """Return the requests per second of the busiest shards.
 
     Both proxies report a shard that has just moved: its measured rate decays
     at the earlier owner as it grows at the new one, so the sum is its rate.
@@ -184,18 +202,8 @@
     rates: defaultdict[Shard, float] = defaultdict(float)
     for each in reports:
         for shard, rate in each.hot:
-            if shard < len(owners):
-                rates[shard] += rate
-    total = max(sum(each.total_per_s for each in reports), 1.0)
-    mean = total / len(owners)
-    hot = {
-        shard: rate
-        for shard, rate in rates.items()
-        if rate > HOT_SHARD_RATIO * mean
-    }
-    others = max(1, len(owners) - len(hot))
-    ordinary_rate = max(total - sum(hot.values()), mean) / others
-    return {shard: rate / ordinary_rate for shard, rate in hot.items()}
+            rates[shard] += rate
+    return rates
 
 
 class LoadReporter:
--- a/verbenadeck/placement/_loads.py
+++ b/verbenadeck/placement/_loads.py
@@ -39,6 +39,9 @@
     is_measured : bool
         Whether costs and weights come from measured load; balancing then
         moves ranges of neighbouring shards.
+    unmeasured : frozenset of Incarnation
+        Members whose load is unknown although that of others is measured;
+        balancing moves shards neither from nor to them.
     """
 
     owners: Sequence[int]
@@ -49,6 +52,7 @@
     hysteresis: float = 0.1
     budget: int = 0
     is_measured: bool = False
+    unmeasured: frozenset[Incarnation] = frozenset()
 
 
 class Loads:
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
 
-import msgspec
 from loguru import logger
 from returns.result import Success
 
@@ -22,8 +20,9 @@
     serving_members,
 )
 from verbenadeck.placement._load_log import LoadLog
-from verbenadeck.placement._load_reports import LoadTable, MeasuredLoad
+from verbenadeck.placement._load_reports import LoadTable
 from verbenadeck.placement._loads import PlanInput
+from verbenadeck.placement._measured_input import apply_measured_load
 from verbenadeck.placement._moves import make_assign_records
 from verbenadeck.placement._plan import Plan, make_plan
 from verbenadeck.records import (
@@ -46,9 +45,6 @@
 _CHANGE_DEBOUNCE_S = 0.02
 _BALANCE_STANDBY_DELAY_S = 3.0
 _MIN_LOAD_BALANCE_INTERVAL_S = 1.0
-_LOAD_HYSTERESIS = 0.2
-_MAX_LOAD_MOVE_RATIO = 0.125
-_WEIGHT_PER_CAPACITY = 10
 _MAX_LOGGED_RANGES = 8
 _REPLAN_RECORDS = (
     CheckpointChunk,
@@ -181,21 +177,17 @@
             return make_plan(plan_input)
         owners = plan_input.owners
         measured_load = load_table.measured_load(service, owners)
-        if measured_load is None:
-            plan = make_plan(plan_input)
-            silent = load_table.silent_owners(owners)
-            self._load_log.log_unmeasured(service, silent, plan)
-            return plan
         last_balance_at_s = self._last_balance_at_s.get(service, -math.inf)
         since_balance_s = self._clock.now_s() - last_balance_at_s
         plan = make_plan(
-            _with_measured_load(
+            apply_measured_load(
                 plan_input,
                 measured_load,
                 may_balance=since_balance_s >= _MIN_LOAD_BALANCE_INTERVAL_S,
             )
         )
-        self._load_log.log_measured(service, measured_load, plan)
+        silent = load_table.silent_owners(owners)
+        self._load_log.log_plan(service, measured_load, silent, plan)
         return plan
 
     def _make_plan_input(self, service: ServiceName) -> PlanInput | None:
@@ -303,39 +295,3 @@
     text = ', '.join(shown)
     left = len(record.moves) - _MAX_LOGGED_RANGES
     return f'{text} and {left} more' if left > 0 else text
-
-
-def _with_measured_load(
-    plan_input: PlanInput, measured_load: MeasuredLoad, *, may_balance: bool
-) -> PlanInput:
-    """Return the input with costs, weights and budget by measured load."""
-    may_move = may_balance and measured_load.is_busy
-    max_moves = int(len(plan_input.owners) * _MAX_LOAD_MOVE_RATIO)
-    return msgspec.structs.replace(
-        plan_input,
-        weights=_capacities(plan_input.weights, measured_load),
-        costs=measured_load.costs,
-        hysteresis=_LOAD_HYSTERESIS,
-        is_measured=True,
-        budget=min(plan_input.budget, max_moves) if may_move else 0,
-    )
-
-
-def _capacities(
-    weights: Mapping[Incarnation, int], measured_load: MeasuredLoad
-) -> dict[Incarnation, int]:
-    """Return weights in proportion to measured capacity.
-
-    A member without a report gets the mean measured capacity per slot.
-    """
-    known = measured_load.capacities
-    reporting = [each for each in weights if each in known]
-    slots = sum(weights[each] for each in reporting)
-    load_per_slot = sum(known[each] for each in reporting) / max(1, slots)
-    return {
-        each: max(
-            1,
-            int(_WEIGHT_PER_CAPACITY * known.get(each, weight * load_per_slot)),
-        )
-        for each, weight in weights.items()
-    }
--- a/verbenadeck/placement/_range_balance.py
+++ b/verbenadeck/placement/_range_balance.py
@@ -65,7 +65,7 @@
     """
     ranges = OwnedRanges(plan_input)
     moves: Moves = {}
-    sources = set(plan_input.weights)
+    sources = _movable_members(plan_input)
     for _ in range(max(MIN_RANGES_PER_PLAN, len(plan_input.weights))):
         move: _RangeMove | None = None
         while sources and move is None:
@@ -85,6 +85,10 @@
     return moves
 
 
+def _movable_members(plan_input: PlanInput) -> set[Incarnation]:
+    return set(plan_input.weights) - plan_input.unmeasured
+
+
 def _is_overloaded(
     plan_input: PlanInput, loads: Loads, member: Incarnation
 ) -> bool:
@@ -103,8 +107,8 @@
     """Return the move that relieves a member most, None if none does."""
     destinations = [
         member
-        for member in plan_input.weights
-        if member != source and ranges.count(member) < MAX_RANGES_PER_MEMBER
+        for member in _movable_members(plan_input) - {source}
+        if ranges.count(member) < MAX_RANGES_PER_MEMBER
     ]
     if budget <= 0 or not destinations:
         return None
