Give the instance a deadline at which its answer still arrives

Cause: node and instance gave up a run at the same moment. The answer with which the instance says so came too late, so the node had to assume that the run goes on and kept its slot for twice the mean service time.

Fix: the instance's deadline is earlier by the margin that a proxy's deadline has already, at most 50 ms and a tenth. The answer arrives, and frees the slot and the connection. The margin is one function for both hops now.

The test failed before.

--- a/verbenadeck/platform/_exchange.py
+++ b/verbenadeck/platform/_exchange.py
@@ -21,6 +21,7 @@
     REQUEST_ID_HEADER,
     SHARD_KEY_HEADER,
 )
+from verbenadeck.utils import reply_margin_s
 
 NOT_EXECUTED = 'Not-Executed'
 """Response header of an instance that did not run the request."""
@@ -57,10 +58,13 @@
     remaining_s : float
         Seconds until the deadline of the request.
     """
+    # The instance stops at its deadline and says so. Without that answer the
+    # slot of the request would be kept, since the instance might still run it.
+    instance_s = remaining_s - reply_margin_s(remaining_s)
     node_headers = [
         (REQUEST_ID_HEADER, str(request.request_id)),
         (EXPECTED_INSTANCE_HEADER, instance),
-        (DEADLINE_HEADER, str(int(remaining_s * _MS_PER_S))),
+        (DEADLINE_HEADER, str(int(instance_s * _MS_PER_S))),
     ]
     if request.key is not None:
         node_headers.append((SHARD_KEY_HEADER, request.key))
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -118,6 +118,35 @@
     assert failure.failure is UpstreamFailure.BROKEN
 
 
+# Guards against slots that stay taken after an instance has stopped its run.
+def test_answer_of_instance_that_stops_at_its_deadline_arrives_in_time() -> (
+    None
+):
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        fields = dict(
+            line.split(b': ', 1) for line in head.splitlines() if b': ' in line
+        )
+        await asyncio.sleep(int(fields[b'Deadline-Ms']) / 1000)
+        writer.write(
+            _make_answer('r1', 'Content-Length: 0\r\n', '', status=504)
+        )
+
+    async def send() -> SendResult:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        session = _make_session(server.sockets[0].getsockname()[1])
+        request = _make_request()
+        headers = make_request_headers(request, 'i-1', 0.6)
+        result = await exchange(session, request, headers, 0.6)
+        await session.close()
+        server.close()
+        return result
+
+    assert asyncio.run(send()).unwrap().status == 504
+
+
 # Guards against a node that exceeds its memory limit by buffering an answer.
 @pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
 def test_endless_answer_is_abandoned_before_deadline(form: str) -> None:
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -27,13 +27,11 @@
     unknown,
 )
 from verbenadeck.router._stats import ProxyStats
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, reply_margin_s
 
 _MIN_RESEND_PAUSE_S = 0.01
 _MAX_RESEND_PAUSE_S = 0.2
 _ID_PREFIX_BITS = 64
-_MAX_REPLY_MARGIN_S = 0.05
-_REPLY_MARGIN_RATIO = 0.1
 _COOLDOWN_REASONS = frozenset(
     (
         RefusalReason.NO_UPSTREAM,
@@ -160,12 +158,8 @@
         self, target: ProxyStats, attempt_id: AttemptId, request: Request
     ) -> ForwardAnswer | Refusal:
         left_s = self._clock.remaining_s(request.deadline_s)
-        # The proxy gets an earlier deadline than the caller's: a refusal that
-        # it sends at its deadline, such as after a wait in its queue, must
-        # still arrive here, or the outcome would be unknown.
-        reply_margin_s = min(_MAX_REPLY_MARGIN_S, _REPLY_MARGIN_RATIO * left_s)
         message = ForwardRequest.pack(
-            attempt_id, request, left_s - reply_margin_s
+            attempt_id, request, left_s - reply_margin_s(left_s)
         )
         reply = await self._peers.call(
             target.member.address,
--- a/verbenadeck/utils/__init__.py
+++ b/verbenadeck/utils/__init__.py
@@ -3,6 +3,7 @@
 from verbenadeck.utils._clock import Clock, boot_now_s
 from verbenadeck.utils._defaults import always_true
 from verbenadeck.utils._msgpack import encode_msgpack
+from verbenadeck.utils._reply_margin import reply_margin_s
 from verbenadeck.utils._uuid7 import generate_uuid7, uuid7_time_s
 
 __all__ = (
@@ -11,5 +12,6 @@
     'boot_now_s',
     'generate_uuid7',
     'encode_msgpack',
+    'reply_margin_s',
     'uuid7_time_s',
 )
