Serve the late request with the most time left first

Cause: among requests that have missed their objective the one closest to its deadline got the next slot. In overload each of them started with hardly the mean service time left, so many ran in vain, and the next one had waited as long.

Fix: among late requests the latest deadline goes first. Older ones are refused as soon as enough others are ahead, with a hint, and not at their deadline.

--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -16,7 +16,7 @@
 
 _QueuePosition = tuple[int, bool, float]
 """Priority, whether the request counts as late, and the objective or deadline
-that orders it. The lowest tuple is served first."""
+that orders it, negative for late requests. The lowest tuple is served first."""
 
 
 class Waiter:
@@ -60,10 +60,14 @@
 
         Requests that can meet their objective go first. Serving late ones
         first, just before their deadlines, would make every request late.
+        Among late ones the latest deadline goes first: the one with the least
+        time left would often reach its deadline while it runs.
         """
         if ends_at_s <= self.objective_at_s:
             return self.priority, False, self.objective_at_s
-        return self.priority, not self.has_short_grace, self.deadline_s
+        if self.has_short_grace:
+            return self.priority, False, self.deadline_s
+        return self.priority, True, -self.deadline_s
 
     @property
     def has_short_grace(self) -> bool:
--- a/verbenadeck/proxy/tests/test_queue_order.py
+++ b/verbenadeck/proxy/tests/test_queue_order.py
@@ -193,6 +193,22 @@
     run_virtual(scenario())
 
 
+# Guards against runs in vain: the instance stops them at their deadlines.
+def test_late_request_with_most_time_left_goes_before_other_late_ones() -> None:
+    async def scenario() -> None:
+        queue = _BusyQueue()
+        tasks = [
+            queue.enter(name, queue.waiter(timeout_s=timeout_s, objective_s=-1))
+            for name, timeout_s in (('old', 0.5), ('new', 1.5), ('mid', 1))
+        ]
+        await asyncio.sleep(0.01)
+        queue.slots.release()
+        await asyncio.gather(*tasks)
+        assert queue.order == ['new', 'mid']
+
+    run_virtual(scenario())
+
+
 def test_no_request_is_refused_while_a_slot_is_free() -> None:
     async def scenario() -> None:
         queue = _BusyQueue(slots=2)
