--- a/verbenadeck/placement/_range_balance.py
+++ b/verbenadeck/placement/_range_balance.py
@@ -1,5 +1,6 @@
 """Balancing moves of shard ranges, by measured load."""
 
+import heapq
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
 reach it, the shorter range is preferred."""
 
 _TRANSFER_TOLERANCE = 1.05
+_MAX_DESTINATIONS = 8
 
 
 class _RangeMove(NamedTuple):
@@ -112,14 +114,13 @@
     ]
     if budget <= 0 or not destinations:
         return None
+    least_loaded = heapq.nsmallest(
+        _MAX_DESTINATIONS, destinations, key=loads.load_per_slot
+    )
     fitting = _best_fitting_range(
-        loads,
-        ranges,
-        source,
-        min(destinations, key=loads.load_per_slot),
-        budget,
+        loads, ranges, source, least_loaded[0], budget
     )
-    single = _best_single_shard(plan_input, loads, ranges, source, destinations)
+    single = _best_single_shard(plan_input, loads, ranges, source, least_loaded)
     if fitting is None or single is None:
         return fitting or single
     return max(fitting, single, key=lambda each: each.cost)
--- a/verbenadeck/routes/_config_sync.py
+++ b/verbenadeck/routes/_config_sync.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from loguru import logger
 from returns.pipeline import is_successful
 
@@ -142,7 +143,14 @@
     ) -> ConfigDocument:
         services: dict[ServiceName, ServicePolicy] = dict(known.services)
         for name, service_config in state.services.items():
-            services[name] = self._make_policy(service_config)
+            policy = self._make_policy(service_config)
+            known_policy = known.services.get(name)
+            if known_policy is not None:
+                # Fixed once published, maybe by another release.
+                policy = msgspec.structs.replace(
+                    policy, shard_count=known_policy.shard_count
+                )
+            services[name] = policy
         zones_out = {
             zone: known.zones_out.get(zone, OutOfService(reason='evacuated'))
             for zone in sorted(state.zones_out)
--- a/verbenadeck/routes/tests/test_config_sync.py
+++ b/verbenadeck/routes/tests/test_config_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from functools import partial
 from typing import Any
 
 from verbenadeck.config import encode_document
@@ -35,7 +36,9 @@
 class _Node:
     """Member with its log client and a `ConfigSync`."""
 
-    def __init__(self, log: MemoryLog, name: str) -> None:
+    def __init__(
+        self, log: MemoryLog, name: str, *, shard_count: int = 16
+    ) -> None:
         self.clock = virtual_clock()
         self.adapter = MemoryLogAdapter(log, self.clock)
         self.route_store = RouteStore()
@@ -53,7 +56,7 @@
             journal=self.journal,
             membership=membership,
             clock=self.clock,
-            make_policy=_make_policy,
+            make_policy=partial(_make_policy, shard_count=shard_count),
             moves_per_minute=60,
         )
 
@@ -74,8 +77,12 @@
         return self.journal.fleet.config
 
 
-def _make_policy(service_config: ServiceConfig) -> ServicePolicy:
-    return ServicePolicy(is_keyed=service_config.is_keyed, shard_count=16)
+def _make_policy(
+    service_config: ServiceConfig, *, shard_count: int
+) -> ServicePolicy:
+    return ServicePolicy(
+        is_keyed=service_config.is_keyed, shard_count=shard_count
+    )
 
 
 def _state(version: int, *zones: Zone) -> OperatorState:
@@ -142,3 +149,23 @@
         await node.stop()
 
     run_virtual(scenario())
+
+
+# Guards against an upgrade after which no configuration is published any more.
+def test_release_with_another_shard_count_keeps_the_published_one() -> None:
+    async def scenario() -> None:
+        log = MemoryLog()
+        node = _Node(log, 'n1')
+        await node.start()
+        node.route_store.update(_state(1))
+        await asyncio.sleep(1)
+        await node.stop()
+        upgraded = _Node(log, 'n2', shard_count=64)
+        await upgraded.start()
+        upgraded.route_store.update(_state(2, _SUVA))
+        await asyncio.sleep(2)
+        assert _SUVA in upgraded.document.zones_out
+        assert upgraded.document.services[_DESK].shard_count == 16
+        await upgraded.stop()
+
+    run_virtual(scenario())
