--- a/verbenadeck/placement/_owned_ranges.py
+++ b/verbenadeck/placement/_owned_ranges.py
@@ -53,7 +53,10 @@
         stop: int,
         destination: Incarnation,
     ) -> None:
-        """Update the ranges for a move of the shards from `first` to `stop`."""
+        """Update the ranges for a move of the shards from `first` to `stop`.
+
+        The moved shards belong to no range then: a plan moves a shard once.
+        """
         remaining: list[range] = []
         for owned_range in self._ranges[source]:
             if first not in owned_range:
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -173,7 +173,9 @@
         load_table = self._load_table
         if plan_input is None:
             return Plan({}, {})
-        if load_table is None:
+        # Only upstreams of keyed services report their load.
+        is_keyed = self._fleet.config.services[service].is_keyed
+        if load_table is None or not is_keyed:
             return make_plan(plan_input)
         owners = plan_input.owners
         measured_load = load_table.measured_load(service, owners)
