--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -12,15 +12,14 @@
 KEY_SPACE = 65_536
 """Number of keys of a keyed service, as the platform specifies it."""
 
-SHARD_COUNT = 32_768
-"""Number of shards of a keyed service, with two neighbouring keys each: small
-enough to spread 60 keys that get much of the traffic over most upstreams of a
-large service. A document may define 16 services of this size. A service keeps
-the number with which it was published first."""
+SHARD_COUNT = 8_192
+"""Number of shards of a keyed service, with 8 neighbouring keys each: small
+enough to spread the 60 to 200 keys that get much of the traffic at the same
+time over several upstreams."""
 
 MOVES_PER_MINUTE = 20_000
-"""Limit of the shards that balancing moves per minute. Requests for a shard
-wait while it moves."""
+"""Limit of moved shards per minute. It can be high, as the platform charges
+only half a percent of a day for moving all keys once."""
 
 LIMIT_OPTIONS = LimitOptions(algorithm=fixed_limit, min_share=0.8)
 """Concurrency limit of the upstream. It does not adapt to latency, because an
