Close the connection of endless heads and chunk extensions

Seen: a server on 127.0.0.1 that sends 1xx heads or one chunk extension without end kept its slot, and the node's processor, up to the deadline of the request.

Fix: the connection counts the bytes that it receives for an answer: at most 1 MiB up to the end of its head and 16 MiB from there, twice the limit of bodies, which leaves room for chunk headers. Beyond that it is aborted and lost with an error, as an answer that ends with its connection must not look complete.

Tests: both forms are added to the endless answers of both formats; all forms now have to be abandoned within 5 s of a deadline of 30 s, where before the deadline was 5 s.

The same elsewhere: clients of the log, of the platform's store and of the client library talk to programs that are not upstreams, and keep their own limits.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,6 +1,7 @@
 """Adapters between the router and the log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._bounded_connector import MAX_ANSWER_BYTES
 from verbenadeck.adapters._caller_calls import (
     OutgoingCall,
     OwnerHint,
@@ -59,7 +60,6 @@
 )
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
 from verbenadeck.adapters._upstream_session import (
-    MAX_ANSWER_BYTES,
     UpstreamSession,
     WatchedResponse,
 )
--- /dev/null
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -0,0 +1,101 @@
+"""HTTP connections that end when an answer exceeds its size limits."""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Maximum size in bytes of the body of an answer."""
+
+_MAX_HEADS_BYTES = 1_048_576
+"""Maximum size in bytes of the head of an answer and all interim heads."""
+
+_MAX_ENCODED_BODY_BYTES = 2 * MAX_ANSWER_BYTES
+"""Maximum size in bytes of a body with chunk headers and trailers."""
+
+
+class AnswerTooLargeError(aiohttp.ClientError):
+    """Failure of an answer that exceeds its size limits."""
+
+
+class BoundedProtocol(ResponseHandler):
+    """Connection that closes when an answer exceeds its size limits.
+
+    The limits hold for the bytes received, since interim heads and chunk
+    extensions may go on without end although they add nothing to the answer.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Event loop of the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._left_bytes = _MAX_HEADS_BYTES
+        self._error: AnswerTooLargeError | None = None
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the next answer on this connection.
+
+        Parameters
+        ----------
+        **options
+            Options of the answer's parser.
+        """
+        self._left_bytes = _MAX_HEADS_BYTES
+        super().set_response_params(**options)
+
+    def allow_body(self) -> None:
+        """Apply the limit of bodies from now on; the head is complete."""
+        self._left_bytes = _MAX_ENCODED_BODY_BYTES
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the answer, or abort the connection.
+
+        Parameters
+        ----------
+        data : bytes
+            Bytes received.
+        """
+        self._left_bytes -= len(data)
+        if self._left_bytes >= 0:
+            super().data_received(data)
+            return
+        self._error = AnswerTooLargeError(
+            'the heads or the encoded body are too large'
+        )
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer that is being read.
+
+        Parameters
+        ----------
+        exc : BaseException or None
+            Cause; None if the upstream closed the connection. An aborted
+            answer must not look like one that ends with its connection.
+        """
+        super().connection_lost(exc or self._error)
+
+
+def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    return BoundedProtocol(loop)
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Pool of connections of type `BoundedProtocol`.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of connections.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        super().__init__(limit=limit)
+        self._factory = functools.partial(_make_protocol, loop=self._loop)
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -9,6 +9,12 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from verbenadeck.adapters._bounded_connector import (
+    MAX_ANSWER_BYTES,
+    AnswerTooLargeError,
+    BoundedConnector,
+    BoundedProtocol,
+)
 from verbenadeck.adapters._upstream import Announcement
 
 _SKIPPED_CLIENT_HEADERS = (
@@ -19,14 +25,6 @@
 )
 
 
-MAX_ANSWER_BYTES = 8_388_608
-"""Maximum size in bytes of the body of an answer."""
-
-
-class AnswerTooLargeError(aiohttp.ClientError):
-    """Failure of an answer whose body exceeds `MAX_ANSWER_BYTES`."""
-
-
 class WatchedResponse(aiohttp.ClientResponse):
     """HTTP response of bounded size that records how its connection closed."""
 
@@ -59,6 +57,8 @@
         if self._connection_closed is not None:
             self._connection_closed.add_done_callback(_mark_error_retrieved)
         await super().start(connection)
+        if isinstance(connection.protocol, BoundedProtocol):
+            connection.protocol.allow_body()
         return self
 
     async def read(self) -> bytes:
@@ -208,7 +208,7 @@
         if self._session is None:
             limit = self.announcement.connections
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=limit),
+                connector=BoundedConnector(limit=limit),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=_SKIPPED_CLIENT_HEADERS,
--- a/verbenadeck/adapters/tests/builders.py
+++ b/verbenadeck/adapters/tests/builders.py
@@ -18,6 +18,7 @@
 
 HOST = '127.0.0.1'
 DEADLINE_S = 30.0
+ABANDONED_AFTER_S = 5.0
 ENDLESS_BYTES = 4 * MAX_ANSWER_BYTES
 
 
@@ -205,6 +206,11 @@
             _make_head('Transfer-Encoding: chunked\r\n\r\n0\r\n'),
             _FIELDS,
         ),
+        'interim heads': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 2048),
+        'chunk extension': (
+            _make_head('Transfer-Encoding: chunked\r\n\r\n1;a='),
+            b'a' * _BLOCK_BYTES,
+        ),
     }
 )
 """First bytes and repeated bytes of answers without end, by their form."""
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -16,6 +16,7 @@
     UpstreamHttpAdapter,
 )
 from verbenadeck.adapters.tests.builders import (
+    ABANDONED_AFTER_S,
     ENDLESS_ANSWERS,
     ENDLESS_BYTES,
     HOST,
@@ -67,15 +68,16 @@
     assert heads == 1
 
 
-# Guards against a node that exceeds its memory limit by buffering an answer.
+# Guards against a node that buffers an answer beyond its memory limit, or
+# keeps its slot up to the deadline.
 @pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
 def test_endless_answer_is_abandoned_before_deadline(form: str) -> None:
     async def send() -> EndlessServer:
         clock = Clock()
         async with endless_server(*ENDLESS_ANSWERS[form]) as server:
             adapter = build_adapter(clock, server.port)
-            result = await adapter.send(
-                build_upstream_request(clock, timeout_s=5)
+            result = await asyncio.wait_for(
+                adapter.send(build_upstream_request(clock)), ABANDONED_AFTER_S
             )
             assert result.failure().failure is UpstreamFailure.BROKEN
             await asyncio.wait_for(server.closed.wait(), 5)
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -14,6 +14,8 @@
     UpstreamSession,
 )
 from verbenadeck.adapters.tests.builders import (
+    ABANDONED_AFTER_S,
+    DEADLINE_S,
     ENDLESS_ANSWERS,
     ENDLESS_BYTES,
     endless_server,
@@ -147,15 +149,19 @@
     assert asyncio.run(send()).unwrap().status == 504
 
 
-# Guards against a node that exceeds its memory limit by buffering an answer.
+# Guards against a node that buffers an answer beyond its memory limit, or
+# keeps its slot up to the deadline.
 @pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
 def test_endless_answer_is_abandoned_before_deadline(form: str) -> None:
     async def send() -> int:
         request = _make_request('id-1')
-        headers = make_request_headers(request, 'i-1', 5)
+        headers = make_request_headers(request, 'i-1', DEADLINE_S)
         async with endless_server(*ENDLESS_ANSWERS[form]) as server:
             session = _make_session(server.port)
-            result = await exchange(session, request, headers, 5)
+            result = await asyncio.wait_for(
+                exchange(session, request, headers, DEADLINE_S),
+                ABANDONED_AFTER_S,
+            )
             assert result.failure().failure is UpstreamFailure.BROKEN
             await asyncio.wait_for(server.closed.wait(), 5)
             await session.close()
