Keep the objective of first attempts whose callers wait for less time

Cause: an attempt should keep the objective of the first one. The entry took the longest Deadline-Ms seen on a route for the patience of all its callers, and what an attempt had less for time already used. Callers differ: before anyone was refused, listings arrived with 2,645 to 3,107 ms against an objective of 518 ms, so that a first attempt lost 0 to 462 ms of it, evenly. It was refused as late, came back late and was served late, which took the slot of the next one. The spread of the other two classes is as large as their objectives too. Class of fault: an estimate from the maximum of a distribution, applied to all of it.

Fix: as many attempts as were refused lately are taken for those that come again, the ones with the least time left; an attempt is as old as its time left is below the next one.

--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -1,6 +1,6 @@
 """Paths and headers towards callers in the 'standin' format, router's side."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from urllib.parse import unquote
 
@@ -83,6 +83,8 @@
     objective_s : float or None
         Seconds left of the latency objective, None when all the time until
         the deadline counts the same.
+    on_refused : callable or None
+        Called when the request is refused, so that its caller may try again.
     """
 
     service: ServiceName
@@ -96,6 +98,7 @@
     max_sends: int = 0
     priority: int = 0
     objective_s: float | None = None
+    on_refused: Callable[[], None] | None = None
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
--- a/verbenadeck/entry/__init__.py
+++ b/verbenadeck/entry/__init__.py
@@ -1,7 +1,13 @@
 """Entry of a node: HTTP server for callers."""
 
+from verbenadeck.entry._attempt_age import AttemptAgeEstimator
 from verbenadeck.entry._options import EntryOptions
 from verbenadeck.entry._requests import make_request_reader
 from verbenadeck.entry._server import EntryServer
 
-__all__ = ('EntryServer', 'EntryOptions', 'make_request_reader')
+__all__ = (
+    'AttemptAgeEstimator',
+    'EntryServer',
+    'EntryOptions',
+    'make_request_reader',
+)
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -201,6 +201,8 @@
         result = await self._router.route(request)
         self._on_result(request, result, self._clock.now_s() - started_s)
         if not is_successful(result):
+            if caller_request.on_refused is not None:
+                caller_request.on_refused()
             refusal = outcome_of_request(
                 result.failure(), caller_request, request
             )
--- a/verbenadeck/platform/_callers.py
+++ b/verbenadeck/platform/_callers.py
@@ -13,6 +13,7 @@
     CallerRequest,
     end_to_end_headers,
 )
+from verbenadeck.entry import AttemptAgeEstimator
 from verbenadeck.model import (
     Answer,
     Outcome,
@@ -76,15 +77,7 @@
         Returns the service of the upstream beside this node; requests that
         callers on this VM send carry its name.
     """
-    # Longest remaining time in seconds with which a request of each route has
-    # arrived, taken as the time budget of its requests.
-    budgets_s: dict[str, float] = {}
-
-    def estimate_elapsed_s(route: Route, remaining_s: float) -> float:
-        """Return how much of its time budget a request has already used."""
-        budget_s = max(budgets_s.get(route.name, 0), remaining_s)
-        budgets_s[route.name] = budget_s
-        return budget_s - remaining_s
+    attempt_ages = AttemptAgeEstimator()
 
     def read_call(
         target: str, headers: _HeaderPairs
@@ -103,6 +96,7 @@
             )
         request_id = headers_by_name.get(REQUEST_ID_HEADER.lower())
         remaining_s = _read_remaining_s(headers_by_name, route)
+        attempt = attempt_ages.record_attempt(route.name, remaining_s)
         forwarded_headers = [
             ('Host', host),
             (CALLER_SERVICE_HEADER, own_service()),
@@ -125,9 +119,8 @@
                 is_new=True,
                 max_sends=route.max_sends,
                 priority=route.priority,
-                objective_s=(
-                    route.objective_s - estimate_elapsed_s(route, remaining_s)
-                ),
+                objective_s=route.objective_s - attempt.age_s,
+                on_refused=attempt.mark_refused,
             )
         )
 
