Ignore deadlines of callers that are no finite numbers

Fix: they count like a missing deadline, that of the route. The test failed for nan and -inf before.

--- a/verbenadeck/platform/_callers.py
+++ b/verbenadeck/platform/_callers.py
@@ -1,5 +1,6 @@
 """Headers and statuses in the HTTP exchange with callers of the platform."""
 
+import math
 from collections.abc import Callable, Iterable
 from types import MappingProxyType
 
@@ -188,9 +189,12 @@
 def _read_remaining_s(headers_by_name: dict[str, str], route: Route) -> float:
     text = headers_by_name.get(DEADLINE_HEADER.lower(), '')
     try:
-        return max(0.0, float(text) / _MS_PER_S)
+        remaining_s = float(text) / _MS_PER_S
     except ValueError:
         return route.timeout_s
+    return (
+        max(0.0, remaining_s) if math.isfinite(remaining_s) else route.timeout_s
+    )
 
 
 def _make_refusal(reason: RefusalReason, detail: str) -> Failure[Refusal]:
--- a/verbenadeck/platform/tests/test_operator.py
+++ b/verbenadeck/platform/tests/test_operator.py
@@ -174,6 +174,15 @@
         assert fields.objective_s == pytest.approx(0.5)
 
 
+@pytest.mark.parametrize('deadline', ('', 'soon', 'nan', 'inf', '-inf'))
+def test_caller_without_valid_deadline_gets_that_of_the_route(
+    deadline: str,
+) -> None:
+    headers = (('Host', 'a.example'), ('Deadline-Ms', deadline))
+    fields = _make_caller_format().read_call('/read/x', headers).unwrap()
+    assert fields.timeout_s == pytest.approx(1.5)
+
+
 def test_objective_shrinks_when_a_refused_caller_comes_again() -> None:
     caller_format = _make_caller_format()
     for _ in range(50):
