Log the times that decide a refusal by the queue

Change: the detail of these refusals, in the lines of proxy and entry, has the expected wait, the expected run and the time left. What callers get is the same.

--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -166,17 +166,23 @@
                 retry_after_s=wait_s,
             )
         now_s = self._clock.now_s()
-        ends_at_s = now_s + wait_s + self._service_time_s()
+        service_time_s = self._service_time_s()
+        ends_at_s = now_s + wait_s + service_time_s
+        expected = f'{wait_s:.3f} s to wait and {service_time_s:.3f} s to run'
         if ends_at_s > waiter.deadline_s:
+            left_s = waiter.deadline_s - now_s
             return not_run(
                 RefusalReason.DEADLINE,
-                'the queue is longer than the deadline allows',
+                'the queue is longer than the deadline allows: '
+                f'{expected}, {left_s:.3f} s left',
                 retry_after_s=wait_s,
             )
         if self._misses_objective(waiter, ends_at_s, now_s):
+            left_s = waiter.objective_at_s - now_s
             return not_run(
                 RefusalReason.QUEUE_FULL,
-                'the queue is longer than the objective allows',
+                'the queue is longer than the objective allows: '
+                f'{expected}, {left_s:.3f} s left',
                 retry_after_s=wait_s,
             )
         return None
--- a/verbenadeck/proxy/tests/test_queue_order.py
+++ b/verbenadeck/proxy/tests/test_queue_order.py
@@ -117,6 +117,27 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize(
+    ('timeout_s', 'objective_s', 'limiting_time'),
+    ((2, 0.25, 'objective'), (0.25, 0, 'deadline')),
+)
+def test_refusal_contains_the_times_that_decided_it(
+    timeout_s: float, objective_s: float, limiting_time: str
+) -> None:
+    async def scenario() -> None:
+        queue = _BusyQueue()
+        refusal = queue.slots.queue_refusal(
+            queue.waiter(timeout_s=timeout_s, objective_s=objective_s), 64
+        )
+        assert refusal is not None
+        assert refusal.detail == (
+            f'the queue is longer than the {limiting_time} allows: '
+            '0.200 s to wait and 0.200 s to run, 0.250 s left'
+        )
+
+    run_virtual(scenario())
+
+
 def test_late_requests_may_wait_while_fewer_than_slots() -> None:
     async def scenario() -> None:
         queue = _BusyQueue(slots=2)
