--- a/verbenadeck/entry/_attempt_age.py
+++ b/verbenadeck/entry/_attempt_age.py
@@ -40,12 +40,13 @@
 class AttemptAgeEstimator:
     """Estimator of the ages of attempts, for callers that do not tell them.
 
-    Callers say how long they still wait, but callers of one route wait for
-    different times, so that less time left does not mean an earlier attempt.
-    As many attempts as were refused lately are taken for those that come
-    again: the ones with the least time left. The next one is the shortest
-    first attempt, and an attempt is as old as its time left is below it. That
-    is too young for callers that are more patient, rather than too old.
+    Callers tell how long they still wait, not when they first tried, and they
+    do not all wait for the same time. Less time left than others have does
+    not show a retry by itself. The share of the newest attempts that were
+    refused is taken for the share of retries, which have the least time left,
+    and the quantile of the times left at that share for the shortest time of
+    a first attempt. An attempt is as old as its own time left is below it.
+    The ages of patient callers' retries are underestimated.
     """
 
     def __init__(self) -> None:
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -166,23 +166,21 @@
                 retry_after_s=wait_s,
             )
         now_s = self._clock.now_s()
-        service_time_s = self._service_time_s()
-        ends_at_s = now_s + wait_s + service_time_s
-        expected = f'{wait_s:.3f} s to wait and {service_time_s:.3f} s to run'
+        ends_at_s = now_s + wait_s + self._service_time_s()
         if ends_at_s > waiter.deadline_s:
-            left_s = waiter.deadline_s - now_s
+            times = _describe_times(wait_s, ends_at_s, waiter.deadline_s, now_s)
             return not_run(
                 RefusalReason.DEADLINE,
-                'the queue is longer than the deadline allows: '
-                f'{expected}, {left_s:.3f} s left',
+                f'the queue is longer than the deadline allows: {times}',
                 retry_after_s=wait_s,
             )
         if self._misses_objective(waiter, ends_at_s, now_s):
-            left_s = waiter.objective_at_s - now_s
+            times = _describe_times(
+                wait_s, ends_at_s, waiter.objective_at_s, now_s
+            )
             return not_run(
                 RefusalReason.QUEUE_FULL,
-                'the queue is longer than the objective allows: '
-                f'{expected}, {left_s:.3f} s left',
+                f'the queue is longer than the objective allows: {times}',
                 retry_after_s=wait_s,
             )
         return None
@@ -319,6 +317,16 @@
             self._waiting.remove(waiter)
 
 
+def _describe_times(
+    wait_s: float, ends_at_s: float, limit_at_s: float, now_s: float
+) -> str:
+    run_s = ends_at_s - now_s - wait_s
+    return (
+        f'{wait_s:.3f} s to wait and {run_s:.3f} s to run, '
+        f'{limit_at_s - now_s:.3f} s left'
+    )
+
+
 def _overtaken_refusal(wait_s: float) -> Refusal:
     return not_run(
         RefusalReason.QUEUE_FULL,
