Begin with several ranges of neighbouring keys for each owner

Cause: the first assignment gave each owner one contiguous part of the keys. Balancing finds that a second later, a handover takes another, and callers that were refused come back meanwhile. Class of fault: a placement that assumes equal keys.

Fix: where neighbouring keys share a shard, the first assignment goes round the owners eight times. Shards of a lost owner move as before.

--- a/verbenadeck/placement/_loads.py
+++ b/verbenadeck/placement/_loads.py
@@ -39,6 +39,8 @@
     is_measured : bool
         Whether costs and weights come from measured load; balancing then
         moves ranges of neighbouring shards.
+    initial_ranges : int
+        Number of ranges that each member gets when no shard has an owner.
     unmeasured : frozenset of Incarnation
         Members whose load is unknown although that of others is measured;
         balancing moves shards neither from nor to them.
@@ -52,6 +54,7 @@
     hysteresis: float = 0.1
     budget: int = 0
     is_measured: bool = False
+    initial_ranges: int = 1
     unmeasured: frozenset[Incarnation] = frozenset()
 
 
--- a/verbenadeck/placement/_plan.py
+++ b/verbenadeck/placement/_plan.py
@@ -2,7 +2,8 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from itertools import islice
 
 import msgspec
 
@@ -68,15 +69,18 @@
             loads.load[returned_member] += loads.cost(shard)
         else:
             lost.append(shard)
-    moves.update(_distribute(lost, loads))
+    is_first_assignment = len(lost) == len(plan_input.owners)
+    range_count = plan_input.initial_ranges if is_first_assignment else 1
+    moves.update(_distribute(lost, loads, range_count))
     return moves
 
 
-def _distribute(lost: Sequence[Shard], loads: Loads) -> Moves:
+def _distribute(lost: Sequence[Shard], loads: Loads, range_count: int) -> Moves:
     """Distribute shards to the least loaded members.
 
-    Ordinary shards are assigned in contiguous ranges, which keeps the
-    assignment records short.
+    Ordinary shards are assigned in `range_count` contiguous ranges a member:
+    few of them keep the assignment records short, and several spread busy
+    shards, which are often neighbours.
     """
     heap = [(loads.load_per_slot(owner), owner) for owner in loads.weights]
     heapq.heapify(heap)
@@ -92,9 +96,21 @@
         else:
             shares[owner] += 1
             ordinary.append(shard)
-    start = 0
-    for owner in sorted(shares):
-        for shard in ordinary[start : start + shares[owner]]:
-            moves[shard] = owner
-        start += shares[owner]
+    moves.update(_assign_in_ranges(ordinary, shares, range_count))
+    return moves
+
+
+def _assign_in_ranges(
+    shards: Sequence[Shard],
+    shares: Mapping[Incarnation, int],
+    range_count: int,
+) -> Moves:
+    """Assign consecutive shards to the members in turn, `range_count` times."""
+    moves: Moves = {}
+    left = iter(shards)
+    for turn in range(range_count):
+        for owner in sorted(shares):
+            start = shares[owner] * turn // range_count
+            stop = shares[owner] * (turn + 1) // range_count
+            moves.update(dict.fromkeys(islice(left, stop - start), owner))
     return moves
--- a/verbenadeck/placement/_planner.py
+++ b/verbenadeck/placement/_planner.py
@@ -46,6 +46,10 @@
 _BALANCE_STANDBY_DELAY_S = 3.0
 _MIN_LOAD_BALANCE_INTERVAL_S = 1.0
 _MAX_LOGGED_RANGES = 8
+_INITIAL_RANGES = 8
+"""Number of ranges that each member gets at first when neighbouring keys share
+a shard. Each additional one takes a row of the answer to a heartbeat."""
+
 _REPLAN_RECORDS = (
     CheckpointChunk,
     ConfigPublished,
@@ -217,6 +221,12 @@
             returning_owners=returning_owners,
             moving=frozenset(fleet.unreleased_shards(service)),
             budget=budget if self._may_balance() else 0,
+            # Hashed keys are spread already.
+            initial_ranges=(
+                _INITIAL_RANGES
+                if fleet.config.services[service].key_space
+                else 1
+            ),
         )
 
     def _is_awaiting_members(self, members: list[Member]) -> bool:
