--- a/verbenadeck/placement/tests/builders.py
+++ b/verbenadeck/placement/tests/builders.py
@@ -1,9 +1,15 @@
 """Builders of members and shards of one large keyed service."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from itertools import repeat
+from types import SimpleNamespace
+from typing import Any
 
 from verbenadeck.model import Incarnation
+from verbenadeck.placement import LoadReporter, LoadTable
+from verbenadeck.proxy import ProxyLoad, ShardRates
+from verbenadeck.proxy.tests.fakes import KEYED, FakeFleet
+from verbenadeck.utils import Clock
 
 SHARD_COUNT = 8192
 _CAPACITIES_PER_S = (28, 47, 66)
@@ -37,3 +43,27 @@
         stop = sum_so_far * SHARD_COUNT // total
         owners.extend(repeat(member, stop - len(owners)))
     return owners
+
+
+def build_load_reporter(
+    load_table: LoadTable,
+    member: Incarnation,
+    load: Callable[[], ProxyLoad],
+    *,
+    clock: Clock,
+) -> LoadReporter:
+    """Return the load reporter of a member, which knows no other planner."""
+    membership: Any = SimpleNamespace(
+        member=SimpleNamespace(incarnation=member, service=KEYED)
+    )
+    fleet: Any = FakeFleet()
+    transport: Any = SimpleNamespace()
+    return LoadReporter(
+        load_table=load_table,
+        rates=ShardRates(clock=clock),
+        load=load,
+        fleet=fleet,
+        membership=membership,
+        transport=transport,
+        clock=clock,
+    )
