Close the connections of test servers before their loop ends

Cause: servers in two test files left StreamWriters open when their loop was closed. The garbage collector finds them in a later test, their finalizer raises, and pytest formats that traceback, which parses source text. If the collector runs inside ast.parse, as it did here, the inner call disturbs the outer one: ast.parse is not reentrant in Python 3.11.6.

Fix: the servers close their writers. With a collection after each test, six tests of the two files reported such a writer before, none of adapters, platform and peers does now. The checks of these tests are the same.

--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -150,11 +150,17 @@
 
 
 def test_missing_answer_until_deadline_is_broken() -> None:
+    async def wait_for_close(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.read()
+        finally:
+            writer.close()
+
     async def scenario() -> None:
         clock = Clock()
-        listener = await asyncio.start_server(
-            lambda _reader, _writer: None, HOST, 0
-        )
+        listener = await asyncio.start_server(wait_for_close, HOST, 0)
         async with listener:
             port = listener.sockets[0].getsockname()[1]
             adapter = build_adapter(clock, port)
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -59,9 +59,12 @@
 
 
 async def _send_request(respond: _ServerAction) -> SendResult:
+    writers: list[asyncio.StreamWriter] = []
+
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        writers.append(writer)
         await reader.readuntil(b'\r\n\r\n')
         respond(writer)
 
@@ -73,6 +76,8 @@
         return await exchange(session, request, headers, 2.0)
     finally:
         await session.close()
+        for writer in writers:
+            writer.close()
         server.close()
 
 
@@ -135,6 +140,7 @@
         writer.write(
             _make_answer('r1', 'Content-Length: 0\r\n', '', status=504)
         )
+        writer.close()
 
     async def send() -> SendResult:
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
