--- a/verbenadeck/placement/tests/builders.py
+++ b/verbenadeck/placement/tests/builders.py
@@ -5,10 +5,12 @@
 from types import SimpleNamespace
 from typing import Any
 
+from verbenadeck.fleet import FleetState
 from verbenadeck.model import Incarnation
-from verbenadeck.placement import LoadReporter, LoadTable
+from verbenadeck.placement import LoadReporter, LoadTable, Planner
 from verbenadeck.proxy import ProxyLoad, ShardRates
 from verbenadeck.proxy.tests.fakes import KEYED, FakeFleet
+from verbenadeck.testing import virtual_clock
 from verbenadeck.utils import Clock
 
 SHARD_COUNT = 8192
@@ -45,6 +47,20 @@
     return owners
 
 
+def build_planner(fleet: FleetState, member: Incarnation) -> Planner:
+    """Return the planner of a member, without any load report."""
+    clock = virtual_clock()
+    journal: Any = SimpleNamespace()
+    membership: Any = SimpleNamespace(incarnation=member)
+    return Planner(
+        clock=clock,
+        journal=journal,
+        fleet=fleet,
+        membership=membership,
+        load_table=LoadTable(clock=clock),
+    )
+
+
 def build_load_reporter(
     load_table: LoadTable,
     member: Incarnation,
--- a/verbenadeck/placement/tests/test_initial_ranges.py
+++ b/verbenadeck/placement/tests/test_initial_ranges.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections import Counter, defaultdict
 from itertools import groupby, repeat
-from types import SimpleNamespace
-from typing import Any
 
 import pytest
 
@@ -16,9 +14,9 @@
     ServicePolicy,
     Shard,
 )
-from verbenadeck.placement import LoadTable, PlanInput, Planner, make_plan
-from verbenadeck.placement.tests.builders import SHARD_COUNT
-from verbenadeck.testing import run_virtual, virtual_clock
+from verbenadeck.placement import PlanInput, make_plan
+from verbenadeck.placement.tests.builders import SHARD_COUNT, build_planner
+from verbenadeck.testing import run_virtual
 
 _INITIAL_RANGES = 8
 _BUSY_SHARDS = SHARD_COUNT // 16
@@ -85,16 +83,7 @@
         first = recorder.join('n1')
         for name in ('n2', 'n3'):
             recorder.join(name, witnesses=(first,))
-        clock = virtual_clock()
-        journal: Any = SimpleNamespace()
-        membership: Any = SimpleNamespace(incarnation=first)
-        planner = Planner(
-            clock=clock,
-            journal=journal,
-            fleet=recorder.state,
-            membership=membership,
-            load_table=LoadTable(clock=clock),
-        )
+        planner = build_planner(recorder.state, first)
         planner._record_first_seen()
         await asyncio.sleep(10)
         moves = planner._plan(HOLDS).forced
--- a/verbenadeck/placement/tests/test_ledger_shards.py
+++ b/verbenadeck/placement/tests/test_ledger_shards.py
@@ -1,13 +1,11 @@
 """Balancing of the ledger shards of a service without keys."""
 
 import asyncio
-from types import SimpleNamespace
-from typing import Any
 
 from verbenadeck.fleet.tests.builders import HOLDS, SHARD_COUNT, Recorder
 from verbenadeck.model import ConfigDocument, ServicePolicy
-from verbenadeck.placement import LoadTable, Planner
-from verbenadeck.testing import run_virtual, virtual_clock
+from verbenadeck.placement.tests.builders import build_planner
+from verbenadeck.testing import run_virtual
 
 
 # Guards against shards that never move since their upstreams report no load.
@@ -19,16 +17,7 @@
         first = recorder.join('n1')
         second = recorder.join('n2', witnesses=(first,))
         recorder.assign(first)
-        clock = virtual_clock()
-        journal: Any = SimpleNamespace()
-        membership: Any = SimpleNamespace(incarnation=first)
-        planner = Planner(
-            clock=clock,
-            journal=journal,
-            fleet=recorder.state,
-            membership=membership,
-            load_table=LoadTable(clock=clock),
-        )
+        planner = build_planner(recorder.state, first)
         planner._record_first_seen()
         await asyncio.sleep(60)
         assert set(planner._plan(HOLDS).balance.values()) == {second}
