Send non-repeatable requests on connections of their own

Cause: the adapter marked them with 'Connection: close' and assumed a new connection, but aiohttp takes one from the pool all the same: an instance could close it as idle at that moment, so that the outcome was unknown. Bytes that arrived on an idle connection, such as a second copy of an answer, were kept and read as the answer to the next request; only the platform's adapter compares request ids.

Change: a session has one pool and one set of connections that are used once; bytes on an idle connection close it; the own upstream protocol may repeat the request id, and an answer that names another request is broken. A 'Retry-After' of non-ASCII digits no longer raises.

Result: the three new tests fail before (the second request gets the copy, six requests share one connection) and pass now.

--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -1,4 +1,7 @@
-"""HTTP connections that end when an answer exceeds its size limits."""
+"""HTTP connections that end when an answer exceeds its size limits.
+
+They also end when bytes arrive for which no request waits.
+"""
 
 import asyncio
 import functools
@@ -6,6 +9,9 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from loguru import logger
+
+_log = logger.bind(part='upstream')
 
 MAX_ANSWER_BYTES = 8_388_608
 """Maximum size in bytes of the body of an answer."""
@@ -37,6 +43,7 @@
         super().__init__(loop=loop)
         self._left_bytes = _MAX_HEADS_BYTES
         self._error: AnswerTooLargeError | None = None
+        self._is_idle = True
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the next answer on this connection.
@@ -47,8 +54,13 @@
             Options of the answer's parser.
         """
         self._left_bytes = _MAX_HEADS_BYTES
+        self._is_idle = False
         super().set_response_params(**options)
 
+    def mark_idle(self) -> None:
+        """Note that the connection waits for its next request in the pool."""
+        self._is_idle = True
+
     def allow_body(self) -> None:
         """Apply the limit of bodies from now on; the head is complete."""
         self._left_bytes = _MAX_ENCODED_BODY_BYTES
@@ -61,6 +73,11 @@
         data : bytes
             Bytes received.
         """
+        if self._is_idle and data:
+            # aiohttp would take them for the answer to the next request.
+            _log.warning('{} bytes on an idle connection, closed', len(data))
+            self._abort()
+            return
         self._left_bytes -= len(data)
         if self._left_bytes >= 0:
             super().data_received(data)
@@ -68,8 +85,7 @@
         self._error = AnswerTooLargeError(
             'the heads or the encoded body are too large'
         )
-        if self.transport is not None:
-            self.transport.abort()
+        self._abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer that is being read.
@@ -82,6 +98,10 @@
         """
         super().connection_lost(exc or self._error)
 
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
 
 def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
     return BoundedProtocol(loop)
@@ -94,9 +114,22 @@
     ----------
     limit : int
         Maximum number of connections.
+    is_pooled : bool
+        Whether a connection is used for several requests.
     """
 
-    def __init__(self, *, limit: int) -> None:
-        super().__init__(limit=limit)
+    def __init__(self, *, limit: int, is_pooled: bool = True) -> None:
+        super().__init__(limit=limit, force_close=not is_pooled)
         # aiohttp has no public option for the protocol of its connections.
         self._factory = functools.partial(_make_protocol, loop=self._loop)
+
+    def _release(
+        self,
+        key: Any,
+        protocol: ResponseHandler,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        if isinstance(protocol, BoundedProtocol):
+            protocol.mark_idle()
--- a/verbenadeck/adapters/_upstream_exchange.py
+++ b/verbenadeck/adapters/_upstream_exchange.py
@@ -39,6 +39,7 @@
     headers: tuple[tuple[str, str], ...],
     body: bytes,
     timeout_s: float,
+    is_pooled: bool = True,
 ) -> Result[Answer, UpstreamError]:
     """Send a request once and return the answer if it is complete.
 
@@ -56,6 +57,8 @@
         Body, may be empty.
     timeout_s : float
         Seconds after which the exchange is abandoned.
+    is_pooled : bool
+        Whether the connection may have carried other requests.
     """
     announcement = session.announcement
     url = URL(
@@ -66,8 +69,18 @@
     timeout = aiohttp.ClientTimeout(total=timeout_s, connect=connect_s)
     try:
         async with session.request(
-            method, url, headers=headers, body=body, timeout=timeout
+            method,
+            url,
+            headers=headers,
+            body=body,
+            timeout=timeout,
+            is_pooled=is_pooled,
         ) as response:
+            if _belongs_to_another(response, headers):
+                response.close()
+                return make_failure(
+                    UpstreamFailure.BROKEN, 'the answer has another request id'
+                )
             return _read_answer(method, response, await response.read())
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return make_failure(
@@ -83,6 +96,16 @@
         )
 
 
+def _belongs_to_another(
+    response: aiohttp.ClientResponse, headers: tuple[tuple[str, str], ...]
+) -> bool:
+    """Return whether the upstream names another request in its answer."""
+    named = response.headers.get(wire.REQUEST_ID_HEADER)
+    return named is not None and named != dict(headers).get(
+        wire.REQUEST_ID_HEADER
+    )
+
+
 def _make_authority(announcement: Announcement) -> str:
     host = announcement.host
     host_text = f'[{host}]' if ':' in host else host
@@ -126,7 +149,8 @@
 
 
 def _read_number(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+    is_number = text is not None and text.isascii() and text.isdigit()
+    return int(text or 0) if is_number else None
 
 
 def make_failure(
--- a/verbenadeck/adapters/_upstream_http.py
+++ b/verbenadeck/adapters/_upstream_http.py
@@ -102,6 +102,7 @@
             headers=headers,
             body=request.body,
             timeout_s=remaining_s,
+            is_pooled=request.is_repeatable,
         )
 
     async def cancel(self, request_id: RequestId) -> None:
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -122,7 +122,7 @@
 
     def __init__(self, announcement: Announcement) -> None:
         self.announcement = announcement
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: dict[bool, aiohttp.ClientSession] = {}
         self._in_flight = 0
         self._is_retired = False
         self._close_task: asyncio.Task[None] | None = None
@@ -136,6 +136,7 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         timeout: aiohttp.ClientTimeout,
+        is_pooled: bool = True,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a request at most once and yield the response.
 
@@ -151,10 +152,14 @@
             Body, may be empty.
         timeout : aiohttp.ClientTimeout
             Time limits of the exchange.
+        is_pooled : bool
+            Whether the connection may have carried other requests. A new
+            one can't be closed as idle while the request is sent, and no
+            surplus answer to an earlier request arrives on it.
         """
         self._in_flight += 1
         try:
-            async with self._get_session().request(
+            async with self._get_session(is_pooled=is_pooled).request(
                 method,
                 url,
                 headers=headers,
@@ -189,30 +194,38 @@
 
     async def close(self) -> None:
         """Close all connections now, also those with requests in flight."""
-        session = self._session
-        self._session = None
-        if session is not None:
-            await session.close()
+        await _close_all(self._take_sessions())
         if self._close_task is not None:
             await self._close_task
 
     def _close_when_idle(self) -> None:
-        if not self._is_retired or self._in_flight > 0:
-            return
-        session = self._session
-        self._session = None
-        if session is not None:
-            self._close_task = asyncio.ensure_future(session.close())
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            limit = self.announcement.connections
-            self._session = aiohttp.ClientSession(
-                connector=BoundedConnector(limit=limit),
+        if self._is_retired and self._in_flight == 0 and self._sessions:
+            self._close_task = asyncio.ensure_future(
+                _close_all(self._take_sessions())
+            )
+
+    def _take_sessions(self) -> tuple[aiohttp.ClientSession, ...]:
+        sessions = tuple(self._sessions.values())
+        self._sessions = {}
+        return sessions
+
+    def _get_session(self, *, is_pooled: bool) -> aiohttp.ClientSession:
+        session = self._sessions.get(is_pooled)
+        if session is None:
+            session = aiohttp.ClientSession(
+                connector=BoundedConnector(
+                    limit=self.announcement.connections, is_pooled=is_pooled
+                ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=_SKIPPED_CLIENT_HEADERS,
                 middlewares=(_send_once,),
                 response_class=WatchedResponse,
             )
-        return self._session
+            self._sessions[is_pooled] = session
+        return session
+
+
+async def _close_all(sessions: tuple[aiohttp.ClientSession, ...]) -> None:
+    for session in sessions:
+        await session.close()
--- a/verbenadeck/adapters/tests/builders.py
+++ b/verbenadeck/adapters/tests/builders.py
@@ -45,6 +45,7 @@
     shard: int = 7,
     fence: int = 5,
     headers: tuple[tuple[str, str], ...] = (),
+    is_repeatable: bool = False,
 ) -> UpstreamRequest:
     """Return a request with a deadline `timeout_s` seconds from now."""
     request = Request(
@@ -55,7 +56,7 @@
         path=path,
         headers=headers,
         body=b'hold',
-        is_repeatable=False,
+        is_repeatable=is_repeatable,
         deadline_s=clock.now_s() + timeout_s,
     )
     return UpstreamRequest(request, Fence(fence), shard)
@@ -84,19 +85,28 @@
     ----------
     heads : list of bytes
         Heads of the requests, in order of arrival.
+    writers : list of asyncio.StreamWriter
+        Accepted connections.
     port : int
         TCP port on which it listens.
     """
 
     def __init__(self, script: Callable[[int], bytes]) -> None:
         self.heads: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
         self.port = 0
         self._script = script
 
+    @property
+    def connection_count(self) -> int:
+        """Number of connections accepted."""
+        return len(self.writers)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of a connection until the script closes it."""
+        self.writers.append(writer)
         try:
             while True:
                 self.heads.append(await reader.readuntil(b'\r\n\r\n'))
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -42,6 +42,9 @@
     }
 )
 
+_KEPT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nKEEP'
+_COPY_ARRIVES_S = 0.05
+
 
 async def _send_to(
     reply: bytes, *, method: str = 'POST'
@@ -94,7 +97,7 @@
     assert len(result.unwrap().body) == MAX_ANSWER_BYTES
 
 
-def test_complete_answer_is_returned_without_hop_by_hop_headers() -> None:
+def test__KEPT_ANSWER_is_returned_without_hop_by_hop_headers() -> None:
     reply = (
         b'HTTP/1.1 418 Teapot\r\nContent-Length: 4\r\nX-Kept: 1\r\n'
         b'Connection: X-Hop\r\nX-Hop: 1\r\nUpstream-Bearable: 3\r\n\r\nfull'
@@ -115,16 +118,17 @@
 
 def test_request_is_not_resent_when_reused_connection_fails() -> None:
     """aiohttp would resend PUT by itself, and the request could run twice."""
-    complete_answer = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nKEEP'
 
     async def scenario() -> None:
         clock = Clock()
-        script = {1: complete_answer, 2: b''}
+        script = {1: _KEPT_ANSWER, 2: b''}
         async with raw_server(
-            lambda count: script.get(count, complete_answer)
+            lambda count: script.get(count, _KEPT_ANSWER)
         ) as server:
             adapter = build_adapter(clock, server.port)
-            upstream_request = build_upstream_request(clock, method='PUT')
+            upstream_request = build_upstream_request(
+                clock, method='PUT', is_repeatable=True
+            )
             assert (
                 await adapter.send(upstream_request)
             ).unwrap().body == b'KEEP'
@@ -132,10 +136,62 @@
             await adapter.close()
             assert result.failure().failure is UpstreamFailure.BROKEN
             assert len(server.heads) == 2
+            assert server.connection_count == 1
 
     asyncio.run(scenario())
 
 
+def test_non_repeatable_request_gets_a_new_connection() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        async with raw_server(lambda _count: _KEPT_ANSWER) as server:
+            adapter = build_adapter(clock, server.port)
+            for _ in range(3):
+                await adapter.send(
+                    build_upstream_request(clock, is_repeatable=True)
+                )
+            assert server.connection_count == 1
+            for _ in range(3):
+                await adapter.send(
+                    build_upstream_request(clock, is_repeatable=False)
+                )
+            assert server.connection_count == 4
+            await adapter.close()
+
+    asyncio.run(scenario())
+
+
+def test_second_copy_of_an_answer_reaches_no_other_caller() -> None:
+    async def scenario() -> None:
+        clock = Clock()
+        script = {1: _KEPT_ANSWER, 2: b'HTTP/1.1 200 OK\r\n\r\ncut'}
+        async with raw_server(lambda count: script[count]) as server:
+            adapter = build_adapter(clock, server.port)
+            upstream_request = build_upstream_request(clock, is_repeatable=True)
+            await adapter.send(upstream_request)
+            server.writers[0].write(_KEPT_ANSWER)
+            await asyncio.sleep(_COPY_ARRIVES_S)
+            result = await adapter.send(
+                build_upstream_request(
+                    clock, is_repeatable=True, request_id='id-2'
+                )
+            )
+            await adapter.close()
+            assert server.connection_count == 2
+            assert result.failure().failure is UpstreamFailure.BROKEN
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_names_another_request_is_broken() -> None:
+    answer = (
+        b'HTTP/1.1 200 OK\r\nUpstream-Request-Id: id-0\r\n'
+        b'Content-Length: 4\r\n\r\nKEEP'
+    )
+    result, _ = asyncio.run(_send_to(answer))
+    assert result.failure().failure is UpstreamFailure.BROKEN
+
+
 def test_refused_connection_means_request_was_not_sent() -> None:
     async def scenario() -> None:
         clock = Clock()
--- a/verbenadeck/platform/_exchange.py
+++ b/verbenadeck/platform/_exchange.py
@@ -69,9 +69,7 @@
     if request.key is not None:
         node_headers.append((SHARD_KEY_HEADER, request.key))
     if not request.is_repeatable:
-        # On a new connection no surplus answer to an earlier request can be
-        # taken for the answer to this one, and the instance can't close the
-        # connection as idle while the request is sent.
+        # The connection is new and not used again.
         node_headers.append(('Connection', 'close'))
     return (*request.headers, *node_headers)
 
@@ -110,6 +108,7 @@
             headers=headers,
             body=request.body,
             timeout=timeout,
+            is_pooled=request.is_repeatable,
         ) as response:
             return await _read_answer(request, response)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
--- a/verbenadeck/standins/_upstream_server.py
+++ b/verbenadeck/standins/_upstream_server.py
@@ -89,7 +89,9 @@
     echo = EchoBody(
         upstream_request.request_id, digest, state.options.instance, '.' * size
     )
-    return _json_response(echo)
+    answer = _json_response(echo)
+    answer.headers[wire.REQUEST_ID_HEADER] = upstream_request.request_id
+    return answer
 
 
 def _parse_headers(request: web.Request, now_s: float) -> RequestFields:
