Run requests that are certainly new after the loss of an owner

Cause: a new owner of a shard refused every non-repeatable request as unknown for as long as ledger entries are kept, unless the witnesses of the earlier owner could tell that it had not run. After a kill of all processes none can. The entry knew that the ids were new and did not pass it on.

Change: Request.is_new travels to the proxy and is cleared once a send had an unknown outcome; the policy field has_ledger_copies turns copies off, which the platform needs none of. The fuzz runs with and without copies and finds a planted router that resends as new.

--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -86,6 +86,7 @@
                 objective_at_s=(
                     0 if objective_s is None else now_s + objective_s
                 ),
+                is_new=caller_request.is_new,
             )
         )
 
--- a/verbenadeck/model/_config.py
+++ b/verbenadeck/model/_config.py
@@ -42,6 +42,10 @@
         key has an owner, determined by its request id. Otherwise the request
         goes through one entry server only, which never sends it again once it
         may have run.
+    has_ledger_copies : bool
+        Whether witnesses keep copies of the ledger entries of owned requests.
+        Without copies, a resend after the loss of an owner is refused with
+        the outcome unknown, also when the first send did not run.
     """
 
     is_keyed: bool = False
@@ -62,6 +66,7 @@
     )
     key_space: int = 0
     has_ledger_shards: bool = True
+    has_ledger_copies: bool = True
 
 
 class Admission(enum.Enum):
--- a/verbenadeck/model/_requests.py
+++ b/verbenadeck/model/_requests.py
@@ -37,6 +37,9 @@
     objective_at_s : float
         Time in seconds on the clock of this VM by which the latency objective
         wants an answer; 0 stands for the deadline.
+    is_new : bool
+        Whether no earlier send of the request id can have run: neither one
+        that the caller sent elsewhere nor one of the router.
     """
 
     request_id: RequestId
@@ -51,3 +54,4 @@
     max_sends: int = 0
     priority: int = 0
     objective_at_s: float = 0
+    is_new: bool = False
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -318,6 +318,7 @@
         shard_count=_options.SHARD_COUNT,
         key_space=_options.KEY_SPACE if service_config.is_keyed else 0,
         has_ledger_shards=False,
+        has_ledger_copies=False,
         hedge_ratio=0,
         ledger_keep_s=60,
     )
--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -134,9 +134,14 @@
             ),
             takeovers=self.takeovers,
             keep_s=self.keep_s,
+            has_copies=self._has_copies,
         )
 
     def keep_s(self) -> float:
         """Return the retention of ledger entries, in seconds."""
         policy = self.gate.policy
         return DEFAULT_KEEP_S if policy is None else policy.ledger_keep_s
+
+    def _has_copies(self) -> bool:
+        policy = self.gate.policy
+        return policy is None or policy.has_ledger_copies
--- a/verbenadeck/proxy/_deduplication.py
+++ b/verbenadeck/proxy/_deduplication.py
@@ -40,6 +40,8 @@
         Shards whose earlier owner's ledger is lost.
     keep_s : callable returning float
         Returns the retention of copies, in seconds.
+    has_copies : callable returning bool
+        Returns whether witnesses keep copies of ledger entries.
     """
 
     def __init__(
@@ -50,12 +52,14 @@
         copies: CopyClient,
         takeovers: Takeovers,
         keep_s: Callable[[], float],
+        has_copies: Callable[[], bool],
     ) -> None:
         self._fleet = fleet
         self._incarnation = incarnation
         self._copies = copies
         self._takeovers = takeovers
         self._keep_s = keep_s
+        self._has_copies = has_copies
 
     async def check_and_store_copies(self, run: Run) -> Refusal | None:
         """Store copies of a run; return a refusal if it must not be sent.
@@ -67,7 +71,7 @@
         earlier = await self._earlier_owner_refusal(run)
         if earlier is not None:
             return earlier
-        witnesses = self._witnesses()
+        witnesses = self._witnesses_to_copy_to()
         if not witnesses:
             return None
         is_stored = await self._copies.store_copies(
@@ -86,7 +90,7 @@
         """Withdraw the copies of a request that did not run."""
         if run.shard == NO_SHARD:
             return
-        witnesses = self._witnesses()
+        witnesses = self._witnesses_to_copy_to()
         if witnesses:
             self._copies.withdraw(
                 witnesses, run.request.request_id, run.attempt_id
@@ -107,6 +111,8 @@
         deadline_s : float
             Time by which the replies must be there, in seconds.
         """
+        if not self._has_copies():
+            return
         request_ids_by_witnesses: dict[WitnessSet, list[RequestId]] = {}
         for entry in entries:
             witnesses = self._witnesses_of_owner(entry.shard)
@@ -127,12 +133,14 @@
                 )
 
     async def _earlier_owner_refusal(self, run: Run) -> Refusal | None:
+        if run.request.is_new:
+            return None
         request_id = run.request.request_id
         sets = self._takeovers.witness_sets_to_query(request_id, run.shard)
         if sets is None:
             return None
         may_have_run = None
-        if sets:
+        if sets and self._has_copies():
             may_have_run = await self._copies.may_have_run(
                 sets,
                 request_id,
@@ -148,7 +156,9 @@
         )
         return unknown(RefusalReason.LEDGER_LOST, detail)
 
-    def _witnesses(self) -> WitnessSet:
+    def _witnesses_to_copy_to(self) -> WitnessSet:
+        if not self._has_copies():
+            return ()
         member = self._fleet.members.get(self._incarnation())
         return () if member is None else member.witnesses
 
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -29,9 +29,9 @@
         Time until the request's deadline, in seconds. Each VM has its own
         clock, so no absolute time is sent.
     request_id, service, key, method, path, headers, body, is_repeatable,
-    max_sends, priority
+    max_sends, priority, is_new
         Fields of `Request`.
-    objective_left_s : float or None
+    objective_remaining_s : float or None
         Time until the request's latency objective, in seconds.
     """
 
@@ -48,6 +48,7 @@
     max_sends: int = 0
     priority: int = 0
     objective_remaining_s: float | None = None
+    is_new: bool = False
 
     @classmethod
     def pack(
@@ -72,6 +73,7 @@
             request.max_sends,
             request.priority,
             objective_remaining_s,
+            request.is_new,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -91,6 +93,7 @@
             0
             if self.objective_remaining_s is None
             else now_s + self.objective_remaining_s,
+            self.is_new,
         )
 
 
--- a/verbenadeck/proxy/tests/builders.py
+++ b/verbenadeck/proxy/tests/builders.py
@@ -60,6 +60,7 @@
     is_repeatable: bool | None = None,
     timeout_s: float = 5,
     now_s: float | None = None,
+    is_new: bool = False,
 ) -> Request:
     """Build a request; by default it is repeatable unless it is a POST."""
     if now_s is None:
@@ -74,6 +75,7 @@
         body,
         method != 'POST' if is_repeatable is None else is_repeatable,
         now_s + timeout_s,
+        is_new=is_new,
     )
 
 
@@ -85,6 +87,7 @@
     path: str = '/',
     body: bytes = b'deposit',
     timeout_s: float = 5,
+    is_new: bool = False,
 ) -> Request:
     """Build a non-repeatable request, which must not run twice."""
     return make_request(
@@ -95,6 +98,7 @@
         path=path,
         body=body,
         timeout_s=timeout_s,
+        is_new=is_new,
     )
 
 
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 from returns.result import Failure, Success
 
 from verbenadeck.model import (
@@ -141,6 +142,8 @@
                 target.record_load(reply.load, self._clock.now_s())
                 return reply.unpack()
             lost = _prefer_unknown(lost, reply)
+            if lost.outcome is Outcome.UNKNOWN:
+                request = as_resent(request)
             is_over = self._clock.now_s() + pause_s >= request.deadline_s
             if is_over or not self._may_resend(target, lost, is_owner):
                 return refuse(lost)
@@ -190,6 +193,19 @@
                 target.start_cooldown(now_s)
 
 
+def as_resent(request: Request) -> Request:
+    """Return a request whose earlier send may have run.
+
+    Parameters
+    ----------
+    request : Request
+        Request that is sent again.
+    """
+    if not request.is_new:
+        return request
+    return msgspec.structs.replace(request, is_new=False)
+
+
 def _prefer_unknown(earlier: Refusal | None, now: Refusal) -> Refusal:
     if earlier is not None and earlier.outcome is Outcome.UNKNOWN:
         return earlier
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -25,7 +25,7 @@
     refusal_of,
     refuse,
 )
-from verbenadeck.router._attempt_sender import AttemptSender
+from verbenadeck.router._attempt_sender import AttemptSender, as_resent
 from verbenadeck.router._budget import TokenBudget
 from verbenadeck.router._choice import (
     ChooseProxy,
@@ -168,7 +168,9 @@
             refusal = refusal_of(result)
             if refusal is None:
                 return result
-            is_uncertain |= refusal.outcome is Outcome.UNKNOWN
+            if refusal.outcome is Outcome.UNKNOWN:
+                is_uncertain = True
+                route.request = as_resent(route.request)
             route.upstream_sends += has_reached_upstream(refusal)
             final = refuse(merge_outcome(refusal, is_uncertain=is_uncertain))
             if self._clock.now_s() + pause_s >= route.request.deadline_s:
--- a/verbenadeck/router/tests/state_machines.py
+++ b/verbenadeck/router/tests/state_machines.py
@@ -23,7 +23,13 @@
     make_deposit,
     refusal,
 )
-from verbenadeck.proxy.tests.fakes import SERVICE, SHARDS, FakeUpstream
+from verbenadeck.proxy.tests.fakes import (
+    SERVICE,
+    SHARDS,
+    FakeUpstream,
+    make_config,
+    make_policy,
+)
 from verbenadeck.router.tests.builders import make_router
 from verbenadeck.testing import VirtualLoop
 
@@ -58,6 +64,8 @@
 class DeduplicationMachine(RuleBasedStateMachine):
     """Callers, faults and shard moves; the oracle counts runs by id."""
 
+    has_copies = True
+
     def __init__(self) -> None:
         super().__init__()
         logger.disable('verbenadeck')
@@ -94,8 +102,12 @@
         entry = self._live_node(number)
         router = self.routers[entry.incarnation]
 
+        is_new = all(send.request_id != request_id for send in self.sends)
+
         async def begin() -> None:
-            deposit = make_deposit(request_id, timeout_s=_REQUEST_TIMEOUT_S)
+            deposit = make_deposit(
+                request_id, timeout_s=_REQUEST_TIMEOUT_S, is_new=is_new
+            )
             task = asyncio.create_task(router.route(deposit))
             self.sends.append(_Send(request_id, entry, task))
 
@@ -201,6 +213,9 @@
 
     async def _start(self) -> None:
         self.proxy_fleet = ProxyFleet()
+        self.proxy_fleet.fleet.config = make_config(
+            services={SERVICE: make_policy(has_ledger_copies=self.has_copies)}
+        )
         for number in range(_NODES):
             others = [(number + step) % _NODES + 1 for step in (1, 2, 3)]
             await self.proxy_fleet.add(
@@ -262,5 +277,11 @@
         self.proxy_fleet.own_all(self.owner)
 
 
+class CopylessMachine(DeduplicationMachine):
+    """The same without copies of ledger entries."""
+
+    has_copies = False
+
+
 async def _call_in_loop(work: functools.partial[None] | Any) -> None:
     work()
--- a/verbenadeck/router/tests/test_deduplication_fuzz.py
+++ b/verbenadeck/router/tests/test_deduplication_fuzz.py
@@ -12,7 +12,11 @@
 from verbenadeck.proxy import _sender
 from verbenadeck.proxy._copies import CopyStore
 from verbenadeck.proxy._ledger import Entry, Ledger
-from verbenadeck.router.tests.state_machines import DeduplicationMachine
+from verbenadeck.router import _attempt_sender, _router
+from verbenadeck.router.tests.state_machines import (
+    CopylessMachine,
+    DeduplicationMachine,
+)
 
 _CHECK_SETTINGS = settings(
     derandomize=True,
@@ -34,8 +38,11 @@
 SeedBug = Callable[[pytest.MonkeyPatch], None]
 
 
-def test_no_request_id_runs_twice_and_outcomes_are_correct() -> None:
-    run_state_machine_as_test(DeduplicationMachine, settings=_CHECK_SETTINGS)
+@pytest.mark.parametrize('machine', [DeduplicationMachine, CopylessMachine])
+def test_no_request_id_runs_twice_and_outcomes_are_correct(
+    machine: type[DeduplicationMachine],
+) -> None:
+    run_state_machine_as_test(machine, settings=_CHECK_SETTINGS)
 
 
 def _open_ledger_entry_after_sending(patch: pytest.MonkeyPatch) -> None:
@@ -73,12 +80,18 @@
     patch.setattr(_sender, '_FAILURES', failures)
 
 
+def _resend_as_new(patch: pytest.MonkeyPatch) -> None:
+    for module in (_attempt_sender, _router):
+        patch.setattr(module, 'as_resent', lambda request: request)
+
+
 @pytest.mark.parametrize(
     'seed_bug',
     [
         _open_ledger_entry_after_sending,
         _ignore_ledger_copies,
         _report_broken_sends_as_not_run,
+        _resend_as_new,
     ],
 )
 def test_oracle_detects_a_seeded_bug(
