Read uploads within a bounded memory and only for accepted heads

Cause: the entry read each body whole before it looked at the head, so that a refused request was read for nothing, and nothing bounded the bodies of all callers together: 330 uploads of 360 KB at once are more than half of a VM of 200 MB. The limits that operators publish for bodies, heads and idle connections were decoded and not used; heads of 8 to 16 KB were refused.

Change: the handler reads the body itself, after the head was accepted, within the published limit and a budget of 32 MiB for all bodies in progress; beyond it the request is refused as not run. Published limits hold for new connections, that of bodies at once.

--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -97,7 +97,7 @@
     assert len(result.unwrap().body) == MAX_ANSWER_BYTES
 
 
-def test__KEPT_ANSWER_is_returned_without_hop_by_hop_headers() -> None:
+def test_complete_answer_is_returned_without_hop_by_hop_headers() -> None:
     reply = (
         b'HTTP/1.1 418 Teapot\r\nContent-Length: 4\r\nX-Kept: 1\r\n'
         b'Connection: X-Hop\r\nX-Hop: 1\r\nUpstream-Bearable: 3\r\n\r\nfull'
--- a/verbenadeck/entry/_options.py
+++ b/verbenadeck/entry/_options.py
@@ -14,8 +14,14 @@
         TCP port to listen on; 0 selects a free one.
     body_limit_bytes : int
         Maximum size of a request body, in bytes.
+    held_bodies_limit_bytes : int
+        Maximum size of the bodies of all requests in progress, in bytes.
     idle_timeout_s : float
         Time after which an idle connection is closed, in seconds.
+    header_timeout_s : float
+        Time within which the head of a request must arrive, in seconds.
+    header_limit_bytes : int
+        Maximum size of the head of a request, in bytes.
     close_after_s : float
         Time without a new request after which a stopping server closes the
         remaining connections, in seconds.
@@ -29,7 +35,10 @@
     host: str = '127.0.0.1'
     port: int = 0
     body_limit_bytes: int = 1_048_576
+    held_bodies_limit_bytes: int = 33_554_432
     idle_timeout_s: float = 75
+    header_timeout_s: float = 60
+    header_limit_bytes: int = 8_192
     close_after_s: float = 0.5
     close_poll_s: float = 0.05
     refuses_when_stopping: bool = False
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
 from loguru import logger
@@ -18,6 +18,7 @@
 from sanic.server.async_server import AsyncioServer
 
 from verbenadeck.adapters import CallerAnswer, CallerFormat, CallerRequest
+from verbenadeck.entry._bodies import BodyBudget
 from verbenadeck.entry._options import EntryOptions
 from verbenadeck.entry._request_outcome import outcome_of_request
 from verbenadeck.logs import make_decision_logger
@@ -103,12 +104,21 @@
         self._owner_hint = owner_hint
         self._is_leaving = is_leaving
         self._options = options
+        self._bodies = BodyBudget(
+            max_body_bytes=options.body_limit_bytes,
+            max_held_bytes=options.held_bodies_limit_bytes,
+        )
         self._running_count = 0
         self._last_arrival_s = clock.now_s()
         self._is_stopping = False
         self._app = _make_app(options, self._handle_request, self._on_error)
         self._server: AsyncioServer | None = None
 
+    @property
+    def options(self) -> EntryOptions:
+        """Options in force."""
+        return self._options
+
     async def start(self) -> None:
         """Start to listen for callers.
 
@@ -133,6 +143,19 @@
         await server.after_start()
         _log.info('entry listens on {}:{}', self._options.host, self.port)
 
+    def apply_options(self, options: EntryOptions) -> None:
+        """Replace the limits and time-outs, which connections get as they open.
+
+        Parameters
+        ----------
+        options : EntryOptions
+            New options; the address in them has no effect.
+        """
+        self._options = options
+        self._bodies.max_body_bytes = options.body_limit_bytes
+        self._bodies.max_held_bytes = options.held_bodies_limit_bytes
+        _apply_limits(self._app, options)
+
     async def stop(self) -> None:
         """Stop after all received requests have their answers."""
         server = self._server
@@ -161,9 +184,7 @@
             quiet_until_s = self._last_arrival_s + self._options.close_after_s
             idle_after_s = max(idle_after_s, quiet_until_s)
 
-    async def _handle_request(
-        self, http_request: HttpRequest, path: str = ''
-    ) -> HTTPResponse:
+    async def _handle_request(self, http_request: HttpRequest) -> HTTPResponse:
         self._running_count += 1
         self._last_arrival_s = self._clock.now_s()
         try:
@@ -185,14 +206,21 @@
         parsed = self._caller_format.read_call(
             http_request.raw_url.decode('latin-1'), http_request.headers.items()
         )
-        request = parsed.bind(
-            lambda caller_request: self._read_request(
-                caller_request, http_request.method, http_request.body
+        if not is_successful(parsed):
+            return self._write_refusal(parsed.failure(), None)
+        caller_request = parsed.unwrap()
+        with self._bodies.hold() as held:
+            body = await held.read(http_request)
+            request = body.bind(
+                lambda content: self._read_request(
+                    caller_request, http_request.method, content
+                )
             )
-        )
-        if not is_successful(request):
-            return self._write_refusal(request.failure(), None)
-        return await self._route_request(request.unwrap(), parsed.unwrap())
+            if not is_successful(request):
+                return self._write_refusal(
+                    request.failure(), caller_request.request_id
+                )
+            return await self._route_request(request.unwrap(), caller_request)
 
     async def _route_request(
         self, request: Request, caller_request: CallerRequest
@@ -259,8 +287,19 @@
         return self._write_refusal(refusal, None)
 
 
+def _apply_limits(app: 'Sanic[Any, Any]', options: EntryOptions) -> None:
+    # Sanic reads these when a connection opens.
+    app.config.REQUEST_MAX_SIZE = options.body_limit_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = options.header_limit_bytes
+    app.config.REQUEST_TIMEOUT = options.header_timeout_s
+    Http.set_header_max_size(options.header_limit_bytes)
+    app.config.KEEP_ALIVE_TIMEOUT = options.idle_timeout_s
+
+
 def _make_app(
-    options: EntryOptions, answer: Any, on_error: Any
+    options: EntryOptions,
+    answer: Callable[[HttpRequest], Awaitable[HTTPResponse]],
+    on_error: Any,
 ) -> 'Sanic[Any, Any]':
     number = next(_app_sequence)
     app: Sanic[Any, Any] = Sanic(
@@ -271,10 +310,17 @@
     app.config.MOTD = False
     # Sanic optimizes its classes in place, at most once per process.
     app.config.TOUCHUP = number == 1
-    app.config.REQUEST_MAX_SIZE = options.body_limit_bytes
     app.config.RESPONSE_TIMEOUT = _MAX_RESPONSE_TIME_S
-    app.config.KEEP_ALIVE_TIMEOUT = options.idle_timeout_s
-    app.add_route(answer, '/', methods=_HTTP_METHODS)
-    app.add_route(answer, '/<path:path>', methods=_HTTP_METHODS, name='any')
+    _apply_limits(app, options)
+
+    # The handler reads the body itself: a refused request needs none. Sanic
+    # marks it as such with an attribute, which a method can't have.
+    async def handle(http_request: HttpRequest, path: str = '') -> HTTPResponse:
+        return await answer(http_request)
+
+    for path, name in (('/', 'root'), ('/<path:path>', 'any')):
+        app.add_route(
+            handle, path, methods=_HTTP_METHODS, name=name, stream=True
+        )
     app.error_handler.add(Exception, on_error)
     return app
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -35,6 +35,7 @@
 from verbenadeck.records import NodeJoin
 from verbenadeck.router import ProxyRouter
 from verbenadeck.routes import (
+    CallerLimits,
     ConfigSync,
     OperatorState,
     RouteStore,
@@ -148,10 +149,10 @@
             options=self._make_core_options(),
         )
         self._register_operator_services(dependencies)
-        kernel.register(
-            'entry',
-            self._make_entry_server(dependencies),
-            depends_on=('router', 'control'),
+        entry = self._make_entry_server(dependencies)
+        kernel.register('entry', entry, depends_on=('router', 'control'))
+        self._route_store.subscribe(
+            lambda state: entry.apply_options(self._make_entry_options(state))
         )
 
     def _register_operator_services(
@@ -301,14 +302,21 @@
             clock=dependencies.clock,
             on_result=record_request,
             is_leaving=self._stop.is_begun,
-            options=EntryOptions(
-                host=settings.entry.host,
-                port=settings.entry.port,
-                body_limit_bytes=67_108_864,
-                idle_timeout_s=15,
-                close_after_s=_options.ENTRY_CLOSE_AFTER_S,
-                refuses_when_stopping=True,
-            ),
+            options=self._make_entry_options(self._route_store.state),
+        )
+
+    def _make_entry_options(self, state: OperatorState | None) -> EntryOptions:
+        limits = CallerLimits() if state is None else state.limits
+        return EntryOptions(
+            host=self._settings.entry.host,
+            port=self._settings.entry.port,
+            body_limit_bytes=limits.max_body_bytes,
+            held_bodies_limit_bytes=_options.HELD_BODIES_LIMIT_BYTES,
+            idle_timeout_s=limits.idle_timeout_s,
+            header_timeout_s=limits.header_timeout_s,
+            header_limit_bytes=limits.max_header_bytes,
+            close_after_s=_options.ENTRY_CLOSE_AFTER_S,
+            refuses_when_stopping=True,
         )
 
 
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -82,3 +82,7 @@
 ENTRY_CLOSE_AFTER_S = 0.3
 """Time in seconds after the last request for which a stopping entry still
 answers on open connections; a few round trips of a caller."""
+
+HELD_BODIES_LIMIT_BYTES = 33_554_432
+"""Memory in bytes for the bodies of all requests that an entry has in
+progress: a sixth of the smallest VM's memory."""
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
@@ -28,6 +29,9 @@
 )
 
 _LINGER_WITH_RESET = struct.pack('ii', 1, 0)
+_LARGE_UPLOAD_BYTES = 20_000_000
+_SMALL_BUFFER_BYTES = 4_096
+_UPLOAD_UNREAD_S = 1.0
 _ServerAction = Callable[[asyncio.StreamWriter], None]
 
 
@@ -155,6 +159,41 @@
     assert asyncio.run(send()).unwrap().status == 504
 
 
+@pytest.mark.parametrize('is_repeatable', [True, False])
+def test_answer_before_the_end_of_an_upload_is_delivered_at_once(
+    is_repeatable: bool,
+) -> None:
+    """The instance reads the rest of the upload later, or never."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_make_answer('r1', 'Content-Length: 2\r\n', 'ok'))
+        await asyncio.sleep(_UPLOAD_UNREAD_S)
+        writer.close()
+
+    async def send() -> SendResult:
+        server = await asyncio.start_server(
+            serve, '127.0.0.1', 0, limit=_SMALL_BUFFER_BYTES
+        )
+        session = _make_session(server.sockets[0].getsockname()[1])
+        request = msgspec.structs.replace(
+            _make_request(),
+            method='POST',
+            body=bytes(_LARGE_UPLOAD_BYTES),
+            is_repeatable=is_repeatable,
+        )
+        headers = make_request_headers(request, 'i-1', 2.0)
+        async with asyncio.timeout(_UPLOAD_UNREAD_S / 2):
+            result = await exchange(session, request, headers, 2.0)
+        await session.close()
+        server.close()
+        return result
+
+    assert asyncio.run(send()).unwrap().body == b'ok'
+
+
 # Guards against a node that buffers an answer beyond its memory limit, or
 # keeps its slot up to the deadline.
 @pytest.mark.parametrize('form', sorted(ENDLESS_ANSWERS))
