Choose among proxies by the load asked for right before

Cause: an entry knew the load of a proxy from its own requests only, and sent a request to any sampled proxy that had got none from it for a second. With one request a second over 54 or 69 instances that is nearly every one: the choice was random, load and zone counted for nothing.

A guessed service time counts as that of the others; a proxy's mean service time follows few answers sooner. A wait in a queue counts twice. An error in a datagram's handler is logged.

--- a/verbenadeck/peers/_streams.py
+++ b/verbenadeck/peers/_streams.py
@@ -183,7 +183,15 @@
     async def _answer_datagram(
         self, peer: PeerAddress, message: Message
     ) -> None:
-        reply = await self._dispatch(peer, message)
+        try:
+            reply = await self._dispatch(peer, message)
+        except Exception as error:
+            # No caller waits for the result of a datagram.
+            _log.opt(exception=error).error(
+                'handler of datagram {} raised; dropping it',
+                type(message).__name__,
+            )
+            return
         if reply is not None:
             self.send_datagram(peer, reply)
 
--- a/verbenadeck/peers/tests/test_streams.py
+++ b/verbenadeck/peers/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 from collections.abc import AsyncIterator
 
 import pytest
@@ -276,6 +277,38 @@
     asyncio.run(scenario())
 
 
+def test_handler_of_datagram_that_raises_leaves_the_next_one_answered() -> None:
+    async def scenario() -> None:
+        first_node, second_node = make_transport(), make_transport()
+        received: asyncio.Queue[Response] = asyncio.Queue()
+        unhandled: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _loop, context: unhandled.append(context)
+        )
+
+        async def answer(_peer: PeerAddress, request: Request) -> Response:
+            if request.number == 1:
+                raise ValueError('unexpected')
+            return Response(request.number)
+
+        async def record_response(
+            _peer: PeerAddress, response: Response
+        ) -> None:
+            received.put_nowait(response)
+
+        second_node.register_handler(Request, answer)
+        first_node.register_handler(Response, record_response)
+        async with running_transports(first_node, second_node):
+            for number in (1, 2):
+                first_node.send_datagram(second_node.address, Request(number))
+            async with asyncio.timeout(30):
+                assert await received.get() == Response(2)
+        gc.collect()
+        assert not unhandled
+
+    asyncio.run(scenario())
+
+
 def test_incomplete_message_over_limit_raises_error() -> None:
     assembler = MessageAssembler(max_message_bytes=100, max_kept_bytes=150)
     assembler.add(Frame(FrameKind.CALL, 1, False, bytes(90)))
--- a/verbenadeck/proxy/__init__.py
+++ b/verbenadeck/proxy/__init__.py
@@ -18,6 +18,8 @@
     CancelAttempt,
     ForwardAnswer,
     ForwardRequest,
+    LoadQuery,
+    LoadReply,
 )
 from verbenadeck.proxy._policy import PolicyCache
 from verbenadeck.proxy._proxy import UpstreamProxy
@@ -35,6 +37,8 @@
     'ForwardRequest',
     'ForwardAnswer',
     'Ledger',
+    'LoadQuery',
+    'LoadReply',
     'PolicyCache',
     'ShardRates',
     'UpstreamProxy',
--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -13,6 +13,8 @@
     LedgerFound,
     LedgerQuery,
     LedgerWithdraw,
+    LoadQuery,
+    LoadReply,
     PoisonCleared,
     PoisonNotice,
 )
@@ -42,6 +44,7 @@
         """Register all message handlers with a transport."""
         peers.register_handler(ForwardRequest, self._on_forward)
         peers.register_handler(CancelAttempt, self._on_cancel)
+        peers.register_handler(LoadQuery, self._on_load_query)
         peers.register_handler(LedgerCopy, self._on_copy)
         peers.register_handler(LedgerWithdraw, self._on_withdraw)
         peers.register_handler(LedgerQuery, self._on_query)
@@ -60,6 +63,11 @@
     ) -> None:
         self._admission.cancel(message.attempt_id)
 
+    async def _on_load_query(
+        self, _peer: PeerAddress, message: LoadQuery
+    ) -> LoadReply:
+        return LoadReply(message.number, self._proxy.load)
+
     async def _on_copy(
         self, _peer: PeerAddress, message: LedgerCopy
     ) -> LedgerCopied:
--- a/verbenadeck/proxy/_interface.py
+++ b/verbenadeck/proxy/_interface.py
@@ -20,6 +20,8 @@
         Smoothed service time of the upstream, in seconds.
     is_admitting : bool
         Whether the proxy admits new requests.
+    is_measured : bool
+        Whether the service time was measured; otherwise it is a guess.
     """
 
     running: int
@@ -27,6 +29,7 @@
     limit: int
     service_time_s: float
     is_admitting: bool
+    is_measured: bool = True
 
 
 class Proxy(Protocol):
--- a/verbenadeck/proxy/_limit.py
+++ b/verbenadeck/proxy/_limit.py
@@ -6,6 +6,7 @@
 
 _MIN_SHORT_TERM_WEIGHT = 0.1
 _MIN_LONG_TERM_WEIGHT = 0.001
+_SHORT_TERM_DECAY_S = 2.0
 _INITIAL_SERVICE_TIME_S = 0.05
 _MIN_SERVICE_TIME_S = 1e-6
 _SLOW_ANSWER_RATIO = 4.0
@@ -102,6 +103,7 @@
         self.service_time_s = _INITIAL_SERVICE_TIME_S
         self._long_term_s = _INITIAL_SERVICE_TIME_S
         self._samples = 0
+        self._answered_at_s = -math.inf
         self._slow_streak = 0
         self._algorithm = options.algorithm
         self._min_share = options.min_share
@@ -125,6 +127,11 @@
         """Whether the ramp or the reported capacity is below the slots."""
         return min(self._bearable, self._ramp) < self.slots
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether the service time comes from answers of this instance."""
+        return self._samples > 0
+
     def reset_for_instance(
         self, slots: int, bearable: int, *, now_s: float
     ) -> None:
@@ -215,7 +222,7 @@
         slow_s = max(_MIN_SLOW_ANSWER_S, _SLOW_ANSWER_RATIO * self._long_term_s)
         is_slow = self._samples > 0 and service_time_s > slow_s
         self._slow_streak = self._slow_streak + 1 if is_slow else 0
-        self._update_averages(service_time_s)
+        self._update_averages(service_time_s, now_s)
         if self._slow_streak >= _SLOW_STREAK_LENGTH:
             self._slow_streak = 0
             self._long_term_s = service_time_s
@@ -232,12 +239,20 @@
             ),
         )
 
-    def _update_averages(self, service_time_s: float) -> None:
+    def _update_averages(self, service_time_s: float, now_s: float) -> None:
         if self._samples == 0:
             self.service_time_s = service_time_s
             self._long_term_s = service_time_s
         self._samples += 1
-        weight = max(1 / self._samples, _MIN_SHORT_TERM_WEIGHT)
+        # Few answers suffice to show that an upstream which others avoided
+        # has recovered.
+        age_s = now_s - self._answered_at_s
+        self._answered_at_s = now_s
+        weight = max(
+            1 / self._samples,
+            _MIN_SHORT_TERM_WEIGHT,
+            1 - math.exp(-age_s / _SHORT_TERM_DECAY_S),
+        )
         self.service_time_s += weight * (service_time_s - self.service_time_s)
         weight = max(1 / self._samples, _MIN_LONG_TERM_WEIGHT)
         self._long_term_s += weight * (service_time_s - self._long_term_s)
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -143,6 +143,33 @@
     attempt_id: AttemptId
 
 
+class LoadQuery(Message, frozen=True, array_like=True, tag='load-query'):
+    """Query for the load of the receiving proxy, as a datagram.
+
+    Parameters
+    ----------
+    number : int
+        Number that the reply repeats.
+    """
+
+    number: int
+
+
+class LoadReply(Message, frozen=True, array_like=True, tag='load-reply'):
+    """Reply to `LoadQuery`.
+
+    Parameters
+    ----------
+    number : int
+        Number of the query.
+    load : ProxyLoad
+        Load of the proxy.
+    """
+
+    number: int
+    load: ProxyLoad
+
+
 class LedgerCopy(Message, frozen=True, array_like=True, tag='ledger-copy'):
     """Copy of ledger entries, sent before non-repeatable requests run.
 
@@ -240,6 +267,8 @@
     ForwardRequest,
     ForwardAnswer,
     CancelAttempt,
+    LoadQuery,
+    LoadReply,
     LedgerCopy,
     LedgerCopied,
     LedgerWithdraw,
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -117,6 +117,7 @@
             self._effective_limit(),
             components.limit.service_time_s,
             components.gate.is_admitting,
+            components.limit.is_measured,
         )
 
     @property
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -31,8 +31,10 @@
     ChooseProxy,
     ProxyChoice,
     choose_by_expected_wait,
+    sample_proxies,
 )
 from verbenadeck.router._hedges import SendAttempt, send_hedged
+from verbenadeck.router._load_queries import LoadQueries
 from verbenadeck.router._outcomes import (
     TYPICAL_MOVE_S,
     NextStep,
@@ -115,6 +117,7 @@
             random_source=random_source,
             is_member=self._proxy_directory.is_member,
         )
+        self._load_queries = LoadQueries(proxy=proxy, peers=peers, clock=clock)
         self._services: dict[ServiceName, _ServiceState] = {}
 
     async def route(self, request: Request) -> AnswerResult:
@@ -219,7 +222,7 @@
     async def _send_attempt(self, route: '_RouteState') -> AnswerResult:
         if route.shard is not None:
             return await self._send_to_owner(route, route.shard)
-        choice = self._choose_proxy(route, ())
+        choice = await self._query_and_choose(route)
         if choice is None:
             return refuse(
                 not_run(
@@ -254,9 +257,26 @@
             owner, route.request, is_owner=True
         )
 
-    def _choose_proxy(
-        self, route: '_RouteState', excluded: tuple[ProxyStats, ...]
+    async def _query_and_choose(
+        self, route: '_RouteState'
     ) -> ProxyChoice | None:
+        """Choose by the load of a few proxies, and of more if all are busy."""
+        candidates = self._find_candidates(route, ())
+        if not candidates:
+            return None
+        sample = sample_proxies(candidates, self._random)
+        await self._load_queries.refresh(sample)
+        if not any(proxy.has_free_slot for proxy in sample):
+            others = [proxy for proxy in candidates if proxy not in sample]
+            more = sample_proxies(others, self._random)
+            await self._load_queries.refresh(more)
+            sample.extend(more)
+        return self._choose(sample, self._clock.now_s(), self._random)
+
+    def _find_candidates(
+        self, route: '_RouteState', excluded: tuple[ProxyStats, ...]
+    ) -> list[ProxyStats]:
+        """Return the available proxies, those that were not tried if any."""
         proxies = self._proxy_directory.available_proxies(route.request.service)
         untried = [
             proxy
@@ -264,10 +284,17 @@
             if proxy not in route.tried_proxies and proxy not in excluded
         ]
         if not untried and not excluded:
-            untried = proxies
-        if not untried:
+            return proxies
+        return untried
+
+    def _choose_for_hedge(
+        self, route: '_RouteState', first: ProxyStats
+    ) -> ProxyChoice | None:
+        candidates = self._find_candidates(route, (first,))
+        if not candidates:
             return None
-        return self._choose(untried, self._clock.now_s(), self._random)
+        sample = sample_proxies(candidates, self._random)
+        return self._choose(sample, self._clock.now_s(), self._random)
 
     def _has_untried_proxy(self, route: '_RouteState') -> bool:
         """Return whether a proxy that was not tried yet may answer."""
@@ -302,7 +329,7 @@
     def _next_attempt(
         self, route: '_RouteState', first: ProxyStats
     ) -> SendAttempt | None:
-        choice = self._choose_proxy(route, (first,))
+        choice = self._choose_for_hedge(route, first)
         if choice is None or not route.service_state.hedge_budget.try_spend():
             return None
         route.tried_proxies.append(choice.proxy)
--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -10,6 +10,11 @@
 _MIN_PROBE_INTERVAL_S = 1.0
 _MAX_PROBE_INTERVAL_S = 8.0
 _MAX_LOAD_AGE_S = 1.0
+_FRESH_LOAD_AGE_S = 0.1
+
+_QUEUE_COST_RATIO = 2.0
+"""Cost of a wait in a queue in units of its time: a request that waits also
+delays those behind it."""
 _RECOVERED_LATENCY_RATIO = 0.5
 _INITIAL_LATENCY_S = 0.02
 _MIN_COOLDOWN_S = 0.05
@@ -166,6 +171,14 @@
             return True
         return self.load.is_admitting
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether the last load that was reported leaves a slot free."""
+        load = self.load
+        if load is None or not load.is_admitting:
+            return False
+        return load.queued == 0 and load.running < load.limit
+
     def start_cooldown(self, now_s: float) -> None:
         """Start a cool-down; its length doubles until an attempt succeeds."""
         self.cooldown_s = min(
@@ -173,22 +186,52 @@
         )
         self.cooldown_until_s = now_s + self.cooldown_s
 
-    def expected_wait_s(self, now_s: float) -> float:
+    def has_recent_load(self, now_s: float) -> bool:
+        """Return whether the last reported load is recent enough to count."""
+        return self.load is not None and now_s <= (
+            self.load_at_s + _MAX_LOAD_AGE_S
+        )
+
+    def expected_wait_s(
+        self, now_s: float, *, typical_s: float | None = None
+    ) -> float:
         """Return the expected latency of a request sent now, in seconds.
 
-        The oldest attempt in flight counts when it is already slower than
-        the mean latency, so that a proxy that hangs is noticed at once.
+        Parameters
+        ----------
+        now_s : float
+            Time now, in seconds.
+        typical_s : float or None
+            Service time in seconds that counts for a proxy whose own one is
+            a guess; None to take the guess.
         """
-        wait_s = self.latency_s
-        if self.in_flight:
-            oldest_s = next(iter(self.in_flight.values()))
-            wait_s = max(wait_s, now_s - oldest_s)
+        penalty_s = 0.0
         if now_s < self.cooldown_until_s:
-            wait_s += _MAX_COOLDOWN_S
+            penalty_s += _MAX_COOLDOWN_S
         load = self.load
-        if load is None or now_s > self.load_at_s + _MAX_LOAD_AGE_S:
-            return wait_s * (1 + len(self.in_flight))
+        if load is None or not self.has_recent_load(now_s):
+            return self._observed_wait_s(now_s) * (1 + len(self.in_flight)) + (
+                penalty_s
+            )
         if not load.is_admitting:
-            wait_s += _MAX_COOLDOWN_S
-        busy = max(len(self.in_flight), load.running + load.queued) + 1
-        return wait_s * max(1, busy / max(1, load.limit))
+            penalty_s += _MAX_COOLDOWN_S
+        busy = load.running + load.queued
+        if now_s > self.load_at_s + _FRESH_LOAD_AGE_S:
+            busy = max(busy, len(self.in_flight))
+        service_s = load.service_time_s
+        if not load.is_measured and typical_s is not None:
+            service_s = typical_s
+        waiting = max(0, busy + 1 - load.limit)
+        queue_s = _QUEUE_COST_RATIO * service_s * waiting / max(1, load.limit)
+        return service_s + queue_s + penalty_s
+
+    def _observed_wait_s(self, now_s: float) -> float:
+        """Return the latency as measured here.
+
+        The oldest attempt in flight counts when it is already slower than
+        the mean latency, so that a proxy that hangs is noticed at once.
+        """
+        if not self.in_flight:
+            return self.latency_s
+        oldest_s = next(iter(self.in_flight.values()))
+        return max(self.latency_s, now_s - oldest_s)
