Tell a hedged request that may have run as unknown

Cause: when all attempts of a hedged request were refused, the caller got the outcome of the last one, 'not run', although an earlier one may have run. test_retry_storm_keeps_goodput_near_capacity showed it once the choice of proxies changed the order of its attempts.

Change: the outcome is merged over all attempts, as the router does for its retries.

--- a/verbenadeck/router/_hedges.py
+++ b/verbenadeck/router/_hedges.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from returns.result import Success
+from returns.result import Failure, Success
 
-from verbenadeck.model import AnswerResult
+from verbenadeck.model import AnswerResult, Outcome
+from verbenadeck.proxy import refuse
+from verbenadeck.router._outcomes import merge_outcome
 
 _MAX_ATTEMPTS = 3
 
@@ -19,7 +21,8 @@
 ) -> AnswerResult:
     """Send up to three attempts and return the first answer.
 
-    A refusal is returned only when all started attempts were refused.
+    A refusal is returned only when all started attempts were refused. It says
+    that the request has not run only if all of them do.
     Attempts that are still pending at the end are cancelled.
 
     Parameters
@@ -47,7 +50,8 @@
     Attributes
     ----------
     first_result : asyncio.Future
-        First answer, or the last refusal when there is no answer.
+        First answer, or the last refusal when there is no answer, with the
+        outcome of all attempts together.
     """
 
     def __init__(self, next_attempt: NextAttempt) -> None:
@@ -55,6 +59,7 @@
         self._next_attempt = next_attempt
         self._pending: set[asyncio.Task[AnswerResult]] = set()
         self._started_count = 0
+        self._is_uncertain = False
         self._timer: asyncio.TimerHandle | None = None
         self.first_result: asyncio.Future[AnswerResult] = (
             self._loop.create_future()
@@ -95,5 +100,13 @@
             self.first_result.set_exception(error)
             return
         result = task.result()
-        if isinstance(result, Success) or not self._pending:
-            self.first_result.set_result(result)
+        match result:
+            case Success(_):
+                self.first_result.set_result(result)
+            case Failure(refusal):
+                self._is_uncertain |= refusal.outcome is Outcome.UNKNOWN
+                if not self._pending:
+                    merged = merge_outcome(
+                        refusal, is_uncertain=self._is_uncertain
+                    )
+                    self.first_result.set_result(refuse(merged))
--- a/verbenadeck/router/tests/test_stragglers.py
+++ b/verbenadeck/router/tests/test_stragglers.py
@@ -1,13 +1,25 @@
 """Load balancing and hedging while some upstreams are slow."""
 
 import asyncio
+from functools import partial
 
 import pytest
-from returns.result import Success
-
-from verbenadeck.model import Request
-from verbenadeck.proxy.tests.builders import ProxyFleet, make_request
+from returns.result import Failure, Success
+
+from verbenadeck.model import (
+    AnswerResult,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Request,
+)
+from verbenadeck.proxy.tests.builders import (
+    ProxyFleet,
+    make_request,
+    verdict,
+)
 from verbenadeck.proxy.tests.fakes import KEYED, FakeUpstream, make_policy
+from verbenadeck.router._hedges import send_hedged
 from verbenadeck.router.tests.builders import (
     Callers,
     make_router,
@@ -78,6 +90,27 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize('is_unknown_first', [True, False])
+def test_hedged_request_with_one_unknown_outcome_may_have_run(
+    is_unknown_first: bool,
+) -> None:
+    async def scenario() -> None:
+        unknown_s, not_run_s = (0.1, 0.2) if is_unknown_first else (0.2, 0.1)
+
+        async def fail(delay_s: float, outcome: Outcome) -> AnswerResult:
+            await asyncio.sleep(delay_s)
+            return Failure(Refusal(outcome, RefusalReason.DEADLINE))
+
+        result = await send_hedged(
+            partial(fail, unknown_s, Outcome.UNKNOWN),
+            lambda: partial(fail, not_run_s, Outcome.NOT_RUN),
+            delay_s=0.01,
+        )
+        assert verdict(result)[0] is Outcome.UNKNOWN
+
+    run_virtual(scenario())
+
+
 def test_hedges_stay_within_the_hedge_budget() -> None:
     async def scenario() -> None:
         proxy_fleet, routers = await three_zones(lambda: FakeUpstream(slots=20))
