Ask for loads only where slots may be scarce

And with equal waits all entries took the proxy of the lowest mean until it was full.

Change: no query while a proxy in the zone had half of its slots free 0.3 s ago, but for one request in 16; the last free slot counts a quarter more.

--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -52,6 +52,10 @@
 
 _MIN_RETRY_PAUSE_S = 0.005
 _MAX_RETRY_PAUSE_S = 0.05
+_QUERY_SHARE = 1 / 16
+"""Share of the requests that ask for loads although that is not needed, so
+that proxies which are not chosen stay known."""
+
 _HEDGED_METHODS = frozenset(('GET', 'HEAD'))
 
 
@@ -265,6 +269,9 @@
         if not candidates:
             return None
         sample = sample_proxies(candidates, self._random)
+        known = self._find_known(sample)
+        if known and self._random.random() >= _QUERY_SHARE:
+            return self._choose(known, self._clock.now_s(), self._random)
         await self._load_queries.refresh(sample)
         if not any(proxy.has_free_slot for proxy in sample):
             others = [proxy for proxy in candidates if proxy not in sample]
@@ -273,6 +280,18 @@
             sample.extend(more)
         return self._choose(sample, self._clock.now_s(), self._random)
 
+    def _find_known(self, sample: list[ProxyStats]) -> list[ProxyStats]:
+        """Return the proxies of known load if no query is needed, else none.
+
+        None is needed while one in this zone had many free slots a moment
+        ago.
+        """
+        now_s = self._clock.now_s()
+        near = [proxy for proxy in sample if proxy.is_same_zone] or sample
+        if not any(proxy.has_spare_slots(now_s) for proxy in near):
+            return []
+        return [proxy for proxy in sample if proxy.has_recent_load(now_s)]
+
     def _find_candidates(
         self, route: '_RouteState', excluded: tuple[ProxyStats, ...]
     ) -> list[ProxyStats]:
--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -11,6 +11,11 @@
 _MAX_PROBE_INTERVAL_S = 8.0
 _MAX_LOAD_AGE_S = 1.0
 _FRESH_LOAD_AGE_S = 0.1
+_MAX_SPARE_AGE_S = 0.3
+
+_USE_COST_RATIO = 0.25
+"""Cost of the last free slot in units of the service time: others may take it
+meanwhile, and some upstreams slow down when they are nearly full."""
 
 _QUEUE_COST_RATIO = 2.0
 """Cost of a wait in a queue in units of its time: a request that waits also
@@ -179,6 +184,24 @@
             return False
         return load.queued == 0 and load.running < load.limit
 
+    def has_spare_slots(self, now_s: float) -> bool:
+        """Return whether half of the slots were free a moment ago.
+
+        A request can then go without a query for the load: some requests of
+        other entries may have come since.
+
+        Parameters
+        ----------
+        now_s : float
+            Time now, in seconds.
+        """
+        load = self.load
+        if load is None or now_s > self.load_at_s + _MAX_SPARE_AGE_S:
+            return False
+        busy = max(load.running + load.queued, len(self.in_flight))
+        is_open = load.is_admitting and now_s >= self.cooldown_until_s
+        return is_open and 2 * busy <= load.limit
+
     def start_cooldown(self, now_s: float) -> None:
         """Start a cool-down; its length doubles until an attempt succeeds."""
         self.cooldown_s = min(
@@ -221,9 +244,11 @@
         service_s = load.service_time_s
         if not load.is_measured and typical_s is not None:
             service_s = typical_s
-        waiting = max(0, busy + 1 - load.limit)
-        queue_s = _QUEUE_COST_RATIO * service_s * waiting / max(1, load.limit)
-        return service_s + queue_s + penalty_s
+        limit = max(1, load.limit)
+        use = min(1, busy / limit)
+        waiting = max(0, busy + 1 - limit)
+        extra = _USE_COST_RATIO * use + _QUEUE_COST_RATIO * waiting / limit
+        return service_s * (1 + extra) + penalty_s
 
     def _observed_wait_s(self, now_s: float) -> float:
         """Return the latency as measured here.
--- a/verbenadeck/router/tests/test_choice_at_scale.py
+++ b/verbenadeck/router/tests/test_choice_at_scale.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from verbenadeck.proxy import LimitOptions, fixed_limit
+from verbenadeck.peers import Message, PeerAddress
+from verbenadeck.proxy import LimitOptions, LoadQuery, fixed_limit
 from verbenadeck.proxy.tests.builders import Node, ProxyFleet
 from verbenadeck.proxy.tests.fakes import (
     KEYED,
@@ -21,7 +22,11 @@
     make_policy,
 )
 from verbenadeck.router import ProxyRouter
-from verbenadeck.router.tests.builders import Callers, make_router
+from verbenadeck.router.tests.builders import (
+    Callers,
+    make_router,
+    three_zones,
+)
 from verbenadeck.testing import run_virtual
 
 _ZONES = ('suva', 'nadi', 'lautoka', 'ba', 'sigatoka')
@@ -33,6 +38,8 @@
 _MEASURED_S = 20
 _MIN_LOCAL_SHARE = 0.75
 _FAST_RATIO = 1.5
+_CALM_RATE_PER_S = 30
+_MAX_QUERY_SHARE = 0.1
 _LIMITS = LimitOptions(algorithm=fixed_limit)
 
 
@@ -150,3 +157,28 @@
         assert 0 < sum(late.upstream.runs.values()) <= 2 * _SLOTS
 
     run_virtual(scenario())
+
+
+def test_entry_with_many_requests_asks_only_when_slots_get_scarce() -> None:
+    """Callers of short requests would notice the round trip of a query."""
+
+    async def scenario() -> None:
+        fleet, routers = await three_zones(lambda: FakeUpstream(slots=_SLOTS))
+        queries: set[int] = set()
+        entry = fleet.nodes[0]
+        send = entry.transport.send_datagram
+
+        def record(peer: PeerAddress, message: Message) -> None:
+            if isinstance(message, LoadQuery):
+                queries.add(message.number)
+            send(peer, message)
+
+        entry.transport.send_datagram = record  # type: ignore[method-assign]
+        callers = Callers(routers[:1], rate_per_s=_CALM_RATE_PER_S)
+        await callers.run(_WARM_UP_S)
+        queries.clear()
+        callers.results.clear()
+        await callers.run(_MEASURED_S)
+        assert len(queries) <= _MAX_QUERY_SHARE * len(callers.results)
+
+    run_virtual(scenario())
