Leave out odd entries of other writers

Cause: a record of operators with very deep nesting raised RecursionError, which ended the task that follows them, so that the node never saw another configuration. A heartbeat whose start lies in the future made all later ones of the instance outdated. Ports and times were not checked for their range, and an answer of the store that ends within a record returned the rest as whole.

Change: one list of decode errors for both formats; numbers, ports and times have ranges; a start more than 60 s ahead is ignored; an error in the handler of a stream's records is logged and the stream goes on.

--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -120,8 +120,9 @@
                 self._first_offset = newest_records.end_offset
                 self._recent.restart(self._applied_offset)
                 self._reader.record_end_known()
-                self._on_records(
-                    tuple(record for _, record in newest_records.records), True
+                self._pass_on(
+                    tuple(record for _, record in newest_records.records),
+                    is_snapshot=True,
                 )
                 self._waiters.wake(self._applied_offset)
                 return True
@@ -150,5 +151,16 @@
         for index, payload in enumerate(page.records):
             self._recent.add(Offset(page.start_offset + index), payload)
         self._applied_offset = Offset(page.start_offset + len(page.records) - 1)
-        self._on_records(page.records, False)
+        self._pass_on(page.records, is_snapshot=False)
         self._waiters.wake(self._applied_offset)
+
+    def _pass_on(
+        self, records: tuple[bytes, ...], *, is_snapshot: bool
+    ) -> None:
+        """Pass records on; an odd one must not end the following."""
+        try:
+            self._on_records(records, is_snapshot)
+        except Exception as error:
+            _log.opt(exception=error).error(
+                '{} records of the stream could not be used', len(records)
+            )
--- a/verbenadeck/platform/_frames.py
+++ b/verbenadeck/platform/_frames.py
@@ -4,11 +4,13 @@
 from collections.abc import Iterator
 
 import msgspec
+from loguru import logger
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure
 from verbenadeck.model import Offset
 
+_log = logger.bind(part='store')
 _RECORD_LENGTH = struct.Struct('>I')
 _PAGE_BOUNDS = struct.Struct('>QQ')
 _OK = 200
@@ -147,6 +149,9 @@
     while position + _RECORD_LENGTH.size <= len(body):
         length = _RECORD_LENGTH.unpack_from(body, position)[0]
         position += _RECORD_LENGTH.size
+        if position + length > len(body):
+            _log.warning('the answer of the store ends within a record')
+            return
         yield body[position : position + length]
         position += length
 
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -14,6 +14,7 @@
 )
 from verbenadeck.model import Fence, ServiceName
 from verbenadeck.platform._units import (
+    DECODE_ERRORS,
     Address,
     read_address,
     read_time_s,
@@ -21,7 +22,7 @@
 )
 
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_MAX_INT = 2**53
 MAX_REPLY_BYTES = 4096
 """Longest reply to a heartbeat that an instance reads, in bytes."""
 
@@ -102,7 +103,7 @@
         return Success(_decode_heartbeat(instance, msgspec.json.decode(body)))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(HeartbeatError(f'invalid JSON: {error}'))
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return Failure(HeartbeatError(f'missing or invalid field: {error!r}'))
 
 
@@ -179,6 +180,8 @@
 def _check_int(number: object) -> int:
     if isinstance(number, bool) or not isinstance(number, int):
         raise TypeError('expected an integer')
+    if not 0 <= number <= _MAX_INT:
+        raise ValueError('integer out of range')
     return number
 
 
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -17,7 +17,7 @@
 from verbenadeck.model import Offset, ServiceName, Zone
 from verbenadeck.platform._frames import make_failure, make_record, split_record
 from verbenadeck.platform._store import StoreClient
-from verbenadeck.platform._units import read_time_s
+from verbenadeck.platform._units import DECODE_ERRORS, read_time_s
 from verbenadeck.routes import (
     CallerLimits,
     OperatorState,
@@ -36,7 +36,6 @@
 _EVACUATION_PREFIX = 'evacuate/'
 _VERSION_BASE = 16
 _REPEATABLE_ROUTE_TYPE = 'safe'
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 _log = logger.bind(part='operators')
 
@@ -189,7 +188,7 @@
         )
     except msgspec.MsgspecError as error:
         return Failure(OperatorStateError(f'invalid JSON: {error}'))
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return Failure(
             OperatorStateError(f'missing or invalid field: {error!r}')
         )
--- a/verbenadeck/platform/_units.py
+++ b/verbenadeck/platform/_units.py
@@ -1,11 +1,25 @@
 """Times and addresses in the notation of the platform."""
 
+import math
 from typing import NamedTuple
 
 _MS_PER_S = 1000.0
+_MAX_PORT = 65_535
 _UNITS_S = (('ms', 1 / _MS_PER_S), ('s', 1.0))
 
 
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""Errors of decoding what another writer may have written: fields missing or
+of another type, numbers that are too large, or very deep nesting."""
+
+
 class Address(NamedTuple):
     """IP address and TCP port."""
 
@@ -24,7 +38,7 @@
     Raises
     ------
     ValueError
-        When the text is not a time.
+        When the text is not a finite time.
 
     Examples
     --------
@@ -34,7 +48,9 @@
     if isinstance(text, str):
         for unit, unit_s in _UNITS_S:
             if text.endswith(unit):
-                return float(text.removesuffix(unit)) * unit_s
+                time_s = float(text.removesuffix(unit)) * unit_s
+                if math.isfinite(time_s):
+                    return time_s
     raise ValueError(f'not a time: {text!r}')
 
 
@@ -65,12 +81,15 @@
     Raises
     ------
     ValueError
-        When the port is not a number.
+        When the port is not a number from 1 to 65535.
 
     Examples
     --------
     >>> read_address('10.1.0.41:8629')
     Address(host='10.1.0.41', port=8629)
     """
-    host, _, port = text.rpartition(':')
-    return Address(host, int(port))
+    host, _, port_text = text.rpartition(':')
+    port = int(port_text)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f'port out of range: {port}')
+    return Address(host, port)
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -35,6 +35,11 @@
 from verbenadeck.utils import Clock
 
 _SPARE_CONNECTIONS = 4
+_MS_PER_S = 1000
+_MAX_CLOCK_ERROR_S = 60.0
+"""Largest difference in seconds between the time of day on this VM, which may
+jump by seconds, and that of the instance."""
+
 _NO_SESSION_ERROR = UpstreamError(
     UpstreamFailure.NOT_SENT, 'no instance has sent a heartbeat'
 )
@@ -120,7 +125,9 @@
         """Apply a heartbeat and return the keys that the instance is to hold.
 
         A heartbeat that arrives after a later one, or that the instance sent
-        before its last restart, is ignored and renews nothing.
+        before its last restart, is ignored and renews nothing. So is one of
+        another writer with a start in the future, after which all those of
+        the instance itself would count as outdated.
 
         Parameters
         ----------
@@ -133,6 +140,13 @@
             None when nothing is renewed.
         """
         last_heartbeat = self._last_heartbeat
+        if _is_from_future(heartbeat, self._clock.wall_s()):
+            _log.warning(
+                'heartbeat of {} ignored: it says that it started at {} ms',
+                heartbeat.instance_id,
+                heartbeat.started_at_ms,
+            )
+            return None
         if last_heartbeat is not None and _is_outdated(
             heartbeat, last_heartbeat
         ):
@@ -290,6 +304,11 @@
             listener(departure)
 
 
+def _is_from_future(heartbeat: InstanceHeartbeat, wall_s: float) -> bool:
+    latest_s = wall_s + _MAX_CLOCK_ERROR_S
+    return heartbeat.started_at_ms > latest_s * _MS_PER_S
+
+
 def _is_outdated(
     heartbeat: InstanceHeartbeat, last_heartbeat: InstanceHeartbeat
 ) -> bool:
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -223,6 +223,20 @@
     assert failure.failure is UpstreamFailure.BROKEN
 
 
+@pytest.mark.parametrize('named', ['Request-Id: r0\r\n', ''])
+def test_refusal_of_another_request_says_nothing_about_this_one(
+    named: str,
+) -> None:
+    def respond(writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            f'HTTP/1.1 503 No\r\n{named}Not-Executed: 1\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+
+    failure = asyncio.run(_send_request(respond)).failure()
+    assert failure.failure is UpstreamFailure.BROKEN
+
+
 @pytest.mark.parametrize(
     ('status', 'header', 'failure'),
     [
--- /dev/null
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -0,0 +1,131 @@
+"""Odd entries of other writers: none ends a process or stops a follower."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+from returns.pipeline import is_successful
+
+from verbenadeck.fleet import FleetState
+from verbenadeck.journal import ReadOptions, SourcePlanner, StreamFollower
+from verbenadeck.journal.tests.builders import FaultyAdapter
+from verbenadeck.journal.tests.start_fleets import RetainingAdapter
+from verbenadeck.model import NodeId, Offset
+from verbenadeck.peers import PeerAddress
+from verbenadeck.platform._frames import make_record, read_page
+from verbenadeck.platform._heartbeats import read_heartbeat
+from verbenadeck.platform._operator import (
+    make_records_handler,
+    read_operator_state,
+)
+from verbenadeck.platform._units import read_address, read_time_s
+from verbenadeck.platform._upstream import PlatformUpstream
+from verbenadeck.platform.tests.builders import (
+    CLOCK,
+    make_config,
+    make_heartbeat_body,
+)
+from verbenadeck.routes import RouteStore
+from verbenadeck.testing import (
+    FakeNetwork,
+    MemoryLog,
+    run_virtual,
+    virtual_clock,
+)
+
+_NESTED = b''.join((b'[' * 200_000, b']' * 200_000))
+_MALFORMED = (
+    _NESTED,
+    b'{"version":%s}' % _NESTED,
+    b'{"version":"1","routes":{"columns":["name"],"rows":[[1e999]]}}',
+    b'{"version":"%s","routes":{}}' % (b'9' * 5_000),
+    b'\xff\xfe',
+    b'',
+)
+_YEAR_MS = 31_536_000_000
+
+
+@pytest.mark.parametrize('index', range(len(_MALFORMED)))
+def test_malformed_entry_is_a_failure(index: int) -> None:
+    body = _MALFORMED[index]
+    assert not is_successful(read_operator_state(body, frozenset()))
+    assert not is_successful(read_heartbeat('i-1', body))
+
+
+@pytest.mark.parametrize('text', ['a:0', 'a:65536', 'a:-1', 'a:99999999', 'a:'])
+def test_port_out_of_range_is_refused(text: str) -> None:
+    with pytest.raises(ValueError, match=r'port|int'):
+        read_address(text)
+
+
+@pytest.mark.parametrize('text', ['1e999s', 'nans', '-infms', 's', 7])
+def test_time_that_is_no_finite_number_is_refused(text: object) -> None:
+    with pytest.raises(ValueError, match=r'time|float'):
+        read_time_s(text)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [{'born': 10**30}, {'status_sequence': -1}, {'info_slots': 10**20}],
+)
+def test_heartbeat_with_a_number_out_of_range_is_refused(
+    change: dict[str, int],
+) -> None:
+    body = msgspec.json.encode(make_heartbeat_body(**change))
+    assert not is_successful(read_heartbeat('i-1', body))
+
+
+def test_heartbeat_from_the_future_does_not_outdate_the_instance() -> None:
+    upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
+
+    def receive(instance: str, born_ms: int) -> None:
+        body = msgspec.json.encode(make_heartbeat_body(born=born_ms))
+        upstream.handle_heartbeat(read_heartbeat(instance, body).unwrap())
+
+    now_ms = int(CLOCK.wall_s() * 1000)
+    receive('i-odd', now_ms + _YEAR_MS)
+    assert not upstream.is_known
+    receive('i-1', now_ms)
+    assert upstream.is_known
+
+
+def test_answer_cut_within_a_record_returns_the_whole_ones() -> None:
+    whole = (5).to_bytes(4, 'big') + b'whole'
+    cut = (5).to_bytes(4, 'big') + b'cu'
+    page = read_page(
+        200, bytes(16) + whole + cut, start_offset=Offset(0)
+    ).unwrap()
+    assert page.records == (b'whole',)
+
+
+def test_follower_goes_on_after_an_odd_entry() -> None:
+    async def scenario() -> None:
+        stream = MemoryLog()
+        clock = virtual_clock()
+        route_store = RouteStore()
+        transport = FakeNetwork().transport(PeerAddress('127.0.0.1', 1), clock)
+        adapter: FaultyAdapter = RetainingAdapter(stream, clock)
+        follower = StreamFollower(
+            adapter=adapter,
+            clock=clock,
+            random_source=random.Random(1),
+            transport=transport,
+            planner=SourcePlanner(
+                fleet=FleetState(),
+                node_id=NodeId('node-1'),
+                random_source=random.Random(1),
+                direct_readers=1,
+            ),
+            options=ReadOptions(),
+            on_records=make_records_handler(route_store),
+        )
+        await follower.start()
+        for content in (*_MALFORMED[:-1], make_config('0000000d')):
+            stream.records.append(make_record('config', content))
+            await asyncio.sleep(1)
+        assert route_store.state is not None
+        assert route_store.state.version == 13
+        await follower.stop()
+
+    run_virtual(scenario())
