--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -91,11 +91,9 @@
 
 
 def test_answer_cut_within_a_record_returns_the_whole_ones() -> None:
-    whole = (5).to_bytes(4, 'big') + b'whole'
-    cut = (5).to_bytes(4, 'big') + b'cu'
-    page = read_page(
-        200, bytes(16) + whole + cut, start_offset=Offset(0)
-    ).unwrap()
+    length = (5).to_bytes(4, 'big')
+    body = b''.join((bytes(16), length, b'whole', length, b'cu'))
+    page = read_page(200, body, start_offset=Offset(0)).unwrap()
     assert page.records == (b'whole',)
 
 
