Look up only the shards of an owner that are not open yet

Change: shards that are open under their present fence are passed over; a shard without earlier owners costs one look-up.

Result: a refresh of a thousand open shards makes no look-up (a thousand before); the tests of lease and fleet pass.

--- a/verbenadeck/fleet/_shard_table.py
+++ b/verbenadeck/fleet/_shard_table.py
@@ -197,7 +197,9 @@
         -------
         tuple of Incarnation
         """
-        earlier = self.earlier_owners.get(shard, ())
+        earlier = self.earlier_owners.get(shard)
+        if earlier is None:
+            return ()
         return tuple(earlier_owner.incarnation for earlier_owner in earlier)
 
     def owned_ranges(self, incarnation: Incarnation) -> Iterator[ShardRange]:
@@ -237,8 +239,8 @@
         """
         unreleased = [
             shard
-            for shard in sorted(self.earlier_owners)
-            if incarnation in self.earlier_incarnations(Shard(shard))
+            for shard, earlier in sorted(self.earlier_owners.items())
+            if any(each.incarnation == incarnation for each in earlier)
         ]
         yield from _consecutive_ranges(unreleased)
 
--- a/verbenadeck/journal/_interface.py
+++ b/verbenadeck/journal/_interface.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Result
 
-from verbenadeck.fleet import FleetView
+from verbenadeck.fleet import FleetTables
 from verbenadeck.model import Offset
 from verbenadeck.records import Record, Verdict
 
@@ -52,7 +52,7 @@
     """Log client of a node, which tails the log and appends to it."""
 
     @property
-    def fleet(self) -> FleetView:
+    def fleet(self) -> FleetTables:
         """Fleet state derived from the records applied so far."""
         ...
 
--- a/verbenadeck/lease/_owned_shards.py
+++ b/verbenadeck/lease/_owned_shards.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbenadeck.fleet import FleetView, ShardView
+from verbenadeck.fleet import FleetTables, ShardView
 from verbenadeck.lease._fence_rules import takeover_wait_s
 from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
 from verbenadeck.model import (
@@ -96,11 +96,11 @@
     ----------
     clock : Clock
         Boot clock of the VM.
-    fleet : FleetView
+    fleet : FleetTables
         Owners of the shards according to the log.
     """
 
-    def __init__(self, *, clock: Clock, fleet: FleetView) -> None:
+    def __init__(self, *, clock: Clock, fleet: FleetTables) -> None:
         self._clock = clock
         self._fleet = fleet
         self._owner = NO_MEMBER
@@ -182,23 +182,40 @@
             Shards that have become open since the last refresh.
         """
         self._reset_if_changed(owner)
-        assigned: dict[ShardKey, ShardView] = {}
+        assigned: frozenset[ShardKey] = frozenset()
         if owner != NO_MEMBER:
-            for key in shards_in(self._fleet.owned_by(owner)):
-                assigned[key] = self._fleet.shard(*key)
-        for removed in self._owned_shards.keys() - assigned.keys():
+            assigned = frozenset(shards_in(self._fleet.owned_by(owner)))
+        for removed in self._owned_shards.keys() - assigned:
             self._owned_shards.pop(removed)
-        for stale in self._releases.keys() - assigned.keys():
+        for stale in self._releases.keys() - assigned:
             self._releases.pop(stale)
         found: dict[bytes | None, list[ShardKey]] = {}
-        for key, view in assigned.items():
-            for entries in self._try_open(key, view):
+        for key in self._find_unopened(assigned):
+            for entries in self._try_open(key, self._fleet.shard(*key)):
                 found.setdefault(entries, []).append(key)
         return [
             OpenableShards(ranges_of(keys), entries)
             for entries, keys in found.items()
         ]
 
+    def _find_unopened(self, assigned: frozenset[ShardKey]) -> list[ShardKey]:
+        """Return the shards that are not open under their present fence.
+
+        Most shards are, and nothing else is looked up for them.
+        """
+        services = {service for service, _ in assigned}
+        fences = {service: self._fleet.fences(service) for service in services}
+        unopened: list[ShardKey] = []
+        for key in assigned:
+            owned_shard = self._owned_shards.get(key)
+            if (
+                owned_shard is None
+                or owned_shard.state is OwnedShardState.WAITING
+                or owned_shard.fence != fences[key[0]][key[1]]
+            ):
+                unopened.append(key)
+        return sorted(unopened)
+
     def _reset_if_changed(self, owner: Incarnation) -> None:
         if owner != self._owner:
             self._owner = owner
