--- a/benchmarks/bench_start.py
+++ b/benchmarks/bench_start.py
@@ -19,43 +19,48 @@
 _STEADY_S = 20.0
 _OUTAGE_S = 10.0
 
+_Phase = Callable[[StartFleet], Awaitable[None]]
 
-async def _count(
-    fleet: StartFleet, work: Callable[[], Awaitable[None]]
-) -> int:
-    before = fleet.call_count
-    await work()
-    return fleet.call_count - before
+
+async def _start(fleet: StartFleet) -> None:
+    await fleet.start(range(fleet.size))
+    await fleet.wait_joined()
+
+
+async def _lose_log(fleet: StartFleet) -> None:
+    fleet.log.is_up = False
+    fleet.stream.is_up = False
+    await asyncio.sleep(_OUTAGE_S)
+    fleet.log.is_up = True
+    fleet.stream.is_up = True
+
+
+async def _rest(_fleet: StartFleet) -> None:
+    await asyncio.sleep(_STEADY_S)
+
+
+async def _restart(fleet: StartFleet) -> None:
+    await fleet.restart(range(fleet.size))
+
+
+_PHASES: tuple[tuple[str, _Phase, float], ...] = (
+    ('first_start_calls', _start, 1),
+    ('calls_per_s_at_rest', _rest, _STEADY_S),
+    ('calls_per_s_in_an_outage', _lose_log, _OUTAGE_S),
+    ('restart_of_all_calls', _restart, 1),
+)
 
 
 async def _measure(size: int) -> dict[str, float]:
     fleet = StartFleet(size)
-    nodes = range(size)
-
-    async def start() -> None:
-        await fleet.start(nodes)
-        await fleet.wait_joined()
-
-    async def rest() -> None:
-        await asyncio.sleep(_STEADY_S)
-
-    async def lose_log() -> None:
-        fleet.log.is_up = False
-        fleet.stream.is_up = False
-        await asyncio.sleep(_OUTAGE_S)
-        fleet.log.is_up = True
-        fleet.stream.is_up = True
-
-    figures = {'first_start_calls_a_node': await _count(fleet, start) / size}
-    await asyncio.sleep(_SETTLE_S)
-    figures['calls_per_s_at_rest'] = await _count(fleet, rest) / _STEADY_S
-    figures['calls_per_s_a_node_in_an_outage'] = (
-        await _count(fleet, lose_log) / _OUTAGE_S / size
-    )
-    await asyncio.sleep(_SETTLE_S)
-    figures['restart_of_all_calls_a_node'] = (
-        await _count(fleet, lambda: fleet.restart(nodes)) / size
-    )
+    figures: dict[str, float] = {}
+    for name, work, unit in _PHASES:
+        before = fleet.call_count
+        await work(fleet)
+        calls = (fleet.call_count - before) / unit
+        figures[name] = calls
+        figures[f'{name}_a_node'] = calls / size
+        await asyncio.sleep(_SETTLE_S)
     await fleet.stop()
     return figures
 
