Judge queued requests by the service time of their kind

Cause: a proxy expected each request to run for the mean time of all. Beside reports of 0.9 s a call of 0.09 s counted as running for 0.8 s, was found too late for its deadline and refused, three or four times; the request that made it then failed with its work done. And a call counted as a step of another request only if its deadline was within 0.5 s of its objective, which holds at no larger scale.

Change: service times are kept by kind of request, which the platform's routes name; a kind that was not measured is assumed to run within its objective. A request whose deadline is at most three times its objective counts as a step.

--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -86,6 +86,8 @@
     on_refused : callable or None
         Called when the request ends without an answer of an upstream, so that
         its caller may try again.
+    kind : str
+        Kind of request whose service times are alike; empty when not known.
     """
 
     service: ServiceName
@@ -100,6 +102,7 @@
     priority: int = 0
     objective_s: float | None = None
     on_refused: Callable[[], None] | None = None
+    kind: str = ''
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -17,6 +17,11 @@
 )
 from verbenadeck.utils import Clock, generate_uuid7
 
+SHORT_GRACE_RATIO = 3.0
+"""Ratio of the time to the deadline to that of the latency objective up to
+which a request counts as a step of another one. Its caller can't wait much
+longer than the objective, whatever the scale of both."""
+
 PolicyLookup = Callable[[ServiceName], ServicePolicy | None]
 
 
@@ -24,6 +29,12 @@
     return Failure(Refusal(Outcome.NOT_RUN, reason, detail=detail))
 
 
+def _has_short_grace(timeout_s: float, objective_s: float | None) -> bool:
+    if objective_s is None or objective_s <= 0:
+        return False
+    return timeout_s <= SHORT_GRACE_RATIO * objective_s
+
+
 def make_request_reader(
     *, policy_of: PolicyLookup, clock: Clock, source: random.Random
 ) -> Callable[[CallerRequest, str, bytes], Result[Request, Refusal]]:
@@ -87,6 +98,8 @@
                     0 if objective_s is None else now_s + objective_s
                 ),
                 is_new=caller_request.is_new,
+                kind=caller_request.kind,
+                has_short_grace=_has_short_grace(timeout_s, objective_s),
             )
         )
 
--- a/verbenadeck/entry/tests/test_attempt_age.py
+++ b/verbenadeck/entry/tests/test_attempt_age.py
@@ -1,9 +1,14 @@
 """Ages of attempts while a route is overloaded and callers come again."""
 
+import random
+
 import pytest
 
-from verbenadeck.entry import AttemptAgeEstimator
+from verbenadeck.adapters import CallerRequest
+from verbenadeck.entry import AttemptAgeEstimator, make_request_reader
 from verbenadeck.entry.tests.attempt_builders import ROUTE, simulate_attempts
+from verbenadeck.model import ServiceName, ServicePolicy
+from verbenadeck.utils import Clock
 
 _OBJECTIVE_S = 0.5
 
@@ -45,3 +50,38 @@
     estimator.record_attempt(ROUTE, 3600)
     ages_s = [estimator.record_attempt(ROUTE, 3).age_s for _ in range(100)]
     assert not any(ages_s)
+
+
+@pytest.mark.parametrize(
+    ('timeout_s', 'objective_s', 'is_step'),
+    [
+        (0.5, 0.2, True),
+        (1.01, 0.404, True),
+        (0.3, 0.404, True),
+        (3.0, 0.5, False),
+        (6.056, 1.009, False),
+        (2.5, -0.4, False),
+    ],
+)
+def test_calls_of_upstreams_are_steps_at_any_scale(
+    timeout_s: float, objective_s: float, is_step: bool
+) -> None:
+    clock = Clock()
+    read = make_request_reader(
+        policy_of=lambda _service: ServicePolicy(),
+        clock=clock,
+        source=random.Random(1),
+    )
+    caller_request = CallerRequest(
+        service=ServiceName('holds'),
+        path='/',
+        key=None,
+        request_id=None,
+        is_repeatable=True,
+        timeout_s=timeout_s,
+        headers=(),
+        objective_s=objective_s,
+    )
+
+    request = read(caller_request, 'GET', b'').unwrap()
+    assert request.has_short_grace == is_step
--- a/verbenadeck/model/_requests.py
+++ b/verbenadeck/model/_requests.py
@@ -40,6 +40,12 @@
     is_new : bool
         Whether no earlier send of the request id can have run: neither one
         that the caller sent elsewhere nor one of the router.
+    kind : str
+        Kind of request, such as the name of its route; requests of one kind
+        take similar times. Empty when it is not known.
+    has_short_grace : bool
+        Whether an answer between objective and deadline is as good as one
+        before the objective. Such a request is mostly a step of another one.
     """
 
     request_id: RequestId
@@ -55,3 +61,5 @@
     priority: int = 0
     objective_at_s: float = 0
     is_new: bool = False
+    kind: str = ''
+    has_short_grace: bool = False
--- a/verbenadeck/platform/_callers.py
+++ b/verbenadeck/platform/_callers.py
@@ -122,6 +122,7 @@
                 priority=route.priority,
                 objective_s=route.objective_s - attempt.age_s,
                 on_refused=attempt.mark_refused,
+                kind=route.name,
             )
         )
 
--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -20,6 +20,7 @@
 from verbenadeck.proxy._poison import Quarantine
 from verbenadeck.proxy._runs import RunRegistry
 from verbenadeck.proxy._sender import Sender
+from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.proxy._slots import SlotQueue
 from verbenadeck.proxy._takeovers import Takeovers
@@ -106,11 +107,15 @@
         )
         self.cold_start_rate = ColdStartRateLimiter(clock=clock)
         self.rates = ShardRates(clock=clock)
+        self.service_times = ServiceTimes(
+            overall_s=lambda: self.limit.service_time_s
+        )
         self.slots = SlotQueue(
             cold_start_rate=self.cold_start_rate,
             clock=clock,
             limit=lambda: self.limit.limit,
             service_time_s=lambda: self.limit.service_time_s,
+            service_times=self.service_times,
         )
         self.crash_tracker = CrashTracker(
             node_id=dependencies.node_id,
@@ -124,6 +129,7 @@
             clock=clock,
             limit=self.limit,
             slots=self.slots,
+            service_times=self.service_times,
             on_broken=self.crash_tracker.on_broken,
         )
         self.duplicate_guard = DuplicateRunGuard(
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -29,7 +29,7 @@
         Time until the request's deadline, in seconds. Each VM has its own
         clock, so no absolute time is sent.
     request_id, service, key, method, path, headers, body, is_repeatable,
-    max_sends, priority, is_new
+    max_sends, priority, is_new, kind, has_short_grace
         Fields of `Request`.
     objective_remaining_s : float or None
         Time until the request's latency objective, in seconds.
@@ -49,6 +49,8 @@
     priority: int = 0
     objective_remaining_s: float | None = None
     is_new: bool = False
+    kind: str = ''
+    has_short_grace: bool = False
 
     @classmethod
     def pack(
@@ -74,6 +76,8 @@
             request.priority,
             objective_remaining_s,
             request.is_new,
+            request.kind,
+            request.has_short_grace,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -94,6 +98,8 @@
             if self.objective_remaining_s is None
             else now_s + self.objective_remaining_s,
             self.is_new,
+            self.kind,
+            self.has_short_grace,
         )
 
 
--- a/verbenadeck/proxy/_runs.py
+++ b/verbenadeck/proxy/_runs.py
@@ -63,6 +63,8 @@
             shard,
             priority=request.priority,
             objective_at_s=request.objective_at_s,
+            kind=request.kind,
+            has_short_grace=request.has_short_grace,
         )
         self.is_sent = False
         self.is_abandoned = False
--- a/verbenadeck/proxy/_sender.py
+++ b/verbenadeck/proxy/_sender.py
@@ -22,6 +22,7 @@
 )
 from verbenadeck.proxy._limit import ConcurrencyLimit
 from verbenadeck.proxy._runs import Run
+from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._slots import SlotQueue
 from verbenadeck.utils import Clock
 
@@ -70,6 +71,8 @@
         Limit to update with service times and shed requests.
     slots : SlotQueue
         Queue whose slots are released.
+    service_times : ServiceTimes
+        Service times by kind of request, to update.
     on_broken : callable
         Called with a run that ended without an answer before its deadline.
     """
@@ -81,12 +84,14 @@
         clock: Clock,
         limit: ConcurrencyLimit,
         slots: SlotQueue,
+        service_times: ServiceTimes,
         on_broken: Callable[[Run], None],
     ) -> None:
         self._upstream = upstream
         self._clock = clock
         self._limit = limit
         self._slots = slots
+        self._service_times = service_times
         self._on_broken = on_broken
         self._held_slot_timers: set[asyncio.TimerHandle] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -151,7 +156,9 @@
 
     def _on_answer(self, run: Run, answer: Answer) -> AnswerResult:
         now_s = self._clock.now_s()
-        self._limit.record_answer(now_s - run.sent_at_s, now_s=now_s)
+        service_time_s = now_s - run.sent_at_s
+        self._limit.record_answer(service_time_s, now_s=now_s)
+        self._service_times.record(run.request.kind, service_time_s)
         self._slots.release()
         return Success(answer)
 
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -7,6 +7,7 @@
 from verbenadeck.model import Refusal, RefusalReason
 from verbenadeck.proxy._cold_start_rate import ColdStartRateLimiter
 from verbenadeck.proxy._refusals import not_run
+from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.utils import Clock
 
 SHORT_GRACE_S = 0.5
@@ -32,6 +33,11 @@
         Priority; 0 is the highest.
     objective_at_s : float
         Time of the latency objective, in seconds; 0 for the deadline.
+    kind : str
+        Kind of the request, for its expected service time.
+    has_short_grace : bool
+        Whether an answer up to the deadline is as good as one before the
+        objective; so it is if the two are at most `SHORT_GRACE_S` apart.
 
     Attributes
     ----------
@@ -39,7 +45,15 @@
         End of the wait: None for a slot, or a refusal.
     """
 
-    __slots__ = ('deadline_s', 'future', 'objective_at_s', 'priority', 'shard')
+    __slots__ = (
+        'deadline_s',
+        'future',
+        'has_short_grace',
+        'kind',
+        'objective_at_s',
+        'priority',
+        'shard',
+    )
 
     def __init__(
         self,
@@ -48,9 +62,14 @@
         *,
         priority: int = 0,
         objective_at_s: float = 0,
+        kind: str = '',
+        has_short_grace: bool = False,
     ) -> None:
         self.deadline_s = deadline_s
+        self.kind = kind
         self.objective_at_s = objective_at_s or deadline_s
+        grace_s = deadline_s - self.objective_at_s
+        self.has_short_grace = has_short_grace or grace_s <= SHORT_GRACE_S
         self.priority = priority
         self.shard = shard
         self.future: asyncio.Future[Refusal | None] | None = None
@@ -69,11 +88,6 @@
             return self.priority, False, self.deadline_s
         return self.priority, True, -self.deadline_s
 
-    @property
-    def has_short_grace(self) -> bool:
-        """Whether the deadline is at most `SHORT_GRACE_S` after the objective."""
-        return self.deadline_s - self.objective_at_s <= SHORT_GRACE_S
-
     @property
     def is_resolved(self) -> bool:
         """Whether the wait has ended."""
@@ -97,7 +111,9 @@
     limit : callable returning int
         Returns the number of slots that may be in use.
     service_time_s : callable returning float
-        Returns the expected service time of a request, in seconds.
+        Returns the mean service time of all requests, in seconds.
+    service_times : ServiceTimes or None
+        Service times by kind of request; None for the mean of all.
     cold_start_rate : ColdStartRateLimiter or None
         Rate limit during a cold start; None creates one.
 
@@ -113,6 +129,7 @@
         clock: Clock,
         limit: Callable[[], int],
         service_time_s: Callable[[], float],
+        service_times: ServiceTimes | None = None,
         cold_start_rate: ColdStartRateLimiter | None = None,
     ) -> None:
         self._cold_start_rate = cold_start_rate or ColdStartRateLimiter(
@@ -123,6 +140,9 @@
         self._clock = clock
         self._limit = limit
         self._service_time_s = service_time_s
+        self._service_times = service_times or ServiceTimes(
+            overall_s=service_time_s
+        )
         self._waiting: list[Waiter] = []
 
     @property
@@ -136,9 +156,11 @@
         if self.in_use < limit and not self._waiting:
             return 0
         now_s = self._clock.now_s()
-        ends_at_s = now_s + self._service_time_s()
-        own = waiter.queue_position(ends_at_s)
-        positions = (each.queue_position(ends_at_s) for each in self._waiting)
+        own = _position(waiter, now_s, self._service_times)
+        positions = (
+            _position(each, now_s, self._service_times)
+            for each in self._waiting
+        )
         ahead = sum(position <= own for position in positions) + 1
         slot_wait_s = ahead / max(1, limit) * self._service_time_s()
         rate_per_s = self._cold_start_rate.rate_per_s
@@ -166,7 +188,9 @@
                 retry_after_s=wait_s,
             )
         now_s = self._clock.now_s()
-        ends_at_s = now_s + wait_s + self._service_time_s()
+        ends_at_s = (
+            now_s + wait_s + _run_time_s(waiter, now_s, self._service_times)
+        )
         if ends_at_s > waiter.deadline_s:
             times = _describe_times(wait_s, ends_at_s, waiter.deadline_s, now_s)
             return not_run(
@@ -235,7 +259,8 @@
         """Assign free slots to waiters that can still meet their deadlines."""
         while self._waiting and self.in_use < self._limit():
             waiter = self._next_waiter()
-            ends_at_s = self._clock.now_s() + self._service_time_s()
+            now_s = self._clock.now_s()
+            ends_at_s = now_s + _run_time_s(waiter, now_s, self._service_times)
             if waiter.is_resolved or ends_at_s > waiter.deadline_s:
                 waiter.resolve(_queue_deadline_refusal())
                 self._waiting.remove(waiter)
@@ -248,9 +273,9 @@
 
     def _next_waiter(self) -> Waiter:
         now_s = self._clock.now_s()
-        ends_at_s = now_s + self._service_time_s()
         return min(
-            self._waiting, key=lambda each: each.queue_position(ends_at_s)
+            self._waiting,
+            key=lambda each: _position(each, now_s, self._service_times),
         )
 
     def refuse(
@@ -280,7 +305,9 @@
         """
         if waiter.has_short_grace:
             return
-        service_s = self._service_time_s()
+        service_s = _run_time_s(
+            waiter, self._clock.now_s(), self._service_times
+        )
         turns_late_s = waiter.objective_at_s - service_s
         wait_s = max(service_s, self._clock.remaining_s(turns_late_s))
         asyncio.get_running_loop().call_later(wait_s, self._recheck, waiter)
@@ -290,10 +317,12 @@
         if waiter.is_resolved:
             return
         now_s = self._clock.now_s()
-        ends_at_s = now_s + self._service_time_s()
-        own = waiter.queue_position(ends_at_s)
+        own = _position(waiter, now_s, self._service_times)
         is_late = own[1]
-        positions = (each.queue_position(ends_at_s) for each in self._waiting)
+        positions = (
+            _position(each, now_s, self._service_times)
+            for each in self._waiting
+        )
         ahead = sum(position < own for position in positions)
         if is_late and ahead >= self._limit():
             waiter.resolve(_overtaken_refusal(self.expected_wait_s(waiter)))
@@ -317,6 +346,22 @@
             self._waiting.remove(waiter)
 
 
+def _run_time_s(
+    waiter: Waiter, now_s: float, service_times: ServiceTimes
+) -> float:
+    return service_times.expected_s(
+        waiter.kind, objective_left_s=waiter.objective_at_s - now_s
+    )
+
+
+def _position(
+    waiter: Waiter, now_s: float, service_times: ServiceTimes
+) -> _QueuePosition:
+    """Return the sort key of a waiter that would run from now on."""
+    run_time_s = _run_time_s(waiter, now_s, service_times)
+    return waiter.queue_position(now_s + run_time_s)
+
+
 def _describe_times(
     wait_s: float, ends_at_s: float, limit_at_s: float, now_s: float
 ) -> str:
