Keep an unknown outcome when a restarted owner refuses the resend

Cause: when the connection to an owner broke, the entry sent the same attempt again to its address. A process that had been killed and started anew refused it as not its owner, 'not run', and the entry returned that, although the process before it had sent the request to its upstream.

Change: answers between nodes carry the incarnation; a refusal by another one than was addressed is merged with the earlier loss. The entry closes idle connections first when it stops and waits for requests that came in the same moment; a connection may stay unused before its first request.

--- a/verbenadeck/entry/_connections.py
+++ b/verbenadeck/entry/_connections.py
@@ -30,7 +30,12 @@
         Limits and time-outs when the connection opens.
     """
 
-    __slots__ = ('_header_timeout_s', 'has_request')
+    __slots__ = (
+        '_has_data',
+        '_header_timeout_s',
+        '_idle_timeout_s',
+        'has_request',
+    )
 
     def __init__(
         self,
@@ -51,10 +56,12 @@
             auto_decompress=False,
         )
         self.has_request = False
+        self._has_data = False
         self._header_timeout_s = options.header_timeout_s
+        self._idle_timeout_s = options.idle_timeout_s
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the time-out of the first request.
+        """Start the time-out until the first byte.
 
         Parameters
         ----------
@@ -62,9 +69,23 @@
             Transport of the connection.
         """
         super().connection_made(transport)
-        asyncio.get_running_loop().call_later(
-            self._header_timeout_s, self._close_if_unused
-        )
+        self._close_if_unused_after(self._idle_timeout_s)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; the first ones start the time-out of the first head.
+
+        Parameters
+        ----------
+        data : bytes
+            Bytes received.
+        """
+        if not self._has_data:
+            self._has_data = True
+            self._close_if_unused_after(self._header_timeout_s)
+        super().data_received(data)
+
+    def _close_if_unused_after(self, delay_s: float) -> None:
+        asyncio.get_running_loop().call_later(delay_s, self._close_if_unused)
 
     def _close_if_unused(self) -> None:
         if not self.has_request:
@@ -120,6 +141,11 @@
         if self._listening is not None:
             self._listening.close()
 
+    def close_idle(self) -> None:
+        """Close connections without a request, the others after theirs."""
+        if self._server is not None:
+            self._server.pre_shutdown()
+
     async def close(self) -> None:
         """Close all connections, after the answers that are being written."""
         if self._server is not None:
--- a/verbenadeck/entry/_server.py
+++ b/verbenadeck/entry/_server.py
@@ -136,6 +136,10 @@
         self._is_stopping = True
         self._connections.close_listener()
         await self._wait_until_idle()
+        self._connections.close_idle()
+        # A request may have arrived just before its connection was closed.
+        while self._running_count:
+            await asyncio.sleep(self.options.close_poll_s)
         await self._connections.close()
         _log.info('entry stopped')
 
--- a/verbenadeck/entry/tests/test_uploads.py
+++ b/verbenadeck/entry/tests/test_uploads.py
@@ -150,6 +150,18 @@
     asyncio.run(scenario())
 
 
+def test_connection_may_be_opened_long_before_its_first_request() -> None:
+    async def scenario() -> None:
+        router = _SlowRouter()
+        router.released.set()
+        async with _upload_to(router, header_timeout_s=0.05) as caller:
+            await asyncio.sleep(0.2)
+            await caller.send('Content-Length: 4', body=b'data')
+            assert await caller.read_status() == 200
+
+    asyncio.run(scenario())
+
+
 def test_connection_without_a_request_is_closed() -> None:
     async def scenario() -> None:
         router = _SlowRouter()
--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -54,9 +54,12 @@
     async def _on_forward(
         self, _peer: PeerAddress, message: ForwardRequest
     ) -> ForwardAnswer:
-        request = message.unpack(self._components.dependencies.clock.now_s())
+        dependencies = self._components.dependencies
+        request = message.unpack(dependencies.clock.now_s())
         result = await self._proxy.admit(message.attempt_id, request)
-        return ForwardAnswer.pack(result, self._proxy.load)
+        return ForwardAnswer.pack(
+            result, self._proxy.load, dependencies.incarnation()
+        )
 
     async def _on_cancel(
         self, _peer: PeerAddress, message: CancelAttempt
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Success
 
 from verbenadeck.model import (
+    NO_MEMBER,
     Answer,
     AnswerResult,
     AttemptId,
@@ -116,20 +117,26 @@
         Refusal; None for an answer.
     load : ProxyLoad
         Load of the proxy.
+    incarnation : Incarnation
+        Incarnation of the node; another process at the same address has
+        another one, and knows nothing of what was sent before.
     """
 
     answer: Answer | None
     refusal: Refusal | None
     load: ProxyLoad
+    incarnation: Incarnation = NO_MEMBER
 
     @classmethod
-    def pack(cls, result: AnswerResult, load: ProxyLoad) -> Self:
+    def pack(
+        cls, result: AnswerResult, load: ProxyLoad, incarnation: Incarnation
+    ) -> Self:
         """Build the message for a result and the load of the proxy."""
         match result:
             case Success(answer):
-                return cls(answer, None, load)
+                return cls(answer, None, load, incarnation)
             case Failure(refusal):
-                return cls(None, refusal, load)
+                return cls(None, refusal, load, incarnation)
         raise AssertionError('a result is a success or a failure')
 
     def unpack(self) -> AnswerResult:
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -27,6 +27,7 @@
     refuse,
     unknown,
 )
+from verbenadeck.router._outcomes import merge_outcome
 from verbenadeck.router._stats import ProxyStats
 from verbenadeck.utils import Clock, reply_margin_s
 
@@ -140,7 +141,8 @@
             reply = await self._forward(target, attempt_id, request)
             if isinstance(reply, ForwardAnswer):
                 target.record_load(reply.load, self._clock.now_s())
-                return reply.unpack()
+                is_same = reply.incarnation == target.member.incarnation
+                return _merge_lost(reply.unpack(), None if is_same else lost)
             lost = _prefer_unknown(lost, reply)
             if lost.outcome is Outcome.UNKNOWN:
                 request = as_resent(request)
@@ -206,6 +208,18 @@
     return msgspec.structs.replace(request, is_new=False)
 
 
+def _merge_lost(result: AnswerResult, lost: Refusal | None) -> AnswerResult:
+    """Return a result with the outcome of an earlier send that was lost.
+
+    The process that got the earlier send has ended, so that a refusal by its
+    successor says nothing about it.
+    """
+    is_uncertain = lost is not None and lost.outcome is Outcome.UNKNOWN
+    return result.alt(
+        lambda refusal: merge_outcome(refusal, is_uncertain=is_uncertain)
+    )
+
+
 def _prefer_unknown(earlier: Refusal | None, now: Refusal) -> Refusal:
     if earlier is not None and earlier.outcome is Outcome.UNKNOWN:
         return earlier
--- a/verbenadeck/router/tests/test_losses.py
+++ b/verbenadeck/router/tests/test_losses.py
@@ -6,7 +6,13 @@
 import pytest
 from returns.result import Success
 
-from verbenadeck.model import Outcome, OutOfService, RefusalReason, Request
+from verbenadeck.model import (
+    NO_MEMBER,
+    Outcome,
+    OutOfService,
+    RefusalReason,
+    Request,
+)
 from verbenadeck.proxy.tests.builders import (
     Node,
     ProxyFleet,
@@ -60,6 +66,37 @@
     run_virtual(scenario())
 
 
+def test_refusal_of_a_restarted_owner_does_not_hide_an_earlier_run() -> None:
+    """The process that took the deposit is killed; the next one refuses it."""
+
+    async def scenario() -> None:
+        proxy_fleet, owner = await _entry_and_owner()
+        deposit = make_deposit('d1', is_new=True)
+        router = make_router(proxy_fleet, proxy_fleet.nodes[0])
+        task = asyncio.create_task(router.route(deposit))
+        await asyncio.sleep(0.1)
+        assert _run_count(proxy_fleet, deposit) == 1
+        owner.transport.is_up = False
+        entry = proxy_fleet.nodes[0]
+        proxy_fleet.network.blocked_links.add((owner.address, entry.address))
+        asyncio.get_running_loop().call_later(0.3, proxy_fleet.network.heal)
+        successor = Node(
+            proxy_fleet,
+            owner.incarnation,
+            FakeUpstream(),
+            zone=owner.zone,
+        )
+        successor.incarnation = NO_MEMBER
+        successor.ownership.incarnation = NO_MEMBER
+        await successor.proxy.start()
+        successor.upstream.announce()
+        outcome, _ = verdict(await task)
+        assert outcome is Outcome.UNKNOWN
+        assert not successor.upstream.runs
+
+    run_virtual(scenario())
+
+
 def test_blocked_replies_until_deadline_give_unknown_outcome() -> None:
     async def scenario() -> None:
         proxy_fleet, owner = await _entry_and_owner()
