Keep the end of a longer hold when a shorter one follows

Cause: each reply to a heartbeat replaced the time until which an instance may hold its shards. A reply with a shorter hold that is lost leaves the instance with the longer one, and the node gave the keys up after the shorter.

Change: the later of both ends counts.

Result: the new test fails before (given up after 1.6 s of a hold of 3.0 s).

--- a/verbenadeck/lease/_heartbeat_grants.py
+++ b/verbenadeck/lease/_heartbeat_grants.py
@@ -232,8 +232,12 @@
         )
         hold_s = max(hold_s, MIN_HOLD_S) if servable else MIN_HOLD_S
         self._granted_until_s = now_s + hold_s
+        held_until_s = now_s + hold_s * CLOCK_RATIO
         for shard in self._granted_fences:
-            self._held_until_s[shard] = now_s + hold_s * CLOCK_RATIO
+            # The reply may be lost, and the hold before it may be longer.
+            self._held_until_s[shard] = max(
+                held_until_s, self._held_until_s.get(shard, held_until_s)
+            )
         self._heartbeat_received.set()
         return HoldReply(rows, hold_s)
 
--- a/verbenadeck/lease/tests/test_heartbeat_grants.py
+++ b/verbenadeck/lease/tests/test_heartbeat_grants.py
@@ -149,6 +149,26 @@
     _run(scenario)
 
 
+def test_shorter_hold_does_not_end_a_longer_one_whose_reply_was_lost() -> None:
+    async def scenario(node: _FakeNode) -> None:
+        node.add_shards(0, 4)
+        started_s = node.clock.now_s()
+        first = node.grants.holds_for(_report())
+        assert first is not None
+        await asyncio.sleep(1)
+        node.lease_end_s = node.clock.now_s() + 0.6
+        second = node.grants.holds_for(_report((0, 39, 5)))
+        assert second is not None
+        assert second.hold_s < 1
+        # The upstream gets neither this reply nor any later one.
+        node.servable.clear()
+        await node.grants.revoke()
+        held_s = node.clock.now_s() - started_s
+        assert held_s >= first.hold_s * CLOCK_RATIO
+
+    _run(scenario)
+
+
 def test_handover_text_is_sent_until_the_upstream_holds_the_keys() -> None:
     async def scenario(node: _FakeNode) -> None:
         node.add_shards(0, 4)
