Keep the name of a checkpoint that a peer appends

Cause: a node that can't reach the log appends through a peer, and the request carried no name, so that the peer's log kept the chunk of a checkpoint only as one of its ordinary records.

Change: RelayAppend carries the name.

Result: the new test fails before (no name) and passes.

--- a/verbenadeck/journal/_appender.py
+++ b/verbenadeck/journal/_appender.py
@@ -132,7 +132,9 @@
         payload = proposal.payload
         if peer is not None and self._transport is not None:
             reply = await self._transport.call(
-                peer, RelayAppend(payload), deadline_s=deadline_s
+                peer,
+                RelayAppend(payload, proposal.name),
+                deadline_s=deadline_s,
             )
             return _failure_by_peer(reply)
         answer = await self._adapter.append(
--- a/verbenadeck/journal/_messages.py
+++ b/verbenadeck/journal/_messages.py
@@ -59,9 +59,12 @@
     ----------
     payload : bytes
         Encoded envelope.
+    name : str
+        Name under which the log retains the record; empty for none.
     """
 
     payload: bytes
+    name: str = ''
 
 
 class RelayAppended(
--- a/verbenadeck/journal/_relay.py
+++ b/verbenadeck/journal/_relay.py
@@ -100,7 +100,9 @@
 
     async def append(_peer: PeerAddress, request: RelayAppend) -> Message:
         answer = await adapter.append(
-            request.payload, deadline_s=clock.now_s() + _APPEND_TIMEOUT_S
+            request.payload,
+            deadline_s=clock.now_s() + _APPEND_TIMEOUT_S,
+            name=request.name,
         )
         if is_successful(answer):
             return RelayAppended(None)
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -38,6 +38,8 @@
         Whether appends are kept in `held` until `release_appends`.
     held : list of bytes
         Appends that were kept back.
+    names : list of str
+        Names under which records were to be retained.
     reads, appends : int
         Number of reads and of appends so far.
     """
@@ -51,11 +53,13 @@
         self.held: list[bytes] = []
         self.reads = 0
         self.appends = 0
+        self.names: list[str] = []
 
     async def append(
         self, record: bytes, *, deadline_s: float, name: str = ''
     ) -> Result[Offset, LogError]:
         self.appends += 1
+        self.names.append(name)
         if self.fails_appends:
             await asyncio.sleep(0.01)
             return Failure(LogError(LogFailure.NOT_APPENDED, 'cut'))
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -19,7 +19,7 @@
 )
 from verbenadeck.journal.tests.builders import LogFleet, Node, make_site
 from verbenadeck.model import NodeId, Offset
-from verbenadeck.records import Verdict
+from verbenadeck.records import CheckpointChunk, Verdict
 from verbenadeck.testing import run_virtual
 
 _MAX_APPLY_S = 7
@@ -220,6 +220,20 @@
     run_virtual(scenario())
 
 
+def test_checkpoint_appended_by_a_peer_keeps_its_name() -> None:
+    """Otherwise the log would drop the newest checkpoint after a while."""
+
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi') as site:
+            node, peer = site.nodes
+            node.adapter.fails_appends = True
+            chunk = CheckpointChunk(Offset(0), 0, 1, b'part')
+            await node.client.propose(chunk, deadline_s=node.deadline_in(5))
+            assert 'checkpoint-0' in peer.adapter.names
+
+    run_virtual(scenario())
+
+
 def test_record_appended_by_several_peers_is_applied_once() -> None:
     async def scenario() -> None:
         async with make_site('suva', 'nadi', 'lautoka') as site:
