Say after SIGHUP which settings will change

Cause: SIGHUP wrote only that it was ignored, whatever the file held.

Change: the file is read again and compared; a line names what differs and holds from the next start, or why the file can't be used.

Result: three new tests pass.

--- a/verbenadeck/platform/__main__.py
+++ b/verbenadeck/platform/__main__.py
@@ -20,11 +20,12 @@
         Exit code: 2 when the settings can't be used, 1 when the node can't
         start, else 0.
     """
-    settings = load_settings(Path(os.environ.get(CONFIG_PATH_VARIABLE, '')))
+    settings_path = Path(os.environ.get(CONFIG_PATH_VARIABLE, ''))
+    settings = load_settings(settings_path)
     if not is_successful(settings):
         sys.stderr.write(f'verbenadeck: {settings.failure().detail}\n')
         return 2
-    result = uvloop.run(run_node(settings.unwrap()))
+    result = uvloop.run(run_node(settings.unwrap(), settings_path))
     if not is_successful(result):
         sys.stderr.write(f'verbenadeck: {result.failure().detail}\n')
         return 1
--- a/verbenadeck/platform/_daemon.py
+++ b/verbenadeck/platform/_daemon.py
@@ -4,8 +4,10 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
 from loguru import logger
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from verbenadeck.logs import open_pipe, setup_logs
@@ -16,7 +18,7 @@
     stop_node,
 )
 from verbenadeck.platform._assembly import PlatformNode
-from verbenadeck.platform._settings import PlatformSettings
+from verbenadeck.platform._settings import PlatformSettings, load_settings
 
 _log = logger.bind(part='node')
 _STOP_TIMEOUT_SHARE = 0.3
@@ -27,13 +29,17 @@
 other nodes after two failed checks."""
 
 
-async def run_node(settings: PlatformSettings) -> Result[None, StartError]:
+async def run_node(
+    settings: PlatformSettings, settings_path: Path
+) -> Result[None, StartError]:
     """Run a node until SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : PlatformSettings
         Checked settings of the node.
+    settings_path : Path
+        File that they were read from.
 
     Returns
     -------
@@ -48,7 +54,9 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _log_hangup)
+    loop.add_signal_handler(
+        signal.SIGHUP, log_changed_settings, settings, settings_path
+    )
     loop.set_exception_handler(
         make_loop_exception_handler(
             flush_logs=log_writer.flush, exit_process=os._exit
@@ -73,5 +81,31 @@
     return Success(None)
 
 
-def _log_hangup() -> None:
-    _log.info('SIGHUP ignored: settings are read only at the start')
+def log_changed_settings(settings: PlatformSettings, path: Path) -> None:
+    """Log which settings in a file differ from those in use.
+
+    All of them hold from the start of a process to its end.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings in use.
+    path : Path
+        Path of the settings file.
+    """
+    reread = load_settings(path)
+    if not is_successful(reread):
+        _log.error('settings reread, not usable: {}', reread.failure().detail)
+        return
+    changed = [
+        field
+        for field in settings.__struct_fields__
+        if getattr(settings, field) != getattr(reread.unwrap(), field)
+    ]
+    if changed:
+        _log.warning(
+            'settings reread; changed, in force from the next start: {}',
+            ', '.join(changed),
+        )
+    else:
+        _log.info('settings reread; nothing changed')
--- /dev/null
+++ b/verbenadeck/platform/tests/test_settings.py
@@ -0,0 +1,59 @@
+"""Settings file of the platform, also when it changes at run time."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from loguru import logger
+
+from verbenadeck.platform._daemon import log_changed_settings
+from verbenadeck.platform._settings import load_settings
+
+
+def _make_fields(**changes: Any) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        'node': 'sidecar-suva-1',
+        'ip': '10.1.0.41',
+        'zone': 'suva',
+        'region': 'viti-levu',
+        'service': 'desk',
+        'listen': {
+            'inbound': '10.1.0.41:8624',
+            'outbound': '10.1.0.41:8629',
+            'ready': '10.1.0.41:8625',
+            'control': '10.1.0.41:8620',
+        },
+        'internalPorts': [7600, 7615],
+        'appAddr': '10.1.0.41:8628',
+        'heartbeat': '870ms',
+        'bounds': {'drain': '2000ms', 'grace': '6s', 'holdMax': '10000ms'},
+        'platform': {'address': '10.200.1.7:8627'},
+    }
+    fields.update(changes)
+    return fields
+
+
+@pytest.mark.parametrize(
+    ('content', 'line'),
+    [
+        (msgspec.json.encode(_make_fields()), 'nothing changed'),
+        (
+            msgspec.json.encode(_make_fields(zone='nadi', heartbeat='500ms')),
+            'from the next start: zone, heartbeat_interval_s',
+        ),
+        (b'{"node": 7', 'not usable'),
+    ],
+)
+def test_reread_settings_are_compared_by_name(
+    content: bytes, line: str, tmp_path: Path
+) -> None:
+    path = tmp_path / 'local.json'
+    path.write_bytes(msgspec.json.encode(_make_fields()))
+    settings = load_settings(path).unwrap()
+    path.write_bytes(content)
+    lines: list[str] = []
+    sink = logger.add(lines.append, format='{message}')
+    log_changed_settings(settings, path)
+    logger.remove(sink)
+    assert line in ''.join(lines)
