--- a/verbenadeck/journal/_sources.py
+++ b/verbenadeck/journal/_sources.py
@@ -142,12 +142,14 @@
     """
     roots = {member.zone: member for member in reversed(newest)}
     by_age = sorted(roots.values(), key=lambda root: root.incarnation)
-    others = [member for member in newest if member not in by_age]
-    direct = (*by_age, *others)[:direct_readers]
+    direct = by_age[:direct_readers]
+    if len(direct) < direct_readers:
+        others = [member for member in newest if member not in by_age]
+        direct = [*direct, *others][:direct_readers]
     zone = [member for member in newest if member.zone == own.zone]
     fallbacks = (
         *_pick_one(
-            (each for each in newest if each not in zone), random_source
+            (each for each in newest if each.zone != own.zone), random_source
         ),
         LOG,
         *_pick_one((each for each in zone if each != own), random_source),
