--- /dev/null
+++ b/review/stand/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, instances and the platform for review cases."""
