--- a/review/stand/case.py
+++ b/review/stand/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 import traceback
@@ -31,6 +32,9 @@
     record('disruption:', 'yes' if has_trouble else 'no')
 
     async def run():
+        # The processes are ended also when this one is asked to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(115):
             return await play(record, has_trouble)
 
--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -18,7 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('suva', 'nadi', 'lautoka')
 PORTS = {'inbound': 8624, 'outbound': 8629, 'ready': 8625, 'control': 8620}
-APP_PORT, STORE_PORT, METRICS_PORT = 8628, 8627, 9464
+APP_PORT, STORE_PORT, METRICS_PORT, PEER_PORT = 8628, 8627, 9464, 7600
 MEMORY_MB = 300
 SHARDED, PLAIN = 'catalogue', 'holds'
 ROUTES = (
@@ -77,7 +78,7 @@
             'region': 'viti-levu',
             'zones': {each: 'viti-levu' for each in ZONES},
             'listen': {k: f'{ip}:{p}' for k, p in PORTS.items()},
-            'internalPorts': [7600, 7615], 'seeds': [], 'bootstrap': True,
+            'internalPorts': [PEER_PORT, 7615], 'seeds': [], 'bootstrap': True,
             'countsTowardLoss': False,
             'limits': {'cpuShare': 0.86, 'cpuCores': 1,
                        'memoryMb': MEMORY_MB, 'maxFds': 4100,
@@ -221,6 +222,8 @@
         for instance in self.instances.values():
             await instance.stop()
         await self.store.stop()
+        if 'KEEP_LOGS' not in os.environ:
+            shutil.rmtree(self.folder)
 
 
 def _find_net():
@@ -229,7 +232,8 @@
         net = f'127.{second}.{os.getpid() % 250 + 1}'
         try:
             for last in (1, 250):
-                for port in (*PORTS.values(), APP_PORT, STORE_PORT):
+                for port in (*PORTS.values(), APP_PORT, STORE_PORT,
+                             METRICS_PORT, PEER_PORT):
                     with socket.socket() as probe:
                         probe.bind((f'{net}.{last}', port))
             return net
