--- a/review/stand/client.py
+++ b/review/stand/client.py
@@ -78,6 +78,9 @@
 async def browse(client, stop_at, *, pause_s=0.1):
     """Send listing requests on random keys until a time."""
     while time.monotonic() < stop_at:
+        if not client.node.takes_clients:
+            await asyncio.sleep(0.1)
+            continue
         await client.send('browse.example', f'/list/{random.randrange(999)}',
                           key=random.randrange(65_536))
         await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
@@ -86,6 +89,9 @@
 async def pay(client, stop_at, *, pause_s=0.1):
     """Send deposits until a time."""
     while time.monotonic() < stop_at:
+        if not client.node.takes_clients:
+            await asyncio.sleep(0.1)
+            continue
         await client.send('hold.example', f'/pay/{random.randrange(999)}',
                           method='POST', body=b'x' * 500, deadline_s=4.0)
         await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -69,6 +69,8 @@
         self.record = record
         self.process = None
         self.is_wanted = False
+        self.misses = 0
+        self.takes_clients = True
         self.ends = []  # (time, reason) of ends that nobody asked for
         self.log = open(folder / f'{name}.log', 'ab')
         self.settings = folder / f'{name}.json'
@@ -108,6 +110,10 @@
         env['PYTHONDONTWRITEBYTECODE'] = '1'
         env['VERBENADECK_CONFIG'] = str(self.settings)
         self.is_wanted = True
+        if self.process is not None:
+            # True only when the whole system starts for the first time.
+            self.fields['bootstrap'] = False
+            self.settings.write_text(json.dumps(self.fields))
         self.process = subprocess.Popen(
             words, cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
             stdout=self.log, stderr=self.log)
@@ -180,6 +186,7 @@
             states = [await n.is_ready() for n in self.nodes.values()]
             if all(states) and self.held_keys() == 65_536:
                 self.record('all nodes ready, all keys held')
+                self._tasks.append(asyncio.create_task(self._ask_ready()))
                 await asyncio.sleep(4.0)
                 return True
             await asyncio.sleep(0.25)
@@ -190,6 +197,20 @@
         return sum(b - a + 1 for one in self.instances.values()
                    for a, b, _, _ in one.held())
 
+    async def _ask_ready(self):
+        """Ask each node once a second; clients leave after two misses."""
+        while True:
+            await asyncio.sleep(1.0)
+            nodes = tuple(self.nodes.values())
+            ready = await asyncio.gather(*(one.is_ready() for one in nodes))
+            for node, is_ready in zip(nodes, ready):
+                node.misses = 0 if is_ready else node.misses + 1
+            for node in nodes:
+                zone = [one for one in nodes if one.zone == node.zone]
+                count = sum(one.misses < 2 for one in zone)
+                node.takes_clients = (
+                    node.misses < 2 or 2 * count < len(zone))
+
     async def _supervise(self):
         """Do what the platform does: memory limit, and restarts."""
         while True:
--- a/review/stand/instance.py
+++ b/review/stand/instance.py
@@ -9,7 +9,8 @@
 from stand.http import call, encode, read_body, read_head
 
 BEAT_S = 0.87
-KEYS = 65_536
+MAX_REPLY_BYTES = 4096
+QUEUE = 72
 
 
 def _minus(row, others):
@@ -39,7 +40,9 @@
         self.freed = []
         self.max_fence = []  # (first, last, fence) seen
         self.running = 0
-        self.working = {}
+        self.waiting = 0
+        self.working = {}  # key -> [runs, fence, hold ends at, taken away]
+        self._slot = asyncio.Semaphore(slots)
         self.runs = {}  # request id -> number of runs
         self.rejected = 0
         self.respond = None  # hook for other answers
@@ -82,7 +85,9 @@
             'born': self.born,
         }
         if self.sharded:
-            body['holds'] = [[a, b, f] for a, b, f, _ in self.held()]
+            body['holds'] = [[a, b, f] for a, b, f, _ in self.held()] + [
+                [key, key, work[1]] for key, work in self.working.items()
+                if work[3] and not self.holds(key)]
             body['freed'] = [list(each) for each in self.freed]
         return body
 
@@ -94,7 +99,8 @@
             *self.control, 'POST', f'/v1/Instances.Heartbeat/{self.name}',
             [('Content-Type', 'application/json')],
             json.dumps(body).encode(), timeout_s=1.0)
-        if answer is None or answer.status != 200:
+        if answer is None or answer.status != 200 or (
+                len(answer.body) > MAX_REPLY_BYTES):
             return False
         self.beats_acknowledged += 1
         self.freed = [each for each in self.freed if each not in freed]
@@ -114,13 +120,19 @@
         spans = [(a, b) for a, b, _, _ in new]
         gone = [piece for a, b, _, _ in self.held()
                 for piece in _minus((a, b), spans)]
+        # Keys that are still worked on are released when their work ends.
+        busy = [(key, key) for key in self.working]
+        for key, work in self.working.items():
+            if any(a <= key <= b for a, b in gone):
+                work[3] = True
+        gone = [piece for each in gone for piece in _minus(each, busy)]
         self.freed += [(a, b, f'{random.getrandbits(64):016x}')
                        for a, b in gone]
         if [r[:3] for r in new] != [r[:3] for r in self.rows]:
             self.record('holds', self.name, [r[:3] for r in new])
         self.rows = new
         self.max_fence = (self.max_fence + [r[:3] for r in new])[-200:]
-        return bool(gone)
+        return bool(gone) or any(one[3] for one in self.working.values())
 
     async def _beat_forever(self):
         while True:
@@ -167,13 +179,55 @@
             return self._refuse(421, request_id)
         if self.sharded and not self.holds(int(head.get('Shard-Key', -1))):
             return self._refuse(421, request_id)
-        if self.running >= self.slots:
+        if self.waiting >= QUEUE:
             return self._refuse(503, request_id)
+        deadline_at = time.monotonic() + int(
+            head.get('Deadline-Ms', '60000')) / 1000
+        self.waiting += 1
+        try:
+            async with asyncio.timeout(deadline_at - time.monotonic()):
+                await self._slot.acquire()
+        except TimeoutError:
+            return self._refuse(503, request_id)
+        finally:
+            self.waiting -= 1
+        try:
+            if not self.sharded:
+                return await self._run(head, request_id, path, deadline_at)
+            return await self._run_keyed(head, request_id, path, deadline_at)
+        finally:
+            self._slot.release()
+
+    async def _run_keyed(self, head, request_id, path, deadline_at):
+        key = int(head.get('Shard-Key', -1))
+        row = next((r for r in self.held() if r[0] <= key <= r[1]), None)
+        if row is None:
+            return self._refuse(421, request_id)
+        work = self.working.setdefault(key, [0, row[2], row[3], False])
+        work[0] += 1
+        try:
+            raw = await self._run(head, request_id, path, deadline_at)
+        finally:
+            work[0] -= 1
+            is_over = not self.holds(key) and (
+                not work[3] or work[2] <= time.monotonic())
+            if work[0] == 0:
+                del self.working[key]
+                if work[3] and not is_over and not self.holds(key):
+                    self.freed.append(
+                        (key, key, f'{random.getrandbits(64):016x}'))
+        if is_over:
+            return encode('HTTP/1.1 500 X', [
+                ('Request-Id', request_id),
+                ('Response-Signature', f'sig.{self.name}.{request_id}')])
+        return raw
+
+    async def _run(self, head, request_id, path, deadline_at):
         self.running += 1
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.record('run', self.name, request_id, path)
         try:
-            deadline_s = int(head.get('Deadline-Ms', '60000')) / 1000
+            deadline_s = max(0.0, deadline_at - time.monotonic())
             await asyncio.sleep(min(self.work_s, deadline_s))
             is_late = self.work_s > deadline_s
         finally:
@@ -188,4 +242,4 @@
             [('Request-Id', request_id),
              ('Response-Signature', f'sig.{self.name}.{request_id}'),
              ('Content-Type', 'text/plain'),
-             ('Server-Load', f'{self.running},0,{self.slots},100')], body)
+             ('Server-Load', f'{self.running},{self.waiting},{self.slots},100')], body)
