Refuse keys out of range in a heartbeat and bound the work for a report

Cause: the decoder accepted keys up to 2**53, and a report's rows are expanded into a set of shards in one step. Its size came from a number in the message.

Change: the decoder checks each row against the key space; the body of a heartbeat is limited to 256 KiB; rows are merged before they are expanded, so that the same keys in many rows cost no more than the shards.

--- a/verbenadeck/lease/_heartbeat_grants.py
+++ b/verbenadeck/lease/_heartbeat_grants.py
@@ -280,11 +280,7 @@
 
     def _record_report(self, report: HoldReport, now_s: float) -> None:
         """Record what the upstream holds, as it reports after each change."""
-        held: set[Shard] = set()
-        for row in report.held:
-            held.update(
-                self._key_layout.overlapping_shards(row.first_key, row.last_key)
-            )
+        held = self._key_layout.covered_shards(report.held)
         latest_s = now_s + self._max_hold_s * CLOCK_RATIO
         self._held_until_s = {
             shard: self._held_until_s.get(shard, latest_s) for shard in held
@@ -299,13 +295,8 @@
 
     def _has_unknown_holds(self, report: HoldReport) -> bool:
         """Return whether the upstream holds keys that are not granted."""
-        return any(
-            not self._granted_fences.keys()
-            >= set(
-                self._key_layout.overlapping_shards(row.first_key, row.last_key)
-            )
-            for row in report.held
-        )
+        held = self._key_layout.covered_shards(report.held)
+        return not self._granted_fences.keys() >= held
 
     def _holds_only(self, allowed: Mapping[Shard, Fence]) -> bool:
         """Return whether the upstream certainly holds no other shards."""
--- a/verbenadeck/lease/_hold_rows.py
+++ b/verbenadeck/lease/_hold_rows.py
@@ -1,6 +1,6 @@
 """Rows of key ranges that an upstream is granted."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import msgspec
 
@@ -51,10 +51,45 @@
         first_key, last_key : int
             First and last key of the range.
         """
+        return map(Shard, self._overlapping_numbers(first_key, last_key))
+
+    def covered_shards(self, ranges: Iterable[HeldRange]) -> set[Shard]:
+        """Return the shards that overlap any of some ranges of keys.
+
+        The time is bounded by the number of ranges and of shards, however
+        often the ranges overlap one another.
+
+        Parameters
+        ----------
+        ranges : iterable of HeldRange
+            Ranges of keys, in any order.
+
+        Examples
+        --------
+        >>> keys = KeyLayout(65536, lambda: 16)
+        >>> rows = (HeldRange(0, 4096, 7), HeldRange(4000, 4096, 7))
+        >>> sorted(keys.covered_shards(rows))
+        [0, 1]
+        """
+        covered: set[Shard] = set()
+        stop = 0
+        for first_key, last_key in sorted(
+            (each.first_key, each.last_key) for each in ranges
+        ):
+            numbers = self._overlapping_numbers(first_key, last_key)
+            covered.update(
+                map(Shard, range(max(stop, numbers.start), numbers.stop))
+            )
+            stop = max(stop, numbers.stop)
+        return covered
+
+    def _overlapping_numbers(self, first_key: int, last_key: int) -> range:
         count = self.shard_count()
-        first = first_key * count // self.key_space
-        last = last_key * count // self.key_space
-        return map(Shard, range(first, last + 1))
+        last = min(last_key, self.key_space - 1)
+        return range(
+            first_key * count // self.key_space,
+            last * count // self.key_space + 1,
+        )
 
 
 def build_hold_rows(
--- a/verbenadeck/lease/tests/test_heartbeat_grants.py
+++ b/verbenadeck/lease/tests/test_heartbeat_grants.py
@@ -11,7 +11,7 @@
     HoldReport,
     KeyHandover,
 )
-from verbenadeck.lease import HeartbeatGrants
+from verbenadeck.lease import HeartbeatGrants, _hold_rows
 from verbenadeck.lease._heartbeat_grants import CLOCK_RATIO, MAX_ROWS
 from verbenadeck.model import Fence, ServiceName, Shard
 from verbenadeck.records import ReleasedRange
@@ -280,3 +280,22 @@
         assert node.grants.deadline_s(Shard(0), Fence(5)) > 0
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('last_key', [_KEYS - 1, 2**53 - 1])
+def test_work_for_a_report_is_bounded_by_its_rows_and_the_shards(
+    last_key: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a report whose rows or keys are expanded many times over.
+    made: list[int] = []
+
+    def make_shard(number: int) -> Shard:
+        made.append(number)
+        return Shard(number)
+
+    monkeypatch.setattr(_hold_rows, 'Shard', make_shard)
+    layout = _hold_rows.KeyLayout(_KEYS, lambda: _SHARDS)
+    row = HeldRange(0, last_key, Fence(5))
+    rows = (row for _ in range(1000))
+    assert layout.covered_shards(rows) == set(range(_SHARDS))
+    assert len(made) <= _SHARDS
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -122,6 +122,7 @@
             ),
             upstream=self._upstream,
             expected=settings.upstream,
+            key_space=_options.KEY_SPACE,
             why_unready=self.why_unready,
             read_metrics=make_exposition(self._metrics),
         )
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -28,6 +28,10 @@
 other nodes."""
 
 _LISTEN_BACKLOG = 128
+_MAX_BODY_BYTES = 262_144
+"""Largest body of a heartbeat, over fifty times the largest one that an
+instance sends; decoding it delays other requests by a few milliseconds."""
+
 _OK = 200
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
@@ -48,6 +52,8 @@
     expected : Address
         Address at which the instance beside this node accepts requests;
         heartbeats with another address are refused.
+    key_space : int
+        Number of keys of a service.
     why_unready : callable
         Returns why the node accepts no requests, empty when it does.
     read_metrics : callable
@@ -60,12 +66,14 @@
         addresses: tuple[Address, ...],
         upstream: PlatformUpstream,
         expected: Address,
+        key_space: int,
         why_unready: Callable[[], str],
         read_metrics: Callable[[], bytes],
     ) -> None:
         self._addresses = addresses
         self._upstream = upstream
         self._expected = expected
+        self._key_space = key_space
         self._why_unready = why_unready
         self._read_metrics = read_metrics
         self._logged_reason = 'not started'
@@ -85,7 +93,7 @@
         OSError
             When a port is in use.
         """
-        app = web.Application()
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
         app.router.add_get(READY_PATH, self._handle_ready)
         app.router.add_post(HEARTBEAT_PATH, self._handle_heartbeat)
         app.router.add_post(DEREGISTER_PATH, self._handle_deregister)
@@ -117,7 +125,9 @@
 
     async def _handle_heartbeat(self, request: web.Request) -> web.Response:
         body = await request.read()
-        match read_heartbeat(request.match_info['instance'], body):
+        match read_heartbeat(
+            request.match_info['instance'], body, key_space=self._key_space
+        ):
             case Success(heartbeat) if heartbeat.address == self._expected:
                 reply = self._upstream.handle_heartbeat(heartbeat)
                 return _make_json_response(_OK, write_reply(reply))
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -13,6 +13,12 @@
     KeyHandover,
 )
 from verbenadeck.model import Fence, ServiceName
+from verbenadeck.platform._fields import (
+    read_int,
+    read_name,
+    read_range,
+    read_text,
+)
 from verbenadeck.platform._units import (
     DECODE_ERRORS,
     Address,
@@ -22,7 +28,6 @@
 )
 
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
-_MAX_INT = 2**53
 MAX_REPLY_BYTES = 4096
 """Longest reply to a heartbeat that an instance reads, in bytes."""
 
@@ -88,7 +93,7 @@
 
 
 def read_heartbeat(
-    instance: str, body: bytes
+    instance: str, body: bytes, *, key_space: int
 ) -> Result[InstanceHeartbeat, HeartbeatError]:
     """Return the heartbeat in a request body, or why it can't be decoded.
 
@@ -98,9 +103,14 @@
         Name of the instance from the path of the request.
     body : bytes
         Body of the request.
+    key_space : int
+        Number of keys of a service; keys beyond it do not exist.
     """
     try:
-        return Success(_decode_heartbeat(instance, msgspec.json.decode(body)))
+        body_fields = msgspec.json.decode(body)
+        return Success(
+            _decode_heartbeat(instance, body_fields, key_space=key_space)
+        )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(HeartbeatError(f'invalid JSON: {error}'))
     except DECODE_ERRORS as error:
@@ -139,53 +149,45 @@
 
 
 def _decode_heartbeat(
-    instance: str, body_fields: dict[str, Any]
+    instance: str, body_fields: dict[str, Any], *, key_space: int
 ) -> InstanceHeartbeat:
     info = body_fields['info']
     status = body_fields['status']
-    started_at_ms = _check_int(body_fields['born'])
+    started_at_ms = read_int(body_fields['born'])
     return InstanceHeartbeat(
-        instance=_check_name(instance),
+        instance=read_name(instance),
         started_at_ms=started_at_ms,
-        sequence=_check_int(status['sequence']),
-        service=ServiceName(_check_name(info['service'])),
+        sequence=read_int(status['sequence']),
+        service=ServiceName(read_name(info['service'])),
         address=read_address(body_fields['address']),
-        slots=_check_int(info['slots']),
+        slots=read_int(info['slots']),
         is_draining=_IS_DRAINING_BY_STATE[status['state']],
         cold_remaining_s=read_time_s(status.get('coldRemaining', '0ms')),
         holds=_decode_holds(
-            make_instance_id(instance, started_at_ms), body_fields
+            make_instance_id(instance, started_at_ms),
+            body_fields,
+            key_space=key_space,
         ),
     )
 
 
-def _decode_holds(instance_id: str, body_fields: dict[str, Any]) -> HoldReport:
+def _decode_holds(
+    instance_id: str, body_fields: dict[str, Any], *, key_space: int
+) -> HoldReport:
     held = body_fields.get('holds') or ()
     released = body_fields.get('freed') or ()
     return HoldReport(
         instance_id,
         tuple(
             HeldRange(
-                _check_int(first), _check_int(last), Fence(_check_int(fence))
+                *read_range(first, last, stop=key_space), Fence(read_int(fence))
             )
             for first, last, fence in held
         ),
         tuple(
-            KeyHandover(_check_int(first), _check_int(last), str(text))
+            KeyHandover(
+                *read_range(first, last, stop=key_space), read_text(text)
+            )
             for first, last, text in released
         ),
     )
-
-
-def _check_int(number: object) -> int:
-    if isinstance(number, bool) or not isinstance(number, int):
-        raise TypeError('expected an integer')
-    if not 0 <= number <= _MAX_INT:
-        raise ValueError('integer out of range')
-    return number
-
-
-def _check_name(text: object) -> str:
-    if not isinstance(text, str) or not text:
-        raise TypeError('expected a non-empty string')
-    return text
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -5,13 +5,20 @@
 from typing import Any
 
 import msgspec
+from returns.result import Result
 
+from verbenadeck.platform._heartbeats import (
+    HeartbeatError,
+    InstanceHeartbeat,
+    read_heartbeat,
+)
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
 from verbenadeck.standins import StoreStandin, make_store_app, start_app
 from verbenadeck.utils import Clock
 
 CLOCK = Clock()
+KEY_SPACE = 65_536
 _ROUTE_COLUMNS = (
     'name',
     'host',
@@ -93,6 +100,21 @@
     return body
 
 
+def decode_heartbeat(
+    body: bytes, instance: str = 'i-1'
+) -> Result[InstanceHeartbeat, HeartbeatError]:
+    """Decode a heartbeat as the node beside the instance does.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the request.
+    instance : str
+        Name of the instance in the path of the request.
+    """
+    return read_heartbeat(instance, body, key_space=KEY_SPACE)
+
+
 def make_config(version: str = '0000000c', **changes: Any) -> bytes:
     """Return a configuration record with a safe, an unsafe and a split route.
 
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -18,17 +18,20 @@
 from verbenadeck.platform._heartbeats import (
     MAX_REPLY_BYTES,
     InstanceHeartbeat,
-    read_heartbeat,
     write_reply,
 )
 from verbenadeck.platform._upstream import PlatformUpstream
-from verbenadeck.platform.tests.builders import CLOCK, make_heartbeat_body
+from verbenadeck.platform.tests.builders import (
+    CLOCK,
+    decode_heartbeat,
+    make_heartbeat_body,
+)
 from verbenadeck.routes import RouteStore
 
 
 def _make_heartbeat(instance: str = 'i-1', **changes: Any) -> InstanceHeartbeat:
     body = msgspec.json.encode(make_heartbeat_body(**changes))
-    return read_heartbeat(instance, body).unwrap()
+    return decode_heartbeat(body, instance).unwrap()
 
 
 def _make_upstream() -> tuple[
@@ -74,12 +77,12 @@
     changes: dict[str, Any],
 ) -> None:
     body = msgspec.json.encode(make_heartbeat_body(**changes))
-    assert not is_successful(read_heartbeat('i-1', body))
+    assert not is_successful(decode_heartbeat(body))
 
 
 @pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'7', b'null'])
 def test_body_that_is_not_a_heartbeat_is_refused(body: bytes) -> None:
-    assert not is_successful(read_heartbeat('i-1', body))
+    assert not is_successful(decode_heartbeat(body))
 
 
 def test_delayed_or_repeated_heartbeat_is_ignored() -> None:
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -14,7 +14,6 @@
 from verbenadeck.model import NodeId, Offset
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record, read_page
-from verbenadeck.platform._heartbeats import read_heartbeat
 from verbenadeck.platform._operator import (
     make_records_handler,
     read_operator_state,
@@ -23,6 +22,7 @@
 from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
     CLOCK,
+    decode_heartbeat,
     make_config,
     make_heartbeat_body,
 )
@@ -50,7 +50,7 @@
 def test_malformed_entry_is_a_failure(index: int) -> None:
     body = _MALFORMED[index]
     assert not is_successful(read_operator_state(body, frozenset()))
-    assert not is_successful(read_heartbeat('i-1', body))
+    assert not is_successful(decode_heartbeat(body))
 
 
 @pytest.mark.parametrize('text', ['a:0', 'a:65536', 'a:-1', 'a:99999999', 'a:'])
@@ -73,7 +73,20 @@
     change: dict[str, int],
 ) -> None:
     body = msgspec.json.encode(make_heartbeat_body(**change))
-    assert not is_successful(read_heartbeat('i-1', body))
+    assert not is_successful(decode_heartbeat(body))
+
+
+@pytest.mark.parametrize('name', ['holds', 'freed'])
+@pytest.mark.parametrize(
+    'keys', [(0, 2**53 - 1), (65_536, 65_536), (0, 65_536), (9, 8), (-1, 4)]
+)
+def test_heartbeat_with_keys_out_of_range_is_refused(
+    name: str, keys: tuple[int, int]
+) -> None:
+    # Guards against a set of shards as large as a number in the message.
+    row = (*keys, 7 if name == 'holds' else 'text')
+    body = msgspec.json.encode(make_heartbeat_body(**{name: [row]}))
+    assert not is_successful(decode_heartbeat(body))
 
 
 def test_heartbeat_from_the_future_does_not_outdate_the_instance() -> None:
@@ -81,7 +94,7 @@
 
     def receive(instance: str, born_ms: int) -> None:
         body = msgspec.json.encode(make_heartbeat_body(born=born_ms))
-        upstream.handle_heartbeat(read_heartbeat(instance, body).unwrap())
+        upstream.handle_heartbeat(decode_heartbeat(body, instance).unwrap())
 
     now_ms = int(CLOCK.wall_s() * 1000)
     receive('i-odd', now_ms + _YEAR_MS)
