Refuse heartbeats that contradict the settings of the node

Cause: a heartbeat with a newer start is taken for a restart of the instance, which voids its grants. The decoder compared only the address with what the node knows, so a heartbeat of any service from another writer did so. Trace: the node's lines from `upstream i-00odd00 announced itself` to `incarnation 3 resigns`.

Change: the decoder checks service, address and zone against the settings, requires all fields and bounds slots, cold time and names. What it refuses is answered with 400, logged and counted by reason, and changes nothing.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -42,6 +42,7 @@
     UpstreamAdapterFactory,
 )
 from verbenadeck.adapters._upstream import (
+    MAX_SLOTS,
     WARMED_UP,
     Announcement,
     ColdStartState,
@@ -70,6 +71,7 @@
     'IDEMPOTENCY_HEADER',
     'LOG_ADAPTERS',
     'MAX_ANSWER_BYTES',
+    'MAX_SLOTS',
     'OUTCOME_HEADER',
     'REASON_HEADER',
     'RETRY_AFTER_MS_HEADER',
--- a/verbenadeck/adapters/_announce.py
+++ b/verbenadeck/adapters/_announce.py
@@ -6,11 +6,10 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import wire
-from verbenadeck.adapters._upstream import Announcement
+from verbenadeck.adapters._upstream import MAX_SLOTS, Announcement
 from verbenadeck.model import ServiceName
 
 _VALID_PORTS = range(1, 65536)
-_MAX_SLOTS = 100_000
 _MAX_NAME_LENGTH = 200
 
 
@@ -59,7 +58,7 @@
         (_is_valid_name(body.instance), 'instance is empty or too long'),
         (_is_ip_address(body.host), 'host is not an IP address'),
         (body.port in _VALID_PORTS, 'port is out of range'),
-        (0 < body.slots <= _MAX_SLOTS, 'slots are out of range'),
+        (0 < body.slots <= MAX_SLOTS, 'slots are out of range'),
         (0 < body.connections, 'connections must be positive'),
         (0 <= body.bearable <= body.slots, 'bearable is out of range'),
     )
--- a/verbenadeck/adapters/_upstream.py
+++ b/verbenadeck/adapters/_upstream.py
@@ -9,6 +9,9 @@
 
 from verbenadeck.model import Answer, Fence, Request, RequestId, ServiceName
 
+MAX_SLOTS = 100_000
+"""Largest number of slots that an upstream may announce."""
+
 
 class ColdStartState(msgspec.Struct, frozen=True):
     """Limit of the request rate of an upstream during its cold start.
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -25,6 +25,7 @@
 from verbenadeck.platform import _options
 from verbenadeck.platform._callers import make_caller_format
 from verbenadeck.platform._control import METRICS_PORT, ControlServer
+from verbenadeck.platform._heartbeats import ExpectedUpstream
 from verbenadeck.platform._log import StoreLog
 from verbenadeck.platform._operator import OperatorTopic, make_records_handler
 from verbenadeck.platform._settings import PlatformSettings
@@ -121,8 +122,13 @@
                 Address(settings.ready.host, METRICS_PORT),
             ),
             upstream=self._upstream,
-            expected=settings.upstream,
-            key_space=_options.KEY_SPACE,
+            expected=ExpectedUpstream(
+                service=settings.service,
+                address=settings.upstream,
+                zone=settings.zone,
+                key_space=_options.KEY_SPACE,
+            ),
+            count=self._metrics.count,
             why_unready=self.why_unready,
             read_metrics=make_exposition(self._metrics),
         )
@@ -264,7 +270,7 @@
             node_id=settings.node_id,
             zone=settings.zone,
             region=settings.region,
-            service=self._upstream.service or settings.service,
+            service=settings.service,
             slots=slots,
             host=settings.peer.host,
             peer_port=settings.peer.port,
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -9,6 +9,7 @@
 
 from verbenadeck.metrics import CONTENT_TYPE
 from verbenadeck.platform._heartbeats import (
+    ExpectedUpstream,
     HeartbeatError,
     read_heartbeat,
     write_reply,
@@ -49,11 +50,11 @@
         Addresses to listen on.
     upstream : PlatformUpstream
         Handles the heartbeats.
-    expected : Address
-        Address at which the instance beside this node accepts requests;
-        heartbeats with another address are refused.
-    key_space : int
-        Number of keys of a service.
+    expected : ExpectedUpstream
+        What this node knows of the instance beside it; heartbeats that
+        contradict it are refused.
+    count : callable
+        Adds one to the counter with the given name.
     why_unready : callable
         Returns why the node accepts no requests, empty when it does.
     read_metrics : callable
@@ -65,15 +66,15 @@
         *,
         addresses: tuple[Address, ...],
         upstream: PlatformUpstream,
-        expected: Address,
-        key_space: int,
+        expected: ExpectedUpstream,
+        count: Callable[[str], None],
         why_unready: Callable[[], str],
         read_metrics: Callable[[], bytes],
     ) -> None:
         self._addresses = addresses
         self._upstream = upstream
         self._expected = expected
-        self._key_space = key_space
+        self._count = count
         self._why_unready = why_unready
         self._read_metrics = read_metrics
         self._logged_reason = 'not started'
@@ -125,20 +126,14 @@
 
     async def _handle_heartbeat(self, request: web.Request) -> web.Response:
         body = await request.read()
-        match read_heartbeat(
-            request.match_info['instance'], body, key_space=self._key_space
-        ):
-            case Success(heartbeat) if heartbeat.address == self._expected:
+        instance = request.match_info['instance']
+        match read_heartbeat(instance, body, self._expected):
+            case Success(heartbeat):
                 reply = self._upstream.handle_heartbeat(heartbeat)
                 return _make_json_response(_OK, write_reply(reply))
-            case Success(heartbeat):
-                _log.warning(
-                    'heartbeat ignored: {} is not the address of the upstream '
-                    'of this node',
-                    heartbeat.address,
-                )
-            case Failure(HeartbeatError(detail)):
-                _log.warning('heartbeat ignored: {}', detail)
+            case Failure(HeartbeatError(fault, detail)):
+                _log.warning('heartbeat ignored: {}: {}', fault.value, detail)
+                self._count(f'heartbeats_refused_{fault.value}')
         return _make_json_response(_BAD_REQUEST, b'{}')
 
     async def _handle_deregister(self, request: web.Request) -> web.Response:
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -1,5 +1,6 @@
 """Decoding of instances' heartbeats and encoding of the replies."""
 
+import enum
 from types import MappingProxyType
 from typing import Any
 
@@ -7,12 +8,13 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import (
+    MAX_SLOTS,
     HeldRange,
     HoldReply,
     HoldReport,
     KeyHandover,
 )
-from verbenadeck.model import Fence, ServiceName
+from verbenadeck.model import Fence, ServiceName, Zone
 from verbenadeck.platform._fields import (
     read_int,
     read_name,
@@ -28,6 +30,7 @@
 )
 
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
+_MAX_COLD_S = 3600.0
 MAX_REPLY_BYTES = 4096
 """Longest reply to a heartbeat that an instance reads, in bytes."""
 
@@ -73,9 +76,40 @@
         return make_instance_id(self.instance, self.started_at_ms)
 
 
+class ExpectedUpstream(msgspec.Struct, frozen=True):
+    """What a node knows of the instance beside it without its heartbeats.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service that it provides.
+    address : Address
+        Address at which it accepts requests.
+    zone : Zone
+        Availability zone.
+    key_space : int
+        Number of keys of a service; keys beyond it do not exist.
+    """
+
+    service: ServiceName
+    address: Address
+    zone: Zone
+    key_space: int
+
+
+class HeartbeatFault(enum.Enum):
+    """Reason for refusing a heartbeat; also the end of its counter's name."""
+
+    MALFORMED = 'malformed'
+    OTHER_SERVICE = 'other_service'
+    OTHER_ADDRESS = 'other_address'
+    OTHER_ZONE = 'other_zone'
+
+
 class HeartbeatError(msgspec.Struct, frozen=True):
-    """Heartbeat that could not be decoded, with the cause for logs."""
+    """Heartbeat that was refused, with the cause for logs."""
 
+    fault: HeartbeatFault
     detail: str
 
 
@@ -93,9 +127,12 @@
 
 
 def read_heartbeat(
-    instance: str, body: bytes, *, key_space: int
+    instance: str, body: bytes, expected: ExpectedUpstream
 ) -> Result[InstanceHeartbeat, HeartbeatError]:
-    """Return the heartbeat in a request body, or why it can't be decoded.
+    """Return the heartbeat in a request body, or why it is refused.
+
+    It may come from another writer. It is refused as a whole when any field
+    is malformed or contradicts what the node knows of the instance.
 
     Parameters
     ----------
@@ -103,18 +140,17 @@
         Name of the instance from the path of the request.
     body : bytes
         Body of the request.
-    key_space : int
-        Number of keys of a service; keys beyond it do not exist.
+    expected : ExpectedUpstream
+        What the node knows of the instance beside it.
     """
     try:
-        body_fields = msgspec.json.decode(body)
-        return Success(
-            _decode_heartbeat(instance, body_fields, key_space=key_space)
-        )
+        return _decode_heartbeat(instance, msgspec.json.decode(body), expected)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(HeartbeatError(f'invalid JSON: {error}'))
+        return _refuse(HeartbeatFault.MALFORMED, f'invalid JSON: {error}')
     except DECODE_ERRORS as error:
-        return Failure(HeartbeatError(f'missing or invalid field: {error!r}'))
+        return _refuse(
+            HeartbeatFault.MALFORMED, f'missing or invalid field: {error!r}'
+        )
 
 
 def write_reply(reply: HoldReply | None) -> bytes:
@@ -149,25 +185,36 @@
 
 
 def _decode_heartbeat(
-    instance: str, body_fields: dict[str, Any], *, key_space: int
-) -> InstanceHeartbeat:
+    instance: str, body_fields: dict[str, Any], expected: ExpectedUpstream
+) -> Result[InstanceHeartbeat, HeartbeatError]:
     info = body_fields['info']
     status = body_fields['status']
+    address = read_address(body_fields['address'])
+    for fault, found, known in (
+        (HeartbeatFault.OTHER_SERVICE, info['service'], expected.service),
+        (HeartbeatFault.OTHER_ADDRESS, address, expected.address),
+        (HeartbeatFault.OTHER_ZONE, info['zone'], expected.zone),
+    ):
+        if found != known:
+            return _refuse(fault, f'{found!r} in place of {known!r}')
+    read_text(info['version'])
     started_at_ms = read_int(body_fields['born'])
-    return InstanceHeartbeat(
-        instance=read_name(instance),
-        started_at_ms=started_at_ms,
-        sequence=read_int(status['sequence']),
-        service=ServiceName(read_name(info['service'])),
-        address=read_address(body_fields['address']),
-        slots=read_int(info['slots']),
-        is_draining=_IS_DRAINING_BY_STATE[status['state']],
-        cold_remaining_s=read_time_s(status.get('coldRemaining', '0ms')),
-        holds=_decode_holds(
-            make_instance_id(instance, started_at_ms),
-            body_fields,
-            key_space=key_space,
-        ),
+    return Success(
+        InstanceHeartbeat(
+            instance=read_name(instance),
+            started_at_ms=started_at_ms,
+            sequence=read_int(status['sequence']),
+            service=expected.service,
+            address=address,
+            slots=read_int(info['slots'], least=1, most=MAX_SLOTS),
+            is_draining=_IS_DRAINING_BY_STATE[status['state']],
+            cold_remaining_s=_read_cold_s(status['coldRemaining']),
+            holds=_decode_holds(
+                make_instance_id(instance, started_at_ms),
+                body_fields,
+                key_space=expected.key_space,
+            ),
+        )
     )
 
 
@@ -191,3 +238,14 @@
             for first, last, text in released
         ),
     )
+
+
+def _read_cold_s(text: object) -> float:
+    cold_s = read_time_s(text)
+    if not 0 <= cold_s <= _MAX_COLD_S:
+        raise ValueError('cold start out of range')
+    return cold_s
+
+
+def _refuse(fault: HeartbeatFault, detail: str) -> Failure[HeartbeatError]:
+    return Failure(HeartbeatError(fault, detail))
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -83,15 +83,6 @@
         ] = []
         self._running_tasks: dict[RequestId, asyncio.Task[SendResult]] = {}
 
-    @property
-    def service(self) -> ServiceName | None:
-        """Service of the instance, None before its first heartbeat."""
-        return (
-            None
-            if self._last_heartbeat is None
-            else self._last_heartbeat.service
-        )
-
     @property
     def is_known(self) -> bool:
         """Whether there is an instance to send requests to."""
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -1,24 +1,39 @@
 """Builders of test data and a running store stand-in."""
 
-from collections.abc import AsyncIterator
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, NamedTuple
 
+import aiohttp
 import msgspec
 from returns.result import Result
 
+from verbenadeck.model import ServiceName, Zone
+from verbenadeck.platform._control import ControlServer
 from verbenadeck.platform._heartbeats import (
+    ExpectedUpstream,
     HeartbeatError,
     InstanceHeartbeat,
     read_heartbeat,
 )
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
+from verbenadeck.platform._upstream import PlatformUpstream
+from verbenadeck.routes import RouteStore
 from verbenadeck.standins import StoreStandin, make_store_app, start_app
 from verbenadeck.utils import Clock
 
 CLOCK = Clock()
-KEY_SPACE = 65_536
+EXPECTED_UPSTREAM = ExpectedUpstream(
+    service=ServiceName('desk'),
+    address=Address('10.1.0.41', 8628),
+    zone=Zone('suva'),
+    key_space=65_536,
+)
+"""What a node knows of the instance whose heartbeats the builders return."""
+
 _ROUTE_COLUMNS = (
     'name',
     'host',
@@ -45,6 +60,76 @@
     return CLOCK.now_s() + timeout_s
 
 
+_StatusAndBody = tuple[int, bytes]
+_Post = Callable[[str, bytes], Awaitable[_StatusAndBody]]
+
+
+class ControlClient(NamedTuple):
+    """Client of a running control server.
+
+    Parameters
+    ----------
+    post : callable
+        Sends a POST with a body to a path; returns the status and the body.
+    upstream : PlatformUpstream
+        Upstream adapter of the server.
+    counters : Counter
+        Counters by name.
+    """
+
+    post: _Post
+    upstream: PlatformUpstream
+    counters: Counter[str]
+
+    async def send_heartbeat(
+        self, instance: str = 'i-1', **changes: Any
+    ) -> int:
+        """Send a heartbeat and return the status of the answer.
+
+        Parameters
+        ----------
+        instance : str
+            Name of the instance.
+        **changes : object
+            As for `make_heartbeat_body`.
+        """
+        body = msgspec.json.encode(make_heartbeat_body(**changes))
+        path = f'/v1/Instances.Heartbeat/{instance}'
+        return (await self.post(path, body))[0]
+
+
+@asynccontextmanager
+async def running_control() -> AsyncIterator[ControlClient]:
+    """Yield a client of a control server that listens."""
+    counters: Counter[str] = Counter()
+    upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
+    address = Address('127.0.0.1', _find_free_port())
+    server = ControlServer(
+        addresses=(address,),
+        upstream=upstream,
+        expected=EXPECTED_UPSTREAM,
+        count=lambda name: counters.update((name,)),
+        why_unready=str,
+        read_metrics=bytes,
+    )
+    await server.start()
+    async with aiohttp.ClientSession(
+        f'http://{address.host}:{address.port}'
+    ) as session:
+
+        async def post(path: str, body: bytes) -> _StatusAndBody:
+            async with session.post(path, data=body) as response:
+                return response.status, await response.read()
+
+        yield ControlClient(post, upstream, counters)
+    await server.stop()
+
+
+def _find_free_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
 @asynccontextmanager
 async def running_store(
     *, page: int = 500
@@ -112,7 +197,7 @@
     instance : str
         Name of the instance in the path of the request.
     """
-    return read_heartbeat(instance, body, key_space=KEY_SPACE)
+    return read_heartbeat(instance, body, EXPECTED_UPSTREAM)
 
 
 def make_config(version: str = '0000000c', **changes: Any) -> bytes:
--- /dev/null
+++ b/verbenadeck/platform/tests/test_control.py
@@ -0,0 +1,48 @@
+"""Heartbeats over HTTP: what is refused changes nothing and is counted."""
+
+import asyncio
+
+import pytest
+
+from verbenadeck.adapters import Announcement
+from verbenadeck.platform.tests.builders import running_control
+
+
+@pytest.mark.parametrize(
+    ('field', 'odd_value', 'counter'),
+    [
+        ('info_service', 'unnamed', 'heartbeats_refused_other_service'),
+        ('info_zone', 'nadi', 'heartbeats_refused_other_zone'),
+        ('address', '10.1.0.42:1', 'heartbeats_refused_other_address'),
+        ('status_state', 'dancing', 'heartbeats_refused_malformed'),
+    ],
+)
+def test_heartbeat_of_another_writer_leaves_the_instance_in_use(
+    field: str, odd_value: str, counter: str
+) -> None:
+    # Guards against giving up the keys of an instance that holds them.
+    async def scenario() -> None:
+        async with running_control() as control:
+            announced: list[Announcement] = []
+            control.upstream.on_announce(announced.append)
+            assert await control.send_heartbeat(status_sequence=1) == 200
+            odd = {field: odd_value, 'born': 1_700_000_000_001}
+            assert await control.send_heartbeat('i-odd', **odd) == 400
+            assert await control.send_heartbeat(status_sequence=2) == 200
+            assert [each.instance for each in announced] == [
+                'i-1@1700000000000'
+            ]
+            assert control.counters == {counter: 1}
+
+    asyncio.run(scenario())
+
+
+def test_body_that_is_too_long_is_refused() -> None:
+    async def scenario() -> None:
+        async with running_control() as control:
+            path = '/v1/Instances.Heartbeat/i-1'
+            status, _ = await control.post(path, bytes(300_000))
+            assert status == 413
+            assert not control.upstream.is_known
+
+    asyncio.run(scenario())
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 import msgspec
 import pytest
@@ -14,6 +15,7 @@
 from verbenadeck.model import NodeId, Offset
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record, read_page
+from verbenadeck.platform._heartbeats import HeartbeatFault
 from verbenadeck.platform._operator import (
     make_records_handler,
     read_operator_state,
@@ -67,10 +69,17 @@
 
 @pytest.mark.parametrize(
     'change',
-    [{'born': 10**30}, {'status_sequence': -1}, {'info_slots': 10**20}],
+    [
+        {'born': 10**30},
+        {'status_sequence': -1},
+        {'info_slots': 10**20},
+        {'info_slots': 0},
+        {'status_coldRemaining': '1e300s'},
+        {'status_coldRemaining': '-1s'},
+    ],
 )
 def test_heartbeat_with_a_number_out_of_range_is_refused(
-    change: dict[str, int],
+    change: dict[str, Any],
 ) -> None:
     body = msgspec.json.encode(make_heartbeat_body(**change))
     assert not is_successful(decode_heartbeat(body))
@@ -89,6 +98,50 @@
     assert not is_successful(decode_heartbeat(body))
 
 
+@pytest.mark.parametrize(
+    ('change', 'fault'),
+    [
+        ({'info_service': 'unnamed'}, HeartbeatFault.OTHER_SERVICE),
+        ({'address': '10.1.0.42:8628'}, HeartbeatFault.OTHER_ADDRESS),
+        ({'info_zone': 'nadi'}, HeartbeatFault.OTHER_ZONE),
+        ({'info_zone': None}, HeartbeatFault.OTHER_ZONE),
+    ],
+)
+def test_heartbeat_that_contradicts_the_settings_is_refused(
+    change: dict[str, Any], fault: HeartbeatFault
+) -> None:
+    # Guards against taking another writer's heartbeat for a restart.
+    body = msgspec.json.encode(make_heartbeat_body(**change))
+    assert decode_heartbeat(body).failure().fault is fault
+
+
+@pytest.mark.parametrize('field', ['address', 'born', 'info', 'status'])
+def test_heartbeat_without_a_field_is_refused(field: str) -> None:
+    body = make_heartbeat_body()
+    del body[field]
+    assert not is_successful(decode_heartbeat(msgspec.json.encode(body)))
+
+
+@pytest.mark.parametrize(
+    ('outer_field', 'inner_field'),
+    [
+        ('info', 'service'),
+        ('info', 'version'),
+        ('info', 'zone'),
+        ('info', 'slots'),
+        ('status', 'state'),
+        ('status', 'sequence'),
+        ('status', 'coldRemaining'),
+    ],
+)
+def test_heartbeat_without_an_inner_field_is_refused(
+    outer_field: str, inner_field: str
+) -> None:
+    body = make_heartbeat_body()
+    del body[outer_field][inner_field]
+    assert not is_successful(decode_heartbeat(msgspec.json.encode(body)))
+
+
 def test_heartbeat_from_the_future_does_not_outdate_the_instance() -> None:
     upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
 
