Take a missing list of keys for no statement, not for an empty list

Cause: the decoder read a missing list as an empty one, and a report without keys proves that the instance holds none. Rows that came before the number of shards was known counted as those of the first shard, with the same effect.

Change: a heartbeat has both lists or neither; an instance of a keyed service must have both, one of another service may list no keys. Before the configuration is known, missing lists leave the beliefs about keys as they are.

--- a/verbenadeck/adapters/_upstream.py
+++ b/verbenadeck/adapters/_upstream.py
@@ -182,6 +182,11 @@
     held: tuple[HeldRange, ...]
     released: tuple[KeyHandover, ...]
 
+    @property
+    def is_any_listed(self) -> bool:
+        """Whether it lists any keys."""
+        return bool(self.held or self.released)
+
 
 class HoldReply(msgspec.Struct, frozen=True):
     """Reply to a heartbeat, with all keys that the upstream is to hold.
--- a/verbenadeck/lease/_heartbeat_grants.py
+++ b/verbenadeck/lease/_heartbeat_grants.py
@@ -285,7 +285,9 @@
         self._held_until_s = {
             shard: self._held_until_s.get(shard, latest_s) for shard in held
         }
-        self._unknown_until_s = -math.inf
+        # Rows say nothing of shards while their number is unknown.
+        is_unknown = bool(report.held) and not self._key_layout.shard_count()
+        self._unknown_until_s = latest_s if is_unknown else -math.inf
         for row in report.held:
             self._pending_handovers.pop((row.first_key, row.last_key), None)
         for each in report.released:
--- a/verbenadeck/lease/tests/test_heartbeat_grants.py
+++ b/verbenadeck/lease/tests/test_heartbeat_grants.py
@@ -30,13 +30,14 @@
 
     def __init__(self, *, shards: int = _SHARDS, keys: int = _KEYS) -> None:
         self.clock = virtual_clock()
+        self.shards = shards
         self.lease_end_s = self.clock.now_s() + _LEASE_S
         self.servable: dict[Shard, Fence] = {}
         self.upstream = FakeUpstream(self.clock, _SERVICE, checks_fences=True)
         self.grants = HeartbeatGrants(
             clock=self.clock,
             upstream=self.upstream,
-            service=lambda: (_SERVICE, shards),
+            service=lambda: (_SERVICE, self.shards),
             servable_fences=lambda: dict(self.servable),
             lease_deadline_s=lambda: self.lease_end_s,
             key_space=keys,
@@ -299,3 +300,19 @@
     rows = (row for _ in range(1000))
     assert layout.covered_shards(rows) == set(range(_SHARDS))
     assert len(made) <= _SHARDS
+
+
+def test_report_proves_nothing_while_the_number_of_shards_is_unknown() -> None:
+    async def scenario(node: _FakeNode) -> None:
+        node.grants.holds_for(_report((0, 39, 5)))
+        node.shards = _SHARDS
+        node.add_shards(0, 1)
+        revoking = asyncio.ensure_future(node.grants.revoke())
+        await asyncio.sleep(0.2)
+        assert not revoking.done()
+        revoking.cancel()
+
+    async def main() -> None:
+        await scenario(_FakeNode(shards=0))
+
+    run_virtual(main())
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -127,9 +127,11 @@
     async def _handle_heartbeat(self, request: web.Request) -> web.Response:
         body = await request.read()
         instance = request.match_info['instance']
-        match read_heartbeat(instance, body, self._expected):
-            case Success(heartbeat):
-                reply = self._upstream.handle_heartbeat(heartbeat)
+        result = read_heartbeat(instance, body, self._expected).bind(
+            self._upstream.handle_heartbeat
+        )
+        match result:
+            case Success(reply):
                 return _make_json_response(_OK, write_reply(reply))
             case Failure(HeartbeatError(fault, detail)):
                 _log.warning('heartbeat ignored: {}: {}', fault.value, detail)
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -30,6 +30,7 @@
 )
 
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
+_LIST_FIELDS = frozenset(('holds', 'freed'))
 _MAX_COLD_S = 3600.0
 MAX_REPLY_BYTES = 4096
 """Longest reply to a heartbeat that an instance reads, in bytes."""
@@ -56,8 +57,9 @@
         Whether it is about to stop.
     cold_remaining_s : float
         Seconds until its cold start is over.
-    holds : HoldReport
-        Keys that it holds and keys that it has released.
+    holds : HoldReport or None
+        Keys that it holds and keys that it has released, None when it lists
+        neither.
     """
 
     instance: str
@@ -68,7 +70,7 @@
     slots: int
     is_draining: bool
     cold_remaining_s: float
-    holds: HoldReport
+    holds: HoldReport | None
 
     @property
     def instance_id(self) -> str:
@@ -104,6 +106,8 @@
     OTHER_SERVICE = 'other_service'
     OTHER_ADDRESS = 'other_address'
     OTHER_ZONE = 'other_zone'
+    NO_LISTS = 'no_lists'
+    UNEXPECTED_LISTS = 'unexpected_lists'
 
 
 class HeartbeatError(msgspec.Struct, frozen=True):
@@ -126,6 +130,21 @@
     return f'{instance}@{started_at_ms}'
 
 
+def refuse_heartbeat(
+    fault: HeartbeatFault, detail: str
+) -> Failure[HeartbeatError]:
+    """Return the result of a heartbeat that is refused.
+
+    Parameters
+    ----------
+    fault : HeartbeatFault
+        Reason.
+    detail : str
+        Cause, for logs.
+    """
+    return Failure(HeartbeatError(fault, detail))
+
+
 def read_heartbeat(
     instance: str, body: bytes, expected: ExpectedUpstream
 ) -> Result[InstanceHeartbeat, HeartbeatError]:
@@ -146,13 +165,45 @@
     try:
         return _decode_heartbeat(instance, msgspec.json.decode(body), expected)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _refuse(HeartbeatFault.MALFORMED, f'invalid JSON: {error}')
+        return refuse_heartbeat(
+            HeartbeatFault.MALFORMED, f'invalid JSON: {error}'
+        )
     except DECODE_ERRORS as error:
-        return _refuse(
+        return refuse_heartbeat(
             HeartbeatFault.MALFORMED, f'missing or invalid field: {error!r}'
         )
 
 
+def read_hold_report(
+    heartbeat: InstanceHeartbeat, *, is_keyed: bool | None
+) -> Result[HoldReport | None, HeartbeatError]:
+    """Return the keys in a heartbeat; None while it says nothing of them.
+
+    Instances of a keyed service list the keys that they hold, all others hold
+    none. Before the configuration is known, one that lists none may hold any.
+
+    Parameters
+    ----------
+    heartbeat : InstanceHeartbeat
+        Decoded heartbeat.
+    is_keyed : bool or None
+        Whether its service has keys, None while that is not known.
+    """
+    report = heartbeat.holds
+    if is_keyed and report is None:
+        return refuse_heartbeat(
+            HeartbeatFault.NO_LISTS, 'it does not list the keys it holds'
+        )
+    if is_keyed is False and report is not None and report.is_any_listed:
+        return refuse_heartbeat(
+            HeartbeatFault.UNEXPECTED_LISTS,
+            'it lists keys of a service without keys',
+        )
+    if is_keyed is False and report is None:
+        report = HoldReport(heartbeat.instance_id, (), ())
+    return Success(report)
+
+
 def write_reply(reply: HoldReply | None) -> bytes:
     """Return the body of the reply to a heartbeat.
 
@@ -196,7 +247,7 @@
         (HeartbeatFault.OTHER_ZONE, info['zone'], expected.zone),
     ):
         if found != known:
-            return _refuse(fault, f'{found!r} in place of {known!r}')
+            return refuse_heartbeat(fault, f'{found!r} in place of {known!r}')
     read_text(info['version'])
     started_at_ms = read_int(body_fields['born'])
     return Success(
@@ -220,9 +271,11 @@
 
 def _decode_holds(
     instance_id: str, body_fields: dict[str, Any], *, key_space: int
-) -> HoldReport:
-    held = body_fields.get('holds') or ()
-    released = body_fields.get('freed') or ()
+) -> HoldReport | None:
+    if not _LIST_FIELDS & body_fields.keys():
+        return None
+    held = _read_list(body_fields['holds'])
+    released = _read_list(body_fields['freed'])
     return HoldReport(
         instance_id,
         tuple(
@@ -240,12 +293,14 @@
     )
 
 
+def _read_list(rows: object) -> list[Any]:
+    if not isinstance(rows, list):
+        raise TypeError('expected a list')
+    return rows
+
+
 def _read_cold_s(text: object) -> float:
     cold_s = read_time_s(text)
     if not 0 <= cold_s <= _MAX_COLD_S:
         raise ValueError('cold start out of range')
     return cold_s
-
-
-def _refuse(fault: HeartbeatFault, detail: str) -> Failure[HeartbeatError]:
-    return Failure(HeartbeatError(fault, detail))
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -30,7 +30,11 @@
     make_failure,
     make_request_headers,
 )
-from verbenadeck.platform._heartbeats import InstanceHeartbeat
+from verbenadeck.platform._heartbeats import (
+    HeartbeatError,
+    InstanceHeartbeat,
+    read_hold_report,
+)
 from verbenadeck.routes import RouteStore
 from verbenadeck.utils import Clock
 
@@ -112,7 +116,7 @@
 
     def handle_heartbeat(
         self, heartbeat: InstanceHeartbeat
-    ) -> HoldReply | None:
+    ) -> Result[HoldReply | None, HeartbeatError]:
         """Apply a heartbeat and return the keys that the instance is to hold.
 
         A heartbeat that arrives after a later one, or that the instance sent
@@ -127,8 +131,9 @@
 
         Returns
         -------
-        HoldReply or None
-            None when nothing is renewed.
+        Result of HoldReply or None
+            None when nothing is renewed; a failure when the heartbeat
+            contradicts the configuration of the service.
         """
         last_heartbeat = self._last_heartbeat
         if _is_from_future(heartbeat, self._clock.wall_s()):
@@ -137,7 +142,7 @@
                 heartbeat.instance_id,
                 heartbeat.started_at_ms,
             )
-            return None
+            return Success(None)
         if last_heartbeat is not None and _is_outdated(
             heartbeat, last_heartbeat
         ):
@@ -146,21 +151,11 @@
                 heartbeat.sequence,
                 heartbeat.instance_id,
             )
-            return None
-        self.last_heartbeat_at_s = self._clock.now_s()
-        self._cold_until_s = (
-            self.last_heartbeat_at_s + heartbeat.cold_remaining_s
+            return Success(None)
+        is_keyed = _is_keyed(self._route_store, heartbeat.service)
+        return read_hold_report(heartbeat, is_keyed=is_keyed).map(
+            lambda report: self._apply_heartbeat(heartbeat, report)
         )
-        self._last_heartbeat = heartbeat
-        if (
-            self._session is None
-            or last_heartbeat is None
-            or heartbeat.instance_id != last_heartbeat.instance_id
-        ):
-            self._start_session(heartbeat)
-        if heartbeat.is_draining and not self._is_departing:
-            self._notify_departure(UpstreamDeparture.DRAINING)
-        return self.hold_handler(heartbeat.holds)
 
     def handle_deregister(self, instance: str) -> None:
         """Handle the message of the instance that it leaves now.
@@ -265,6 +260,25 @@
         if self._session is not None:
             await self._session.close()
 
+    def _apply_heartbeat(
+        self, heartbeat: InstanceHeartbeat, report: HoldReport | None
+    ) -> HoldReply | None:
+        last_heartbeat = self._last_heartbeat
+        self.last_heartbeat_at_s = self._clock.now_s()
+        self._cold_until_s = (
+            self.last_heartbeat_at_s + heartbeat.cold_remaining_s
+        )
+        self._last_heartbeat = heartbeat
+        if (
+            self._session is None
+            or last_heartbeat is None
+            or heartbeat.instance_id != last_heartbeat.instance_id
+        ):
+            self._start_session(heartbeat)
+        if heartbeat.is_draining and not self._is_departing:
+            self._notify_departure(UpstreamDeparture.DRAINING)
+        return None if report is None else self.hold_handler(report)
+
     def _start_session(self, heartbeat: InstanceHeartbeat) -> None:
         earlier_session = self._session
         if earlier_session is not None:
@@ -308,6 +322,13 @@
     return heartbeat.started_at_ms < last_heartbeat.started_at_ms
 
 
+def _is_keyed(route_store: RouteStore, service: ServiceName) -> bool | None:
+    """Return whether a service has keys, None while that is not known."""
+    state = route_store.state
+    service_config = None if state is None else state.services.get(service)
+    return None if service_config is None else service_config.is_keyed
+
+
 def _make_cold_start_state(
     route_store: RouteStore, service: ServiceName, cold_until_s: float
 ) -> ColdStartState:
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -18,6 +18,7 @@
     InstanceHeartbeat,
     read_heartbeat,
 )
+from verbenadeck.platform._operator import read_operator_state
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
 from verbenadeck.platform._upstream import PlatformUpstream
@@ -242,6 +243,13 @@
     return msgspec.json.encode(body)
 
 
+def make_route_store() -> RouteStore:
+    """Return a route store with the configuration of `make_config`."""
+    route_store = RouteStore()
+    route_store.update(read_operator_state(make_config(), frozenset()).unwrap())
+    return route_store
+
+
 def _make_route_row(
     name: str,
     prefix: str,
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -5,26 +5,32 @@
 import msgspec
 import pytest
 from returns.pipeline import is_successful
+from returns.result import Success
 
 from verbenadeck.adapters import (
     Announcement,
     HeldRange,
     HoldReply,
+    HoldReport,
     KeyHandover,
     UpstreamDeparture,
 )
 from verbenadeck.lease._heartbeat_grants import MAX_ROWS
-from verbenadeck.model import Fence
+from verbenadeck.model import Fence, ServiceName
 from verbenadeck.platform._heartbeats import (
     MAX_REPLY_BYTES,
+    HeartbeatFault,
     InstanceHeartbeat,
+    read_heartbeat,
     write_reply,
 )
 from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
     CLOCK,
+    EXPECTED_UPSTREAM,
     decode_heartbeat,
     make_heartbeat_body,
+    make_route_store,
 )
 from verbenadeck.routes import RouteStore
 
@@ -53,6 +59,7 @@
     )
     assert (heartbeat.address, heartbeat.slots) == (('10.1.0.41', 8628), 18)
     assert heartbeat.cold_remaining_s == pytest.approx(2.5)
+    assert heartbeat.holds is not None
     assert heartbeat.holds.held == (HeldRange(0, 4095, Fence(7)),)
     assert heartbeat.holds.released == (KeyHandover(4096, 8191, 'text'),)
 
@@ -71,6 +78,9 @@
         {'status_sequence': 1.5},
         {'holds': [[1, 2]]},
         {'holds': [['a', 2, 3]]},
+        {'holds': None},
+        {'holds': 'none'},
+        {'freed': {}},
     ],
 )
 def test_heartbeat_with_invalid_field_is_refused(
@@ -87,12 +97,11 @@
 
 def test_delayed_or_repeated_heartbeat_is_ignored() -> None:
     upstream, _ = _make_upstream()
-    assert (
-        upstream.handle_heartbeat(_make_heartbeat(status_sequence=5))
-        is not None
-    )
-    assert upstream.handle_heartbeat(_make_heartbeat(status_sequence=5)) is None
-    assert upstream.handle_heartbeat(_make_heartbeat(status_sequence=4)) is None
+    replies = [
+        upstream.handle_heartbeat(_make_heartbeat(status_sequence=sequence))
+        for sequence in (5, 5, 4)
+    ]
+    assert replies == [Success(HoldReply((), 1)), Success(None), Success(None)]
 
 
 def test_restart_under_same_name_is_announced_as_new_instance() -> None:
@@ -103,12 +112,8 @@
         event.instance for event in events if isinstance(event, Announcement)
     ]
     assert instances == ['i-1@1000', 'i-1@2000']
-    assert (
-        upstream.handle_heartbeat(
-            _make_heartbeat(born=1000, status_sequence=10)
-        )
-        is None
-    )
+    late = _make_heartbeat(born=1000, status_sequence=10)
+    assert upstream.handle_heartbeat(late) == Success(None)
 
 
 def test_draining_instance_is_reported_once() -> None:
@@ -141,3 +146,53 @@
     row = HeldRange(last_key, last_key, fence, '0123456789abcdef')
     reply = HoldReply(tuple(row for _ in range(MAX_ROWS)), 9.999)
     assert len(write_reply(reply)) <= MAX_REPLY_BYTES
+
+
+@pytest.mark.parametrize('missing', ['holds', 'freed'])
+def test_heartbeat_with_one_of_its_two_lists_is_refused(missing: str) -> None:
+    body = make_heartbeat_body()
+    del body[missing]
+    assert not is_successful(decode_heartbeat(msgspec.json.encode(body)))
+
+
+def _make_heartbeat_without_lists(service: str) -> InstanceHeartbeat:
+    body = make_heartbeat_body(info_service=service)
+    del body['holds'], body['freed']
+    expected = msgspec.structs.replace(
+        EXPECTED_UPSTREAM, service=ServiceName(service)
+    )
+    return read_heartbeat('i-1', msgspec.json.encode(body), expected).unwrap()
+
+
+@pytest.mark.parametrize(
+    ('service', 'is_configured', 'reports'),
+    [
+        ('desk', True, []),
+        ('desk', False, []),
+        ('till', True, [HoldReport('i-1@1700000000000', (), ())]),
+    ],
+)
+def test_missing_lists_say_nothing_of_the_keys_of_a_keyed_service(
+    service: str, is_configured: bool, reports: list[HoldReport]
+) -> None:
+    # Guards against giving keys away while their instance holds them.
+    route_store = make_route_store() if is_configured else RouteStore()
+    upstream = PlatformUpstream(clock=CLOCK, route_store=route_store)
+    received: list[HoldReport] = []
+    upstream.hold_handler = received.append
+    result = upstream.handle_heartbeat(_make_heartbeat_without_lists(service))
+    assert received == reports
+    is_refused = is_configured and service == 'desk'
+    assert is_successful(result) is not is_refused
+    assert upstream.is_known is not is_refused
+
+
+def test_keys_of_a_service_without_keys_are_refused() -> None:
+    body = make_heartbeat_body(info_service='till', holds=[[0, 9, 7]])
+    expected = msgspec.structs.replace(
+        EXPECTED_UPSTREAM, service=ServiceName('till')
+    )
+    heartbeat = read_heartbeat('i-1', msgspec.json.encode(body), expected)
+    upstream = PlatformUpstream(clock=CLOCK, route_store=make_route_store())
+    result = heartbeat.bind(upstream.handle_heartbeat)
+    assert result.failure().fault is HeartbeatFault.UNEXPECTED_LISTS
