Bound the count in a heartbeat and acknowledge only what is acted on

Cause: any count up to 2**53 outdated all later heartbeats of the instance, and a heartbeat that was ignored as outdated was answered with 200, so a departure was acknowledged and not acted on.

Change: ReportOrder refuses a count that can't have been reached, and lets heartbeats that keep coming alone and in order replace what was accepted before. What is refused gets 409 and is counted by reason.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -41,6 +41,11 @@
     LogAdapterFactory,
     UpstreamAdapterFactory,
 )
+from verbenadeck.adapters._report_order import (
+    OrderFault,
+    ReportOrder,
+    ReportPosition,
+)
 from verbenadeck.adapters._upstream import (
     MAX_SLOTS,
     WARMED_UP,
@@ -80,6 +85,7 @@
     'AnnounceError',
     'AnnouncedUpstream',
     'CallerAnswer',
+    'OrderFault',
     'OutgoingCall',
     'OwnerHint',
     'read_owner_hint',
@@ -115,6 +121,8 @@
     'LogPage',
     'NewestRecords',
     'UpstreamRequest',
+    'ReportOrder',
+    'ReportPosition',
     'UpstreamAdapter',
     'UpstreamError',
     'UpstreamFailure',
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -73,7 +73,9 @@
         self._route_store = RouteStore()
         self._store = StoreClient(settings.store, clock=self._clock)
         self._upstream = PlatformUpstream(
-            clock=self._clock, route_store=self._route_store
+            clock=self._clock,
+            route_store=self._route_store,
+            heartbeat_interval_s=settings.heartbeat_interval_s,
         )
         self._grants: HeartbeatGrants | None = None
         self._is_started = False
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from returns.result import Failure, Success
 
+from verbenadeck.adapters import OrderFault
 from verbenadeck.metrics import CONTENT_TYPE
 from verbenadeck.platform._heartbeats import (
     ExpectedUpstream,
@@ -35,6 +36,7 @@
 
 _OK = 200
 _BAD_REQUEST = 400
+_CONFLICT = 409
 _UNAVAILABLE = 503
 _STOP_TIMEOUT_S = 0.2
 _KEEPALIVE_TIMEOUT_S = 30.0
@@ -136,7 +138,9 @@
             case Failure(HeartbeatError(fault, detail)):
                 _log.warning('heartbeat ignored: {}: {}', fault.value, detail)
                 self._count(f'heartbeats_refused_{fault.value}')
-        return _make_json_response(_BAD_REQUEST, b'{}')
+                is_conflict = isinstance(fault, OrderFault)
+        status = _CONFLICT if is_conflict else _BAD_REQUEST
+        return _make_json_response(status, b'{}')
 
     async def _handle_deregister(self, request: web.Request) -> web.Response:
         self._upstream.handle_deregister(request.match_info['instance'])
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -13,6 +13,7 @@
     HoldReply,
     HoldReport,
     KeyHandover,
+    OrderFault,
 )
 from verbenadeck.model import Fence, ServiceName, Zone
 from verbenadeck.platform._fields import (
@@ -113,7 +114,7 @@
 class HeartbeatError(msgspec.Struct, frozen=True):
     """Heartbeat that was refused, with the cause for logs."""
 
-    fault: HeartbeatFault
+    fault: HeartbeatFault | OrderFault
     detail: str
 
 
@@ -131,13 +132,13 @@
 
 
 def refuse_heartbeat(
-    fault: HeartbeatFault, detail: str
+    fault: HeartbeatFault | OrderFault, detail: str
 ) -> Failure[HeartbeatError]:
     """Return the result of a heartbeat that is refused.
 
     Parameters
     ----------
-    fault : HeartbeatFault
+    fault : HeartbeatFault or OrderFault
         Reason.
     detail : str
         Cause, for logs.
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import (
@@ -17,6 +18,8 @@
     HoldReply,
     HoldReport,
     LoadReport,
+    ReportOrder,
+    ReportPosition,
     UpstreamDeparture,
     UpstreamError,
     UpstreamFailure,
@@ -34,15 +37,15 @@
     HeartbeatError,
     InstanceHeartbeat,
     read_hold_report,
+    refuse_heartbeat,
 )
 from verbenadeck.routes import RouteStore
 from verbenadeck.utils import Clock
 
 _SPARE_CONNECTIONS = 4
-_MS_PER_S = 1000
-_MAX_CLOCK_ERROR_S = 60.0
-"""Largest difference in seconds between the time of day on this VM, which may
-jump by seconds, and that of the instance."""
+_REPLACE_AFTER_INTERVALS = 2
+"""Heartbeat intervals after which heartbeats that come alone replace what was
+accepted before; fewer than those after which the instance counts as lost."""
 
 _NO_SESSION_ERROR = UpstreamError(
     UpstreamFailure.NOT_SENT, 'no instance has sent a heartbeat'
@@ -59,6 +62,8 @@
         Clock of this VM.
     route_store : RouteStore
         Configuration of the services, with their rate during a cold start.
+    heartbeat_interval_s : float
+        Interval of the instance's heartbeats, in seconds.
 
     Attributes
     ----------
@@ -70,7 +75,13 @@
         seconds.
     """
 
-    def __init__(self, *, clock: Clock, route_store: RouteStore) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        route_store: RouteStore,
+        heartbeat_interval_s: float,
+    ) -> None:
         self.hold_handler: Callable[[HoldReport], HoldReply | None] = (
             _renew_nothing
         )
@@ -79,6 +90,10 @@
         self._route_store = route_store
         self._session: UpstreamSession | None = None
         self._last_heartbeat: InstanceHeartbeat | None = None
+        self._order = ReportOrder(
+            clock=clock,
+            replace_after_s=_REPLACE_AFTER_INTERVALS * heartbeat_interval_s,
+        )
         self._cold_until_s = -math.inf
         self._is_departing = False
         self._announce_listeners: list[Callable[[Announcement], None]] = []
@@ -119,10 +134,7 @@
     ) -> Result[HoldReply | None, HeartbeatError]:
         """Apply a heartbeat and return the keys that the instance is to hold.
 
-        A heartbeat that arrives after a later one, or that the instance sent
-        before its last restart, is ignored and renews nothing. So is one of
-        another writer with a start in the future, after which all those of
-        the instance itself would count as outdated.
+        What is refused changes nothing.
 
         Parameters
         ----------
@@ -133,29 +145,25 @@
         -------
         Result of HoldReply or None
             None when nothing is renewed; a failure when the heartbeat
-            contradicts the configuration of the service.
+            contradicts the configuration of the service, or the heartbeats
+            that were accepted before.
         """
-        last_heartbeat = self._last_heartbeat
-        if _is_from_future(heartbeat, self._clock.wall_s()):
-            _log.warning(
-                'heartbeat of {} ignored: it says that it started at {} ms',
-                heartbeat.instance_id,
-                heartbeat.started_at_ms,
-            )
-            return Success(None)
-        if last_heartbeat is not None and _is_outdated(
-            heartbeat, last_heartbeat
-        ):
-            _log.info(
-                'heartbeat {} of {} ignored: it is not newer than the last one',
-                heartbeat.sequence,
-                heartbeat.instance_id,
-            )
-            return Success(None)
         is_keyed = _is_keyed(self._route_store, heartbeat.service)
-        return read_hold_report(heartbeat, is_keyed=is_keyed).map(
-            lambda report: self._apply_heartbeat(heartbeat, report)
+        report = read_hold_report(heartbeat, is_keyed=is_keyed)
+        if not is_successful(report):
+            return Failure(report.failure())
+        fault = self._order.accept(
+            ReportPosition(
+                instance=heartbeat.instance_id,
+                started_at_ms=heartbeat.started_at_ms,
+                sequence=heartbeat.sequence,
+            )
         )
+        if fault is not None:
+            return refuse_heartbeat(
+                fault, f'{heartbeat.sequence} of {heartbeat.instance_id}'
+            )
+        return Success(self._apply_heartbeat(heartbeat, report.unwrap()))
 
     def handle_deregister(self, instance: str) -> None:
         """Handle the message of the instance that it leaves now.
@@ -309,19 +317,6 @@
             listener(departure)
 
 
-def _is_from_future(heartbeat: InstanceHeartbeat, wall_s: float) -> bool:
-    latest_s = wall_s + _MAX_CLOCK_ERROR_S
-    return heartbeat.started_at_ms > latest_s * _MS_PER_S
-
-
-def _is_outdated(
-    heartbeat: InstanceHeartbeat, last_heartbeat: InstanceHeartbeat
-) -> bool:
-    if heartbeat.instance_id == last_heartbeat.instance_id:
-        return heartbeat.sequence <= last_heartbeat.sequence
-    return heartbeat.started_at_ms < last_heartbeat.started_at_ms
-
-
 def _is_keyed(route_store: RouteStore, service: ServiceName) -> bool | None:
     """Return whether a service has keys, None while that is not known."""
     state = route_store.state
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -27,6 +27,7 @@
 from verbenadeck.utils import Clock
 
 CLOCK = Clock()
+HEARTBEAT_INTERVAL_S = 0.87
 EXPECTED_UPSTREAM = ExpectedUpstream(
     service=ServiceName('desk'),
     address=Address('10.1.0.41', 8628),
@@ -65,6 +66,25 @@
 _Post = Callable[[str, bytes], Awaitable[_StatusAndBody]]
 
 
+def make_upstream(
+    route_store: RouteStore | None = None, *, clock: Clock = CLOCK
+) -> PlatformUpstream:
+    """Return an upstream adapter that has received no heartbeat.
+
+    Parameters
+    ----------
+    route_store : RouteStore or None
+        Its configuration; None for one that knows none.
+    clock : Clock
+        Clock of the VM.
+    """
+    return PlatformUpstream(
+        clock=clock,
+        route_store=route_store or RouteStore(),
+        heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+    )
+
+
 class ControlClient(NamedTuple):
     """Client of a running control server.
 
@@ -100,10 +120,18 @@
 
 
 @asynccontextmanager
-async def running_control() -> AsyncIterator[ControlClient]:
-    """Yield a client of a control server that listens."""
+async def running_control(
+    route_store: RouteStore | None = None,
+) -> AsyncIterator[ControlClient]:
+    """Yield a client of a control server that listens.
+
+    Parameters
+    ----------
+    route_store : RouteStore or None
+        As for `make_upstream`.
+    """
     counters: Counter[str] = Counter()
-    upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
+    upstream = make_upstream(route_store)
     address = Address('127.0.0.1', _find_free_port())
     server = ControlServer(
         addresses=(address,),
--- a/verbenadeck/platform/tests/test_control.py
+++ b/verbenadeck/platform/tests/test_control.py
@@ -46,3 +46,19 @@
             assert not control.upstream.is_known
 
     asyncio.run(scenario())
+
+
+def test_heartbeat_that_is_not_acted_on_is_not_acknowledged() -> None:
+    async def scenario() -> None:
+        async with running_control() as control:
+            statuses = [
+                await control.send_heartbeat(status_sequence=sequence)
+                for sequence in (4, 2**53 - 1, 4, 5)
+            ]
+            assert statuses == [200, 409, 409, 200]
+            assert control.counters == {
+                'heartbeats_refused_skipped_ahead': 1,
+                'heartbeats_refused_outdated': 1,
+            }
+
+    asyncio.run(scenario())
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -13,6 +13,7 @@
     HoldReply,
     HoldReport,
     KeyHandover,
+    OrderFault,
     UpstreamDeparture,
 )
 from verbenadeck.lease._heartbeat_grants import MAX_ROWS
@@ -26,11 +27,11 @@
 )
 from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
-    CLOCK,
     EXPECTED_UPSTREAM,
     decode_heartbeat,
     make_heartbeat_body,
     make_route_store,
+    make_upstream,
 )
 from verbenadeck.routes import RouteStore
 
@@ -43,7 +44,7 @@
 def _make_upstream() -> tuple[
     PlatformUpstream, list[Announcement | UpstreamDeparture]
 ]:
-    upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
+    upstream = make_upstream()
     events: list[Announcement | UpstreamDeparture] = []
     upstream.on_announce(events.append)
     upstream.on_departure(events.append)
@@ -97,11 +98,12 @@
 
 def test_delayed_or_repeated_heartbeat_is_ignored() -> None:
     upstream, _ = _make_upstream()
-    replies = [
-        upstream.handle_heartbeat(_make_heartbeat(status_sequence=sequence))
-        for sequence in (5, 5, 4)
-    ]
-    assert replies == [Success(HoldReply((), 1)), Success(None), Success(None)]
+    first = upstream.handle_heartbeat(_make_heartbeat(status_sequence=5))
+    assert first == Success(HoldReply((), 1))
+    for sequence in (5, 4):
+        late = _make_heartbeat(status_sequence=sequence)
+        fault = upstream.handle_heartbeat(late).failure().fault
+        assert fault is OrderFault.OUTDATED
 
 
 def test_restart_under_same_name_is_announced_as_new_instance() -> None:
@@ -113,7 +115,8 @@
     ]
     assert instances == ['i-1@1000', 'i-1@2000']
     late = _make_heartbeat(born=1000, status_sequence=10)
-    assert upstream.handle_heartbeat(late) == Success(None)
+    fault = upstream.handle_heartbeat(late).failure().fault
+    assert fault is OrderFault.OUTDATED
 
 
 def test_draining_instance_is_reported_once() -> None:
@@ -177,7 +180,7 @@
 ) -> None:
     # Guards against giving keys away while their instance holds them.
     route_store = make_route_store() if is_configured else RouteStore()
-    upstream = PlatformUpstream(clock=CLOCK, route_store=route_store)
+    upstream = make_upstream(route_store)
     received: list[HoldReport] = []
     upstream.hold_handler = received.append
     result = upstream.handle_heartbeat(_make_heartbeat_without_lists(service))
@@ -193,6 +196,6 @@
         EXPECTED_UPSTREAM, service=ServiceName('till')
     )
     heartbeat = read_heartbeat('i-1', msgspec.json.encode(body), expected)
-    upstream = PlatformUpstream(clock=CLOCK, route_store=make_route_store())
+    upstream = make_upstream(make_route_store())
     result = heartbeat.bind(upstream.handle_heartbeat)
     assert result.failure().fault is HeartbeatFault.UNEXPECTED_LISTS
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -21,12 +21,12 @@
     read_operator_state,
 )
 from verbenadeck.platform._units import read_address, read_time_s
-from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
     CLOCK,
     decode_heartbeat,
     make_config,
     make_heartbeat_body,
+    make_upstream,
 )
 from verbenadeck.routes import RouteStore
 from verbenadeck.testing import (
@@ -143,7 +143,7 @@
 
 
 def test_heartbeat_from_the_future_does_not_outdate_the_instance() -> None:
-    upstream = PlatformUpstream(clock=CLOCK, route_store=RouteStore())
+    upstream = make_upstream()
 
     def receive(instance: str, born_ms: int) -> None:
         body = msgspec.json.encode(make_heartbeat_body(born=born_ms))
