Keep the departure of an instance in the log, and acknowledge it then

Cause: only the process that acknowledged a departure knew of it. Its successor took the instance's heartbeats for those of a sound instance and joined with it. The record of a draining member says the same for a planned stop of the node.

Change: a record UpstreamLeave outlives the process; a departure is acknowledged once the log has it, with 503 before. A node joins only with an instance that has not left, after it has read the log, and ends the membership of its earlier process without one. A silence no longer makes a node forget a departure, and a message to leave must come from the present instance.

--- a/verbenadeck/fleet/_reader.py
+++ b/verbenadeck/fleet/_reader.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Iterator, Mapping, Sequence
 from types import MappingProxyType
 
+from verbenadeck.fleet._departed_upstreams import DepartedUpstreams
 from verbenadeck.fleet._members import Members
 from verbenadeck.fleet._ownership import Ownership
 from verbenadeck.fleet._view import Member, MemberState, ShardView
@@ -27,6 +28,7 @@
         self._config = ConfigDocument()
         self._config_version = ConfigVersion(0)
         self._config_author = ''
+        self.departed_upstreams = DepartedUpstreams()
 
     @property
     def applied_offset(self) -> Offset:
--- a/verbenadeck/fleet/_snapshot.py
+++ b/verbenadeck/fleet/_snapshot.py
@@ -16,6 +16,7 @@
 from verbenadeck.model import (
     ConfigVersion,
     Incarnation,
+    NodeId,
     Offset,
     ServiceName,
     WriterId,
@@ -79,6 +80,9 @@
         Shard tables of all services.
     writers : tuple of (WriterId, WriterWindow)
         Sequence numbers that are already used, by writer.
+    departed_upstreams : tuple of (NodeId, str)
+        Upstream instance that departed last, by its node; none in snapshots
+        of earlier releases.
     """
 
     version: int
@@ -91,6 +95,7 @@
     votes: dict[Incarnation, tuple[Incarnation, ...]]
     tables: tuple[TableSnapshot, ...]
     writers: tuple[tuple[WriterId, WriterWindow], ...]
+    departed_upstreams: tuple[tuple[NodeId, str], ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/verbenadeck/fleet/_state.py
+++ b/verbenadeck/fleet/_state.py
@@ -31,6 +31,7 @@
     Record,
     Released,
     Suspect,
+    UpstreamLeave,
     Verdict,
     Witnesses,
     decode_envelope,
@@ -86,6 +87,7 @@
             Released: self._apply_released,
             ConfigPublished: self._apply_config,
             CheckpointChunk: lambda _offset, _record: Verdict.ACCEPTED,
+            UpstreamLeave: self.departed_upstreams.apply,
         }
 
     def subscribe(self, listener: AppliedListener) -> None:
@@ -152,6 +154,7 @@
                 votes=self._members.votes,
                 tables=self._ownership.encode_tables(),
                 writers=tuple(self._writers.items()),
+                departed_upstreams=self.departed_upstreams.encode(),
             ),
         )
 
@@ -184,6 +187,7 @@
         self._members.load(snapshot.live, snapshot.ended, snapshot.votes)
         self._ownership.load(snapshot.tables)
         self._writers.load(snapshot.writers)
+        self.departed_upstreams.load(snapshot.departed_upstreams)
         replaced = CheckpointChunk(self._applied_offset, 0, 0, b'')
         self._notify_listeners(self._applied_offset, replaced, Verdict.ACCEPTED)
         return Success(self._applied_offset)
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from verbenadeck.fleet._departed_upstreams import DepartedUpstreams
 from verbenadeck.model import (
     ConfigDocument,
     ConfigVersion,
@@ -250,7 +251,15 @@
 
 
 class FleetTables(FleetView, Protocol):
-    """Fleet view with access to whole shard tables, for the planner."""
+    """Fleet view with access to whole shard tables, for the planner.
+
+    Attributes
+    ----------
+    departed_upstreams : DepartedUpstreams
+        Upstream instances that have departed from their nodes.
+    """
+
+    departed_upstreams: DepartedUpstreams
 
     def owners(self, service: ServiceName) -> Sequence[int]:
         """Return the assigned owners, indexed by shard.
--- a/verbenadeck/fleet/tests/oracle.py
+++ b/verbenadeck/fleet/tests/oracle.py
@@ -13,6 +13,7 @@
     Record,
     Released,
     Suspect,
+    UpstreamLeave,
     Witnesses,
 )
 
@@ -42,6 +43,7 @@
         self.members: dict[int, ReferenceMember] = {}
         self.ended: dict[int, int] = {}
         self.version = 0
+        self.departed: dict[str, str] = {}
         self._handlers: dict[type, Callable[[int, Any], bool]] = {
             NodeJoin: self._join,
             NodeLeave: self._leave,
@@ -50,6 +52,7 @@
             Assign: self._assign,
             Released: self._release,
             ConfigPublished: self._publish,
+            UpstreamLeave: self._depart,
         }
 
     def apply(self, offset: int, record: Record) -> bool:
@@ -148,6 +151,11 @@
         self.version += is_next
         return is_next
 
+    def _depart(self, _offset: int, record: UpstreamLeave) -> bool:
+        earlier = self.departed.get(record.node_id)
+        self.departed[record.node_id] = record.upstream_instance
+        return earlier != record.upstream_instance
+
     def _are_valid_witnesses(
         self, own: int, witnesses: tuple[int, ...]
     ) -> bool:
--- a/verbenadeck/fleet/tests/test_fuzz_apply.py
+++ b/verbenadeck/fleet/tests/test_fuzz_apply.py
@@ -28,6 +28,7 @@
     Epoch,
     Fence,
     Incarnation,
+    NodeId,
     Offset,
     Shard,
     WriterId,
@@ -43,6 +44,7 @@
     ReleasedRange,
     ShardMove,
     Suspect,
+    UpstreamLeave,
     Verdict,
     Vote,
     Witnesses,
@@ -155,6 +157,10 @@
         as_of = Offset(max(-1, self.last_offset + 1 - age))
         self.add(Released(owner, ranges, as_of))
 
+    @rule(node=st.sampled_from('ab'), instance=st.sampled_from('xyz'))
+    def upstream_leave(self, node: str, instance: str) -> None:
+        self.add(UpstreamLeave(NodeId(node), instance))
+
     @rule(back=st.integers(0, 30))
     def repeat(self, back: int) -> None:
         index = max(0, len(self.payloads) - 1 - back)
@@ -184,6 +190,11 @@
             assert set(view.earlier_owners) == set(reference.earlier_fences)
             assert view.owner not in view.earlier_owners
 
+    @invariant()
+    def departures_match_reference_model(self) -> None:
+        departed = self.state.departed_upstreams
+        assert dict(departed.encode()) == self.reference.departed
+
     @invariant()
     def fences_and_versions_never_decrease(self) -> None:
         fences = [shard.fence for shard in self.reference.shards]
--- a/verbenadeck/fleet/tests/test_snapshot.py
+++ b/verbenadeck/fleet/tests/test_snapshot.py
@@ -1,15 +1,17 @@
 """Snapshots of the fleet state, restored and damaged."""
 
+import msgspec
 import pytest
 
 from verbenadeck.fleet import FleetState, compress_snapshot
 from verbenadeck.fleet.tests.builders import HOLDS, Recorder, make_fleet
-from verbenadeck.model import Offset, Shard
+from verbenadeck.model import NodeId, Offset, Shard
 from verbenadeck.records import (
     CheckpointChunk,
     LeavePhase,
     NodeLeave,
     Record,
+    UpstreamLeave,
     Verdict,
 )
 
@@ -23,6 +25,7 @@
     recorder.vote(member, nodes[0])
     recorder.add(NodeLeave(nodes[1], LeavePhase.GONE))
     recorder.add(NodeLeave(nodes[2], LeavePhase.DRAINING))
+    recorder.add(UpstreamLeave(NodeId('node'), 'instance'))
     recorder.apply_payload(b'noise')
     return recorder
 
@@ -90,3 +93,29 @@
     offset = state.restore(compressed).unwrap()
     replaced = CheckpointChunk(offset, 0, 0, b'')
     assert heard == [(offset, replaced, Verdict.ACCEPTED)]
+
+
+def test_snapshot_of_a_release_without_departures_is_restored() -> None:
+    recorder = _make_varied_fleet()
+    fields = msgspec.msgpack.decode(recorder.state.snapshot())
+    raw = msgspec.msgpack.encode(fields[:-1])
+    restored = FleetState()
+    restored.restore(b''.join(compress_snapshot(raw))).unwrap()
+    assert restored.members == recorder.state.members
+    assert restored.departed_upstreams.get(NodeId('node')) is None
+
+
+def test_departures_of_many_nodes_are_bounded() -> None:
+    recorder = _make_varied_fleet()
+    for number in range(600):
+        recorder.add(UpstreamLeave(NodeId(f'node-{number}'), 'instance'))
+    departed = recorder.state.departed_upstreams
+    assert len(departed.encode()) == 512
+    assert departed.get(NodeId('node-599')) == 'instance'
+
+
+@pytest.mark.parametrize('names', [('', 'instance'), ('node', '')])
+def test_departure_without_a_name_is_invalid(names: tuple[str, str]) -> None:
+    recorder = _make_varied_fleet()
+    record = UpstreamLeave(NodeId(names[0]), names[1])
+    assert recorder.add(record) is Verdict.INVALID
--- a/verbenadeck/journal/_interface.py
+++ b/verbenadeck/journal/_interface.py
@@ -62,6 +62,10 @@
         """Append a record and wait for its verdict."""
         ...
 
+    async def wait_ready(self, *, deadline_s: float) -> bool:
+        """Wait until the state has caught up; return False at the deadline."""
+        ...
+
     async def wait_applied(self, offset: Offset, *, deadline_s: float) -> bool:
         """Wait until a record is applied; return False at the deadline."""
         ...
--- a/verbenadeck/membership/_earlier_incarnations.py
+++ b/verbenadeck/membership/_earlier_incarnations.py
@@ -4,17 +4,18 @@
 
 from loguru import logger
 
-from verbenadeck.fleet import FleetView, Member
+from verbenadeck.fleet import FleetView
 from verbenadeck.membership._proposer import Propose
 from verbenadeck.model import Incarnation, Offset
-from verbenadeck.records import LeavePhase, NodeLeave
+from verbenadeck.peers import PeerAddress
+from verbenadeck.records import LeavePhase, NodeJoin, NodeLeave
 
 _log = logger.bind(part='membership')
-RemoveStaleMembers = Callable[[Member | None], Awaitable[None]]
+RemoveStaleMembers = Callable[[Incarnation], Awaitable[None]]
 
 
 def find_earlier_incarnations(
-    fleet: FleetView, own: Member
+    fleet: FleetView, described: NodeJoin, own: Incarnation
 ) -> list[Incarnation]:
     """Return earlier incarnations of a node that have certainly ended.
 
@@ -28,14 +29,17 @@
     ----------
     fleet : FleetView
         Members according to the log.
-    own : Member
-        Present member of this node.
+    described : NodeJoin
+        Present description of this node.
+    own : Incarnation
+        Present incarnation of this node, `NO_MEMBER` without one.
     """
+    address = PeerAddress(described.host, described.peer_port)
     return [
         each.incarnation
         for each in fleet.members.values()
-        if each.incarnation != own.incarnation
-        and (each.node_id, each.address) == (own.node_id, own.address)
+        if each.incarnation != own
+        and (each.node_id, each.address) == (described.node_id, address)
     ]
 
 
@@ -43,6 +47,7 @@
     fleet: FleetView,
     *,
     propose: Propose,
+    describe_node: Callable[[], NodeJoin],
     are_earlier_grants_over: Callable[[], bool],
 ) -> RemoveStaleMembers:
     """Return a function that removes earlier incarnations of a member.
@@ -53,28 +58,26 @@
         Members according to the log.
     propose : Propose
         Appends a record to the log.
+    describe_node : callable
+        Returns the present description of the node.
     are_earlier_grants_over : callable
         Returns whether all grants of earlier incarnations have ended.
 
     Returns
     -------
     RemoveStaleMembers
-        Coroutine function that gets the present member, or None. It checks
-        again only after the log has grown.
+        Coroutine function that gets the present incarnation, or `NO_MEMBER`.
+        It checks again only after the log has grown.
     """
     checked_offset = Offset(-1)
 
-    async def remove_stale_members(own: Member | None) -> None:
+    async def remove_stale_members(own: Incarnation) -> None:
         nonlocal checked_offset  # noqa: WPS420
         applied = fleet.applied_offset
-        if (
-            own is None
-            or applied == checked_offset
-            or not are_earlier_grants_over()
-        ):
+        if applied == checked_offset or not are_earlier_grants_over():
             return
         checked_offset = applied
-        for each in find_earlier_incarnations(fleet, own):
+        for each in find_earlier_incarnations(fleet, describe_node(), own):
             _log.info(
                 'earlier incarnation {} has ended; removing it from the fleet',
                 each,
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -101,6 +101,7 @@
         self._remove_stale_members = make_stale_member_removal(
             journal.fleet,
             propose=self._propose,
+            describe_node=describe_node,
             are_earlier_grants_over=are_earlier_grants_over
             or is_first_lease_over,
         )
@@ -248,15 +249,21 @@
         )
 
     async def _maintain_membership(self) -> None:
+        while not await self._journal.wait_ready(
+            deadline_s=self._clock.now_s() + _JOIN_RETRY_S
+        ):
+            continue
         while True:
             self._wake.clear()
             if self._is_resigning and self.member is not None:
                 await self._propose(
                     NodeLeave(self._incarnation, LeavePhase.GONE)
                 )
-            if self.member is None and self._can_join():
+            may_join = self._can_join()
+            if self.member is None and may_join:
                 await self._join()
-            await self._remove_stale_members(self.member)
+            if self.member is not None or not may_join:
+                await self._remove_stale_members(self.incarnation)
             await self._resign_on_quorum_loss()
             wait_s = _JOIN_RETRY_S * self._random.uniform(0.5, 1)
             await completes_by(
--- a/verbenadeck/node/__init__.py
+++ b/verbenadeck/node/__init__.py
@@ -9,6 +9,7 @@
     register_core,
 )
 from verbenadeck.node._departure import DepartureHandler
+from verbenadeck.node._departure_log import DepartureLog
 from verbenadeck.node._fleet_joiner import FleetJoiner
 from verbenadeck.node._invariants import make_loop_exception_handler
 from verbenadeck.node._planned_stop import PlannedStop
@@ -20,6 +21,7 @@
     'AdapterCloser',
     'CoreOptions',
     'DepartureHandler',
+    'DepartureLog',
     'FleetJoiner',
     'NodeDependencies',
     'NodeLocation',
--- a/verbenadeck/node/_departure.py
+++ b/verbenadeck/node/_departure.py
@@ -12,7 +12,7 @@
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='node')
-_SILENCE_CHECK_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.1
 
 
 class DepartureHandler:
@@ -36,6 +36,9 @@
     move_timeout_s : float
         Maximum time in seconds for moving the shards of a draining upstream;
         its proxy admits requests for them meanwhile.
+    has_left : callable
+        Returns whether the log says that an instance has left; an earlier
+        process of this node may have recorded it.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         mark_lost: Callable[[], None],
         silence_timeout_s: float,
         move_timeout_s: float,
+        has_left: Callable[[str], bool],
     ) -> None:
         self._proxy = proxy
         self._membership = membership
@@ -56,7 +60,9 @@
         self._mark_lost = mark_lost
         self._silence_timeout_s = silence_timeout_s
         self._move_timeout_s = move_timeout_s
+        self._has_left = has_left
         self._instance: str | None = None
+        self._is_departing = False
         self._task: asyncio.Task[None] | None = None
         self._leave_task: asyncio.Task[None] | None = None
         self._departure_actions = MappingProxyType(
@@ -68,8 +74,8 @@
         )
 
     async def start(self) -> None:
-        """Start to check whether heartbeats have stopped."""
-        self._task = asyncio.create_task(self._watch_for_silence())
+        """Start to check whether the upstream has left or fallen silent."""
+        self._task = asyncio.create_task(self._watch())
 
     async def stop(self) -> None:
         """Stop the check and a move of shards that is still running."""
@@ -87,6 +93,7 @@
             What the upstream announced about itself.
         """
         self._cancel_leave_task()
+        self._is_departing = False
         self._proxy.set_draining(is_draining=False)
         if self._instance not in {None, announcement.instance}:
             # The earlier instance has ended, so no grant to it is in force.
@@ -101,6 +108,7 @@
         how : UpstreamDeparture
             How the upstream departs.
         """
+        self._is_departing = True
         self._departure_actions[how]()
 
     def _on_draining(self) -> None:
@@ -132,9 +140,19 @@
         )
         self._proxy.set_draining(is_draining=True)
 
-    async def _watch_for_silence(self) -> None:
+    async def _watch(self) -> None:
         while True:
-            await asyncio.sleep(_SILENCE_CHECK_INTERVAL_S)
+            await asyncio.sleep(_CHECK_INTERVAL_S)
             silence_s = self._clock.now_s() - self._last_heartbeat_at_s()
             if silence_s > self._silence_timeout_s:
                 self._mark_lost()
+            elif self._has_recorded_departure():
+                _log.info('upstream {} left before a restart', self._instance)
+                self.on_departure(UpstreamDeparture.LEFT)
+
+    def _has_recorded_departure(self) -> bool:
+        return (
+            not self._is_departing
+            and self._instance is not None
+            and self._has_left(self._instance)
+        )
--- a/verbenadeck/node/tests/test_departure.py
+++ b/verbenadeck/node/tests/test_departure.py
@@ -20,6 +20,7 @@
         self.last_heartbeat_at_s = self.clock.now_s()
         self.calls: list[str] = []
         self.move_takes_s = 0.5
+        self.left: set[str] = set()
 
     def set_draining(self, *, is_draining: bool) -> None:
         self.calls.append('refuse' if is_draining else 'admit')
@@ -47,6 +48,7 @@
             mark_lost=self.mark_lost,
             silence_timeout_s=_SILENCE_TIMEOUT_S,
             move_timeout_s=_MOVE_TIMEOUT_S,
+            has_left=lambda instance: instance in self.left,
         )
 
 
@@ -122,3 +124,23 @@
         ]
 
     run_virtual(scenario())
+
+
+def test_upstream_that_left_before_a_restart_of_the_node_is_refused() -> None:
+    async def scenario() -> None:
+        recorder = _CallRecorder()
+        recorder.last_heartbeat_at_s = float('inf')
+        departure = recorder.departure()
+        await departure.start()
+        departure.on_announce(_announcement('a@1'))
+        await asyncio.sleep(0.3)
+        assert recorder.calls == ['admit']
+        # The log is read a little later than the upstream announces itself.
+        recorder.left.add('a@1')
+        await asyncio.sleep(0.3)
+        assert recorder.calls == ['admit', 'refuse', 'leave']
+        departure.on_announce(_announcement('a@2'))
+        assert recorder.calls[3] == 'admit'
+        await departure.stop()
+
+    run_virtual(scenario())
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -15,6 +15,7 @@
     AdapterCloser,
     CoreOptions,
     DepartureHandler,
+    DepartureLog,
     FleetJoiner,
     NodeDependencies,
     NodeLocation,
@@ -157,6 +158,12 @@
             fleet_joiner=self._fleet_joiner,
             options=self._make_core_options(),
         )
+        self._departures = DepartureLog(
+            journal=self._journal,
+            node_id=self._settings.node_id,
+            clock=self._clock,
+        )
+        self._upstream.record_departure = self._departures.record
         self._register_operator_services(dependencies)
         entry = self._make_entry_server(dependencies)
         kernel.register('entry', entry, depends_on=('router', 'control'))
@@ -210,6 +217,7 @@
             ),
             move_timeout_s=self._settings.drain_timeout_s
             * _options.DRAIN_MOVE_SHARE,
+            has_left=self._departures.has_left,
         )
         self._route_store.subscribe(self._on_operator_state)
         self._upstream.on_announce(departure.on_announce)
@@ -258,11 +266,19 @@
             journal=_options.JOURNAL_OPTIONS,
             checkpoints=_options.CHECKPOINT_OPTIONS,
             make_grants=make_grants,
-            can_join=lambda: self._upstream.is_known,
+            can_join=self._can_join,
             are_earlier_grants_over=self._are_earlier_grants_over,
             limits=_options.LIMIT_OPTIONS,
         )
 
+    def _can_join(self) -> bool:
+        announcement = self._fleet_joiner.announcement
+        return (
+            self._upstream.is_usable
+            and announcement is not None
+            and not self._departures.has_left(announcement.instance)
+        )
+
     def _are_earlier_grants_over(self) -> bool:
         return self._grants is not None and self._grants.are_earlier_grants_over
 
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -1,20 +1,22 @@
 """HTTP server for readiness checks, heartbeats of the instance and metrics."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from aiohttp import web
 from loguru import logger
-from returns.result import Failure, Success
+from returns.pipeline import is_successful
 
 from verbenadeck.adapters import OrderFault
 from verbenadeck.metrics import CONTENT_TYPE
 from verbenadeck.platform._heartbeats import (
     ExpectedUpstream,
-    HeartbeatError,
+    read_deregistration,
     read_heartbeat,
     write_reply,
 )
+from verbenadeck.platform._refusals import HeartbeatError, HeartbeatFault
 from verbenadeck.platform._units import Address
 from verbenadeck.platform._upstream import PlatformUpstream
 
@@ -36,8 +38,18 @@
 
 _OK = 200
 _BAD_REQUEST = 400
+_NOT_FOUND = 404
 _CONFLICT = 409
 _UNAVAILABLE = 503
+_STATUS_BY_FAULT: Mapping[HeartbeatFault | OrderFault, int] = MappingProxyType(
+    {
+        HeartbeatFault.OTHER_INSTANCE: _NOT_FOUND,
+        HeartbeatFault.NOT_RECORDED: _UNAVAILABLE,
+        OrderFault.FUTURE_START: _CONFLICT,
+        OrderFault.OUTDATED: _CONFLICT,
+        OrderFault.SKIPPED_AHEAD: _CONFLICT,
+    }
+)
 _STOP_TIMEOUT_S = 0.2
 _KEEPALIVE_TIMEOUT_S = 30.0
 _log = logger.bind(part='control')
@@ -132,19 +144,27 @@
         result = read_heartbeat(instance, body, self._expected).bind(
             self._upstream.handle_heartbeat
         )
-        match result:
-            case Success(reply):
-                return _make_json_response(_OK, write_reply(reply))
-            case Failure(HeartbeatError(fault, detail)):
-                _log.warning('heartbeat ignored: {}: {}', fault.value, detail)
-                self._count(f'heartbeats_refused_{fault.value}')
-                is_conflict = isinstance(fault, OrderFault)
-        status = _CONFLICT if is_conflict else _BAD_REQUEST
-        return _make_json_response(status, b'{}')
+        if is_successful(result):
+            return _make_json_response(_OK, write_reply(result.unwrap()))
+        return self._refuse('heartbeat', result.failure())
 
     async def _handle_deregister(self, request: web.Request) -> web.Response:
-        self._upstream.handle_deregister(request.match_info['instance'])
-        return _make_json_response(_OK, b'{}')
+        body = await request.read()
+        message = read_deregistration(request.match_info['instance'], body)
+        if not is_successful(message):
+            return self._refuse('deregistration', message.failure())
+        result = await self._upstream.handle_deregister(message.unwrap())
+        if is_successful(result):
+            return _make_json_response(_OK, b'{}')
+        return self._refuse('deregistration', result.failure())
+
+    def _refuse(self, message: str, error: HeartbeatError) -> web.Response:
+        """Log and count a message that was refused; return the response."""
+        fault = error.fault.value
+        _log.warning('{} ignored: {}: {}', message, fault, error.detail)
+        self._count(f'{message}s_refused_{fault}')
+        status = _STATUS_BY_FAULT.get(error.fault, _BAD_REQUEST)
+        return _make_json_response(status, b'{}')
 
     async def _handle_metrics(self, _request: web.Request) -> web.Response:
         return web.Response(
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -1,11 +1,10 @@
 """Decoding of instances' heartbeats and encoding of the replies."""
 
-import enum
 from types import MappingProxyType
 from typing import Any
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from verbenadeck.adapters import (
     MAX_SLOTS,
@@ -13,7 +12,6 @@
     HoldReply,
     HoldReport,
     KeyHandover,
-    OrderFault,
 )
 from verbenadeck.model import Fence, ServiceName, Zone
 from verbenadeck.platform._fields import (
@@ -22,6 +20,11 @@
     read_range,
     read_text,
 )
+from verbenadeck.platform._refusals import (
+    HeartbeatError,
+    HeartbeatFault,
+    refuse_heartbeat,
+)
 from verbenadeck.platform._units import (
     DECODE_ERRORS,
     Address,
@@ -33,6 +36,7 @@
 _IS_DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 _LIST_FIELDS = frozenset(('holds', 'freed'))
 _MAX_COLD_S = 3600.0
+_BODY_ERRORS = (msgspec.MsgspecError, *DECODE_ERRORS)
 MAX_REPLY_BYTES = 4096
 """Longest reply to a heartbeat that an instance reads, in bytes."""
 
@@ -79,6 +83,33 @@
         return make_instance_id(self.instance, self.started_at_ms)
 
 
+class Deregistration(msgspec.Struct, frozen=True):
+    """Message of an instance that it leaves now.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    started_at_ms : int or None
+        Unix time of its start in milliseconds, None when it does not say.
+    """
+
+    instance: str
+    started_at_ms: int | None
+
+    def is_of(self, heartbeat: InstanceHeartbeat) -> bool:
+        """Return whether the instance that sent a heartbeat sent this.
+
+        Parameters
+        ----------
+        heartbeat : InstanceHeartbeat
+            Heartbeat to compare with.
+        """
+        return self.instance == heartbeat.instance and (
+            self.started_at_ms in {None, heartbeat.started_at_ms}
+        )
+
+
 class ExpectedUpstream(msgspec.Struct, frozen=True):
     """What a node knows of the instance beside it without its heartbeats.
 
@@ -100,24 +131,6 @@
     key_space: int
 
 
-class HeartbeatFault(enum.Enum):
-    """Reason for refusing a heartbeat; also the end of its counter's name."""
-
-    MALFORMED = 'malformed'
-    OTHER_SERVICE = 'other_service'
-    OTHER_ADDRESS = 'other_address'
-    OTHER_ZONE = 'other_zone'
-    NO_LISTS = 'no_lists'
-    UNEXPECTED_LISTS = 'unexpected_lists'
-
-
-class HeartbeatError(msgspec.Struct, frozen=True):
-    """Heartbeat that was refused, with the cause for logs."""
-
-    fault: HeartbeatFault | OrderFault
-    detail: str
-
-
 def make_instance_id(instance: str, started_at_ms: int) -> str:
     """Return the identity of an instance, which changes with every start.
 
@@ -131,21 +144,6 @@
     return f'{instance}@{started_at_ms}'
 
 
-def refuse_heartbeat(
-    fault: HeartbeatFault | OrderFault, detail: str
-) -> Failure[HeartbeatError]:
-    """Return the result of a heartbeat that is refused.
-
-    Parameters
-    ----------
-    fault : HeartbeatFault or OrderFault
-        Reason.
-    detail : str
-        Cause, for logs.
-    """
-    return Failure(HeartbeatError(fault, detail))
-
-
 def read_heartbeat(
     instance: str, body: bytes, expected: ExpectedUpstream
 ) -> Result[InstanceHeartbeat, HeartbeatError]:
@@ -165,14 +163,29 @@
     """
     try:
         return _decode_heartbeat(instance, msgspec.json.decode(body), expected)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return refuse_heartbeat(
-            HeartbeatFault.MALFORMED, f'invalid JSON: {error}'
-        )
-    except DECODE_ERRORS as error:
-        return refuse_heartbeat(
-            HeartbeatFault.MALFORMED, f'missing or invalid field: {error!r}'
+    except _BODY_ERRORS as error:
+        return refuse_heartbeat(HeartbeatFault.MALFORMED, repr(error))
+
+
+def read_deregistration(
+    instance: str, body: bytes
+) -> Result[Deregistration, HeartbeatError]:
+    """Return the message that an instance leaves, or why it is refused.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance from the path of the request.
+    body : bytes
+        Body of the request; empty when it says nothing of its start.
+    """
+    try:
+        started_at_ms = (
+            read_int(msgspec.json.decode(body)['born']) if body else None
         )
+    except _BODY_ERRORS as error:
+        return refuse_heartbeat(HeartbeatFault.MALFORMED, repr(error))
+    return Success(Deregistration(instance, started_at_ms))
 
 
 def read_hold_report(
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 from returns.pipeline import is_successful
@@ -27,6 +27,7 @@
     UpstreamSession,
 )
 from verbenadeck.model import RequestId, ServiceName
+from verbenadeck.platform._departures import DepartureNotices
 from verbenadeck.platform._exchange import (
     SendResult,
     exchange,
@@ -34,9 +35,13 @@
     make_request_headers,
 )
 from verbenadeck.platform._heartbeats import (
-    HeartbeatError,
+    Deregistration,
     InstanceHeartbeat,
     read_hold_report,
+)
+from verbenadeck.platform._refusals import (
+    HeartbeatError,
+    HeartbeatFault,
     refuse_heartbeat,
 )
 from verbenadeck.routes import RouteStore
@@ -70,6 +75,9 @@
     hold_handler : callable
         Returns the keys that the instance is to hold, given those that it
         reports; None to renew nothing.
+    record_departure : callable
+        Records that the instance with an id leaves, so that a later process
+        of this node knows; returns whether it is certain to be recorded.
     last_heartbeat_at_s : float
         Time of the last accepted heartbeat on the clock of this VM, in
         seconds.
@@ -85,6 +93,9 @@
         self.hold_handler: Callable[[HoldReport], HoldReply | None] = (
             _renew_nothing
         )
+        self.record_departure: Callable[[str], Awaitable[bool]] = (
+            _record_nothing
+        )
         self.last_heartbeat_at_s = -math.inf
         self._clock = clock
         self._route_store = route_store
@@ -95,17 +106,14 @@
             replace_after_s=_REPLACE_AFTER_INTERVALS * heartbeat_interval_s,
         )
         self._cold_until_s = -math.inf
-        self._is_departing = False
+        self._departures = DepartureNotices()
         self._announce_listeners: list[Callable[[Announcement], None]] = []
-        self._departure_listeners: list[
-            Callable[[UpstreamDeparture], None]
-        ] = []
         self._running_tasks: dict[RequestId, asyncio.Task[SendResult]] = {}
 
     @property
-    def is_known(self) -> bool:
-        """Whether there is an instance to send requests to."""
-        return self._session is not None
+    def is_usable(self) -> bool:
+        """Whether there is an instance that has not said that it leaves."""
+        return self._session is not None and not self._departures.is_departing
 
     def on_announce(self, listener: Callable[[Announcement], None]) -> None:
         """Register a listener for each start of the instance.
@@ -127,7 +135,7 @@
         listener : callable
             Called with the way in which the instance departs.
         """
-        self._departure_listeners.append(listener)
+        self._departures.subscribe(listener)
 
     def handle_heartbeat(
         self, heartbeat: InstanceHeartbeat
@@ -165,19 +173,33 @@
             )
         return Success(self._apply_heartbeat(heartbeat, report.unwrap()))
 
-    def handle_deregister(self, instance: str) -> None:
-        """Handle the message of the instance that it leaves now.
+    async def handle_deregister(
+        self, deregistration: Deregistration
+    ) -> Result[None, HeartbeatError]:
+        """Handle the message of an instance that it leaves now.
 
         Parameters
         ----------
-        instance : str
-            Name of the instance; that of another one is ignored.
+        deregistration : Deregistration
+            Decoded message.
+
+        Returns
+        -------
+        Result
+            A failure when the instance is not the one beside this node, or
+            when its departure may not outlive this process.
         """
-        if (
-            self._last_heartbeat is not None
-            and self._last_heartbeat.instance == instance
-        ):
-            self._notify_departure(UpstreamDeparture.LEFT)
+        heartbeat = self._last_heartbeat
+        if heartbeat is None or not deregistration.is_of(heartbeat):
+            return refuse_heartbeat(
+                HeartbeatFault.OTHER_INSTANCE, deregistration.instance
+            )
+        self._departures.announce(heartbeat.instance_id, UpstreamDeparture.LEFT)
+        if await self.record_departure(heartbeat.instance_id):
+            return Success(None)
+        return refuse_heartbeat(
+            HeartbeatFault.NOT_RECORDED, heartbeat.instance_id
+        )
 
     def mark_lost(self) -> None:
         """Treat the instance as lost until its next heartbeat."""
@@ -185,7 +207,7 @@
         self._session = None
         if session is not None:
             session.retire()
-            self._notify_departure(UpstreamDeparture.SILENT)
+            self._departures.notify(UpstreamDeparture.SILENT)
 
     async def send(self, upstream_request: UpstreamRequest) -> SendResult:
         """Send a request and return the complete answer.
@@ -283,15 +305,16 @@
             or heartbeat.instance_id != last_heartbeat.instance_id
         ):
             self._start_session(heartbeat)
-        if heartbeat.is_draining and not self._is_departing:
-            self._notify_departure(UpstreamDeparture.DRAINING)
+        if heartbeat.is_draining and not self._departures.is_departing:
+            self._departures.announce(
+                heartbeat.instance_id, UpstreamDeparture.DRAINING
+            )
         return None if report is None else self.hold_handler(report)
 
     def _start_session(self, heartbeat: InstanceHeartbeat) -> None:
         earlier_session = self._session
         if earlier_session is not None:
             earlier_session.retire()
-        self._is_departing = False
         announcement = Announcement(
             service=heartbeat.service,
             instance=heartbeat.instance_id,
@@ -307,14 +330,7 @@
         self._session = UpstreamSession(announcement)
         for listener in self._announce_listeners:
             listener(announcement)
-
-    def _notify_departure(self, departure: UpstreamDeparture) -> None:
-        self._is_departing = True
-        _log.info(
-            'the instance is leaving, its departure begins: {}', departure.value
-        )
-        for listener in self._departure_listeners:
-            listener(departure)
+        self._departures.begin_session(heartbeat.instance_id)
 
 
 def _is_keyed(route_store: RouteStore, service: ServiceName) -> bool | None:
@@ -337,3 +353,8 @@
 
 def _renew_nothing(_report: HoldReport) -> HoldReply | None:
     """Return None, which renews nothing, until a handler is set."""
+
+
+async def _record_nothing(_instance: str) -> bool:
+    """Return that nothing is recorded, until a recorder is set."""
+    return False
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -14,11 +14,11 @@
 from verbenadeck.platform._control import ControlServer
 from verbenadeck.platform._heartbeats import (
     ExpectedUpstream,
-    HeartbeatError,
     InstanceHeartbeat,
     read_heartbeat,
 )
 from verbenadeck.platform._operator import read_operator_state
+from verbenadeck.platform._refusals import HeartbeatError
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
 from verbenadeck.platform._upstream import PlatformUpstream
--- a/verbenadeck/platform/tests/test_control.py
+++ b/verbenadeck/platform/tests/test_control.py
@@ -43,7 +43,7 @@
             path = '/v1/Instances.Heartbeat/i-1'
             status, _ = await control.post(path, bytes(300_000))
             assert status == 413
-            assert not control.upstream.is_known
+            assert not control.upstream.is_usable
 
     asyncio.run(scenario())
 
@@ -62,3 +62,51 @@
             }
 
     asyncio.run(scenario())
+
+
+_DEREGISTER_PATH = '/v1/Instances.Deregister/i-1'
+
+
+@pytest.mark.parametrize(('is_recorded', 'status'), [(True, 200), (False, 503)])
+def test_departure_is_acknowledged_once_a_restart_would_not_forget_it(
+    is_recorded: bool, status: int
+) -> None:
+    # Guards against using an instance again that has left.
+    async def scenario() -> None:
+        async with running_control() as control:
+            recorded: list[str] = []
+
+            async def record(instance: str) -> bool:
+                recorded.append(instance)
+                return is_recorded
+
+            control.upstream.record_departure = record
+            await control.send_heartbeat()
+            answer = await control.post(_DEREGISTER_PATH, b'')
+            assert answer[0] == status
+            assert recorded == ['i-1@1700000000000']
+            assert not control.upstream.is_usable
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('body', 'status'),
+    [
+        (b'{"born":1}', 404),
+        (b'{"born":"now"}', 400),
+        (b'[]', 400),
+        (b'\xff', 400),
+    ],
+)
+def test_deregistration_of_another_writer_changes_nothing(
+    body: bytes, status: int
+) -> None:
+    async def scenario() -> None:
+        async with running_control() as control:
+            await control.send_heartbeat()
+            answer = await control.post(_DEREGISTER_PATH, body)
+            assert answer[0] == status
+            assert control.upstream.is_usable
+
+    asyncio.run(scenario())
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -1,11 +1,12 @@
 """Decoding of heartbeats and their effect on the upstream adapter."""
 
+import asyncio
 from typing import Any
 
 import msgspec
 import pytest
 from returns.pipeline import is_successful
-from returns.result import Success
+from returns.result import Result, Success
 
 from verbenadeck.adapters import (
     Announcement,
@@ -20,11 +21,12 @@
 from verbenadeck.model import Fence, ServiceName
 from verbenadeck.platform._heartbeats import (
     MAX_REPLY_BYTES,
-    HeartbeatFault,
+    Deregistration,
     InstanceHeartbeat,
     read_heartbeat,
     write_reply,
 )
+from verbenadeck.platform._refusals import HeartbeatError, HeartbeatFault
 from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
     EXPECTED_UPSTREAM,
@@ -119,6 +121,13 @@
     assert fault is OrderFault.OUTDATED
 
 
+def _deregister(
+    upstream: PlatformUpstream, instance: str, started_at_ms: int | None = None
+) -> Result[None, HeartbeatError]:
+    message = Deregistration(instance, started_at_ms)
+    return asyncio.run(upstream.handle_deregister(message))
+
+
 def test_draining_instance_is_reported_once() -> None:
     upstream, events = _make_upstream()
     upstream.handle_heartbeat(_make_heartbeat(status_sequence=1))
@@ -127,18 +136,41 @@
             _make_heartbeat(status_sequence=sequence, status_state='draining')
         )
     assert events[1:] == [UpstreamDeparture.DRAINING]
-    upstream.handle_deregister('another')
-    upstream.handle_deregister('i-1')
+    _deregister(upstream, 'another')
+    for _ in range(2):
+        _deregister(upstream, 'i-1')
     assert events[1:] == [UpstreamDeparture.DRAINING, UpstreamDeparture.LEFT]
 
 
+def test_late_deregistration_of_an_earlier_life_changes_nothing() -> None:
+    upstream, events = _make_upstream()
+    heartbeat = _make_heartbeat()
+    upstream.handle_heartbeat(heartbeat)
+    late = _deregister(upstream, 'i-1', heartbeat.started_at_ms - 1)
+    assert late.failure().fault is HeartbeatFault.OTHER_INSTANCE
+    assert upstream.is_usable
+    _deregister(upstream, 'i-1', heartbeat.started_at_ms)
+    assert events[1:] == [UpstreamDeparture.LEFT]
+
+
+def test_departed_instance_is_not_used_again_after_a_silence() -> None:
+    # Guards against a silence that makes the node forget the departure.
+    upstream, events = _make_upstream()
+    upstream.handle_heartbeat(_make_heartbeat(status_sequence=1))
+    _deregister(upstream, 'i-1')
+    upstream.mark_lost()
+    upstream.handle_heartbeat(_make_heartbeat(status_sequence=2))
+    assert not upstream.is_usable
+    assert events[-1] is UpstreamDeparture.LEFT
+
+
 def test_lost_instance_returns_with_its_next_heartbeat() -> None:
     upstream, events = _make_upstream()
     upstream.handle_heartbeat(_make_heartbeat(status_sequence=1))
     upstream.mark_lost()
-    is_known = [upstream.is_known]
+    is_known = [upstream.is_usable]
     upstream.handle_heartbeat(_make_heartbeat(status_sequence=2))
-    is_known.append(upstream.is_known)
+    is_known.append(upstream.is_usable)
     assert is_known == [False, True]
     assert len(events) == 3
 
@@ -187,7 +219,7 @@
     assert received == reports
     is_refused = is_configured and service == 'desk'
     assert is_successful(result) is not is_refused
-    assert upstream.is_known is not is_refused
+    assert upstream.is_usable is not is_refused
 
 
 def test_keys_of_a_service_without_keys_are_refused() -> None:
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -15,11 +15,11 @@
 from verbenadeck.model import NodeId, Offset
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record, read_page
-from verbenadeck.platform._heartbeats import HeartbeatFault
 from verbenadeck.platform._operator import (
     make_records_handler,
     read_operator_state,
 )
+from verbenadeck.platform._refusals import HeartbeatFault
 from verbenadeck.platform._units import read_address, read_time_s
 from verbenadeck.platform.tests.builders import (
     CLOCK,
@@ -151,9 +151,9 @@
 
     now_ms = int(CLOCK.wall_s() * 1000)
     receive('i-odd', now_ms + _YEAR_MS)
-    assert not upstream.is_known
+    assert not upstream.is_usable
     receive('i-1', now_ms)
-    assert upstream.is_known
+    assert upstream.is_usable
 
 
 def test_answer_cut_within_a_record_returns_the_whole_ones() -> None:
--- a/verbenadeck/records/__init__.py
+++ b/verbenadeck/records/__init__.py
@@ -6,14 +6,17 @@
     decode_envelope,
     encode_envelope,
 )
+from verbenadeck.records._node_records import (
+    LeavePhase,
+    NodeJoin,
+    NodeLeave,
+    UpstreamLeave,
+)
 from verbenadeck.records._records import (
     Assign,
     CheckpointChunk,
     ConfigPublished,
     Envelope,
-    LeavePhase,
-    NodeJoin,
-    NodeLeave,
     Record,
     Released,
     ReleasedRange,
@@ -39,6 +42,7 @@
     'ReleasedRange',
     'ShardMove',
     'Suspect',
+    'UpstreamLeave',
     'Verdict',
     'Vote',
     'Witnesses',
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -19,6 +19,7 @@
     Shard,
     Zone,
 )
+from verbenadeck.node import DepartureLog
 from verbenadeck.peers import Message, PeerAddress, PeerError
 from verbenadeck.placement import Planner
 from verbenadeck.records import NodeJoin
@@ -203,6 +204,9 @@
             random_source=self.random,
             node_id=self.spec.name,
         )
+        self.departures = DepartureLog(
+            journal=self.journal, node_id=self.spec.name, clock=self.clock
+        )
         self.membership = Membership(
             clock=self.clock,
             random_source=self.random,
@@ -210,6 +214,7 @@
             transport=self.transport,
             describe_node=self._describe_node,
             timing=self.timing,
+            can_join=self._can_join,
         )
         self.witness = LeaseWitness(
             clock=self.clock,
@@ -250,6 +255,9 @@
         for service in reversed(self.services):
             await service.stop()
 
+    def _can_join(self) -> bool:
+        return not self.departures.has_left(self.upstream.instance)
+
     def _describe_node(self) -> NodeJoin:
         return NodeJoin(
             node_id=self.spec.name,
