Let no late checkpoint replace a newer one

Cause: the checkpoints of a node share one key, and the store may carry out an append seconds after it was given up. The older checkpoint then replaced the newer one, whose following records only were kept.

Change: a named record has a generation, the offset that a checkpoint covers; the platform's adapter appends it with the store's producer and epoch, so that the store refuses an older generation. The stand-in of the store judges producers too.

Result: both new tests of platform/tests/test_log.py failed without the producer.

--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -80,12 +80,14 @@
         *,
         deadline_s: float,
         name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         """Append a record and return its offset.
 
         Some logs keep the newest record of each name: they keep a named
-        record until the same writer appends the next one of that name. Other
-        logs ignore the name.
+        record until the same writer appends the next one of that name. An
+        append that is carried out late replaces no record of a later
+        generation. Other logs ignore both.
 
         Parameters
         ----------
@@ -95,6 +97,8 @@
             Deadline of the call on the clock of the VM, in seconds.
         name : str
             Name of the record, empty for none.
+        generation : int
+            Generation of a named record; never falls for one name.
         """
         ...
 
--- a/verbenadeck/adapters/_log_http.py
+++ b/verbenadeck/adapters/_log_http.py
@@ -44,7 +44,12 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def append(
-        self, record: bytes, *, deadline_s: float, name: str = ''
+        self,
+        record: bytes,
+        *,
+        deadline_s: float,
+        name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         """Append a record and return its offset.
 
@@ -56,6 +61,8 @@
             Deadline of the call on the clock of the VM, in seconds.
         name : str
             Ignored: this log keeps no newest record of a name.
+        generation : int
+            Ignored with the name.
         """
         timeout = self._make_timeout(deadline_s)
         try:
--- a/verbenadeck/journal/_appender.py
+++ b/verbenadeck/journal/_appender.py
@@ -133,12 +133,15 @@
         if peer is not None and self._transport is not None:
             reply = await self._transport.call(
                 peer,
-                RelayAppend(payload, proposal.name),
+                RelayAppend(payload, proposal.name, proposal.generation),
                 deadline_s=deadline_s,
             )
             return _failure_by_peer(reply)
         answer = await self._adapter.append(
-            payload, deadline_s=deadline_s, name=proposal.name
+            payload,
+            deadline_s=deadline_s,
+            name=proposal.name,
+            generation=proposal.generation,
         )
         return None if is_successful(answer) else answer.failure().failure
 
--- a/verbenadeck/journal/_messages.py
+++ b/verbenadeck/journal/_messages.py
@@ -61,10 +61,13 @@
         Encoded envelope.
     name : str
         Name under which the log retains the record; empty for none.
+    generation : int
+        Generation of a named record.
     """
 
     payload: bytes
     name: str = ''
+    generation: int = 0
 
 
 class RelayAppended(
--- a/verbenadeck/journal/_proposals.py
+++ b/verbenadeck/journal/_proposals.py
@@ -30,12 +30,15 @@
     name : str
         Name under which the log may retain the record without time limit;
         empty for none.
+    generation : int
+        Generation of a named record, which replaces earlier ones.
     """
 
     sequence: int
     payload: bytes
     applied: 'asyncio.Future[AppliedRecord]'
     name: str = ''
+    generation: int = 0
 
 
 class Proposals:
@@ -70,6 +73,7 @@
             payload=encode_envelope(envelope),
             applied=asyncio.get_running_loop().create_future(),
             name=_retained_name(record),
+            generation=_generation(record),
         )
         self._pending[proposal.sequence] = proposal
         return proposal
@@ -97,3 +101,8 @@
     if isinstance(record, CheckpointChunk):
         return f'checkpoint-{record.index}'
     return ''
+
+
+def _generation(record: Record) -> int:
+    """Return the generation of a checkpoint chunk, which rises with the log."""
+    return record.as_of_offset if isinstance(record, CheckpointChunk) else 0
--- a/verbenadeck/journal/_relay.py
+++ b/verbenadeck/journal/_relay.py
@@ -103,6 +103,7 @@
             request.payload,
             deadline_s=clock.now_s() + _APPEND_TIMEOUT_S,
             name=request.name,
+            generation=request.generation,
         )
         if is_successful(answer):
             return RelayAppended(None)
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -38,8 +38,8 @@
         Whether appends are kept in `held` until `release_appends`.
     held : list of bytes
         Appends that were kept back.
-    names : list of str
-        Names under which records were to be retained.
+    names : list of (str, int)
+        Names and generations under which records were to be retained.
     reads, appends : int
         Number of reads and of appends so far.
     """
@@ -53,13 +53,18 @@
         self.held: list[bytes] = []
         self.reads = 0
         self.appends = 0
-        self.names: list[str] = []
+        self.names: list[tuple[str, int]] = []
 
     async def append(
-        self, record: bytes, *, deadline_s: float, name: str = ''
+        self,
+        record: bytes,
+        *,
+        deadline_s: float,
+        name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         self.appends += 1
-        self.names.append(name)
+        self.names.append((name, generation))
         if self.fails_appends:
             await asyncio.sleep(0.01)
             return Failure(LogError(LogFailure.NOT_APPENDED, 'cut'))
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -227,9 +227,9 @@
         async with make_site('suva', 'nadi') as site:
             node, peer = site.nodes
             node.adapter.fails_appends = True
-            chunk = CheckpointChunk(Offset(0), 0, 1, b'part')
+            chunk = CheckpointChunk(Offset(7), 0, 1, b'part')
             await node.client.propose(chunk, deadline_s=node.deadline_in(5))
-            assert 'checkpoint-0' in peer.adapter.names
+            assert ('checkpoint-0', 7) in peer.adapter.names
 
     run_virtual(scenario())
 
--- a/verbenadeck/platform/_log.py
+++ b/verbenadeck/platform/_log.py
@@ -20,7 +20,7 @@
 from verbenadeck.model import NodeId, Offset
 from verbenadeck.platform._frames import StorePage, make_failure, split_record
 from verbenadeck.platform._keyed_state import KeyedRecord, KeyedState
-from verbenadeck.platform._store import StoreClient
+from verbenadeck.platform._store import Producer, StoreClient
 from verbenadeck.utils import Clock
 
 TOPIC = 'keyed.verbenadeck'
@@ -59,7 +59,12 @@
         self._keys: Iterator[str] | None = None
 
     async def append(
-        self, record: bytes, *, deadline_s: float, name: str = ''
+        self,
+        record: bytes,
+        *,
+        deadline_s: float,
+        name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         """Append a record and return its offset.
 
@@ -75,6 +80,10 @@
         name : str
             Name under which the newest record is kept until this writer
             appends another one under it; empty for none.
+        generation : int
+            Generation of a named record. The store refuses one that arrives
+            after a later generation of this writer, so that it can't replace
+            the newer record.
         """
         if self._keys is None:
             await self.newest()
@@ -86,8 +95,9 @@
         # Each writer has its own key for a named record, so that an older
         # record that arrives late does not replace another writer's newer one.
         key = f'{name}/{self._node_id}' if name else next(self._keys)
+        producer = Producer(key, generation) if name else None
         return await self._store.append(
-            TOPIC, key, record, deadline_s=deadline_s
+            TOPIC, key, record, deadline_s=deadline_s, producer=producer
         )
 
     async def read(
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -62,7 +62,12 @@
         self._clock = clock
 
     async def append(
-        self, record: bytes, *, deadline_s: float, name: str = ''
+        self,
+        record: bytes,
+        *,
+        deadline_s: float,
+        name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         """Fail: only operators write to this topic."""
         return make_failure(
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import NamedTuple
 
 import aiohttp
 from returns.pipeline import is_successful
@@ -32,6 +33,9 @@
 """Time in seconds beyond the waiting time of a read after which its answer
 counts as lost; a slow store takes 0.3 s."""
 
+_FIRST_SEQUENCE = '0'
+"""Number of the only append of an epoch."""
+
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _MAX_UNACKED_MS = 2000
@@ -40,6 +44,24 @@
 _CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
+class Producer(NamedTuple):
+    """Writer whose appends the store carries out in order of their epochs.
+
+    An append that arrives after one of a later epoch is refused, and a
+    repeated one takes effect once.
+
+    Parameters
+    ----------
+    name : str
+        Name of the writer within the topic.
+    epoch : int
+        Number of the append; never falls.
+    """
+
+    name: str
+    epoch: int
+
+
 class StoreClient:
     """HTTP client of the store; connects with the first call.
 
@@ -57,7 +79,13 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def append(
-        self, topic: str, key: str, content: bytes, *, deadline_s: float
+        self,
+        topic: str,
+        key: str,
+        content: bytes,
+        *,
+        deadline_s: float,
+        producer: Producer | None = None,
     ) -> Result[Offset, LogError]:
         """Append a record to a keyed topic and return its offset.
 
@@ -71,11 +99,19 @@
             Record without its key.
         deadline_s : float
             Deadline of the call on the clock of this VM, in seconds.
+        producer : Producer or None
+            Writer that must not append after its own later appends; None for
+            a record whose order does not matter.
         """
+        params = {'topic': topic, 'part': '0'}
+        if producer is not None:
+            params['producer'] = producer.name
+            params['epoch'] = str(producer.epoch)
+            params['sequence'] = _FIRST_SEQUENCE
         try:
             async with self._get_session().post(
                 f'{self._base_url}/log-append',
-                params={'topic': topic, 'part': '0'},
+                params=params,
                 data=make_append_body(key, content),
                 timeout=self._make_timeout(deadline_s),
             ) as response:
--- a/verbenadeck/platform/tests/test_log.py
+++ b/verbenadeck/platform/tests/test_log.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from returns.pipeline import is_successful
+from returns.result import Success
 
 from verbenadeck.adapters import LogFailure
 from verbenadeck.config import encode_document
@@ -252,3 +253,44 @@
         await second.stop()
 
     _run_scenario(scenario)
+
+
+def test_late_checkpoint_replaces_no_newer_one() -> None:
+    """The store may carry out an append seconds after it was given up.
+
+    The records between the two checkpoints may be gone by then, so that no
+    node could start from the older one.
+    """
+
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        log = _make_log(client)
+        for generation in (20, 10):
+            await log.append(
+                bytes([generation]),
+                deadline_s=make_deadline_s(),
+                name='checkpoint-0',
+                generation=generation,
+            )
+        newest = (await log.newest()).unwrap()
+        assert newest is not None
+        assert [record for _, record in newest.records] == [bytes([20])]
+
+    _run_scenario(scenario)
+
+
+def test_repeated_append_of_a_checkpoint_takes_effect_once() -> None:
+    async def scenario(store: StoreStandin, client: StoreClient) -> None:
+        log = _make_log(client)
+        offsets = [
+            await log.append(
+                b'same',
+                deadline_s=make_deadline_s(),
+                name='checkpoint-0',
+                generation=20,
+            )
+            for _ in range(2)
+        ]
+        assert offsets == [Success(Offset(0)), Success(Offset(0))]
+        assert len(store.topic(TOPIC).records) == 1
+
+    _run_scenario(scenario)
--- a/verbenadeck/standins/_store_app.py
+++ b/verbenadeck/standins/_store_app.py
@@ -7,8 +7,15 @@
 import msgspec
 from aiohttp import web
 
+from verbenadeck.standins._store_producers import (
+    AppendAnswer,
+    AppendNumber,
+    ProducerHistory,
+)
+
 _LENGTH_PREFIX = struct.Struct('>I')
 _OFFSET_BOUNDS = struct.Struct('>QQ')
+_OK = 200
 _GONE = 410
 _UNAVAILABLE = 503
 _MS_PER_S = 1000
@@ -41,12 +48,15 @@
         First offset that has not expired.
     changed : asyncio.Condition
         Notified after each append.
+    producers : dict of str to ProducerHistory
+        Last appends by producer.
     """
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
         self.first = 0
         self.changed = asyncio.Condition()
+        self.producers: dict[str, ProducerHistory] = {}
 
     def newest(self) -> dict[str, tuple[int, bytes]]:
         """Return the newest record of each key with its offset."""
@@ -118,15 +128,21 @@
         if store.faults.is_down:
             return web.Response(status=_UNAVAILABLE)
         topic = store.topic(request.query['topic'])
+        history, number = _read_producer(topic, request)
+        answer = history.find_answer(number)
+        if answer is not None:
+            return web.json_response(answer.fields, status=answer.status)
         offset = len(topic.records)
         async with topic.changed:
             topic.records.extend(_unpack_records(body))
             topic.changed.notify_all()
+        fields = {'offset': offset, 'end': len(topic.records)}
+        history.record(number, AppendAnswer(_OK, fields))
         if store.faults.lost_answers:
             store.faults.lost_answers -= 1
             assert request.transport is not None
             request.transport.abort()
-        return web.json_response({'offset': offset, 'end': len(topic.records)})
+        return web.json_response(fields)
 
     async def read(request: web.Request) -> web.Response:
         if store.faults.is_down:
@@ -178,6 +194,17 @@
         return
 
 
+def _read_producer(
+    topic: Topic, request: web.Request
+) -> tuple[ProducerHistory, AppendNumber]:
+    """Return the history of the producer and the number of its append."""
+    query = request.query
+    if 'producer' not in query:
+        return ProducerHistory(), AppendNumber(0, 0)
+    history = topic.producers.setdefault(query['producer'], ProducerHistory())
+    return history, AppendNumber(int(query['epoch']), int(query['sequence']))
+
+
 def _unpack_records(body: bytes) -> list[bytes]:
     records: list[bytes] = []
     position = 0
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -59,7 +59,12 @@
         self._clock = clock
 
     async def append(
-        self, record: bytes, *, deadline_s: float, name: str = ''
+        self,
+        record: bytes,
+        *,
+        deadline_s: float,
+        name: str = '',
+        generation: int = 0,
     ) -> Result[Offset, LogError]:
         """Append a record and return its offset."""
         await asyncio.sleep(self._log.latency_s)
