Test answers that end at any byte of their head or body

A report of another operator: an instance stopped in the middle of its answer's head and callers got a 200 with an empty or short body. It can't happen here: the HTTP library reports the end of a connection within a head as an error, and the adapters take that for a request that may have run. The tests hold it to that, for each byte of answers with a length, in chunks and without either, closed and reset.

--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -90,6 +90,21 @@
     assert asyncio.run(send()).sent_bytes < ENDLESS_BYTES
 
 
+def test_answer_cut_at_any_byte_is_never_complete() -> None:
+    # Guards against an answer that ends in its head and passes as an empty one.
+    async def scenario() -> None:
+        results = await asyncio.gather(
+            *(
+                _send_to(_KEPT_ANSWER[:stop])
+                for stop, _ in enumerate(_KEPT_ANSWER)
+            )
+        )
+        failures = {result.failure().failure for result, _ in results}
+        assert failures == {UpstreamFailure.BROKEN}
+
+    asyncio.run(scenario())
+
+
 def test_answer_of_maximum_size_is_returned_whole() -> None:
     head = f'HTTP/1.1 200 OK\r\nContent-Length: {MAX_ANSWER_BYTES}\r\n\r\n'
     reply = head.encode() + bytes(MAX_ANSWER_BYTES)
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -262,3 +262,55 @@
         )
 
     assert asyncio.run(_send_request(respond)).unwrap().status == 503
+
+
+def _answer_in_parts(sent: bytes, end: _ServerAction) -> _ServerAction:
+    def respond(writer: asyncio.StreamWriter) -> None:
+        writer.write(sent)
+        asyncio.get_running_loop().call_later(0.01, end, writer)
+
+    return respond
+
+
+_FRAMED_ANSWERS = (
+    _make_answer('r1', 'Content-Length: 5\r\n', 'bytes'),
+    _make_answer(
+        'r1', 'Transfer-Encoding: chunked\r\n', '5\r\nbytes\r\n0\r\n\r\n'
+    ),
+    b'HTTP/1.1 100 Continue\r\n\r\n%s'
+    % _make_answer('r1', 'Content-Length: 5\r\n', 'bytes'),
+)
+
+
+@pytest.mark.parametrize('answer', _FRAMED_ANSWERS)
+@pytest.mark.parametrize('end', [_close_connection, _reset_connection])
+def test_answer_cut_at_any_byte_is_never_complete(
+    answer: bytes, end: _ServerAction
+) -> None:
+    # Guards against an answer that ends in its head and passes as an empty one.
+    async def scenario() -> None:
+        results = await asyncio.gather(
+            *(
+                _send_request(_answer_in_parts(answer[:stop], end))
+                for stop, _ in enumerate(answer)
+            )
+        )
+        failures = [each.failure().failure for each in results]
+        assert set(failures) == {UpstreamFailure.BROKEN}
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('end', [_close_connection, _reset_connection])
+def test_answer_without_length_cut_in_its_head_is_never_complete(
+    end: _ServerAction,
+) -> None:
+    answer = _make_answer('r1', 'Server-Load: 1,0,4,100\r\n', '')
+
+    async def scenario() -> None:
+        for stop, _ in enumerate(answer):
+            respond = _answer_in_parts(answer[:stop], end)
+            result = await _send_request(respond)
+            assert result.failure().failure is UpstreamFailure.BROKEN
+
+    asyncio.run(scenario())
