End requests that a stopping node takes before the process ends

Cause: a stopping node takes requests for up to 2.2 s and gave them their whole time, which may be longer than the process has left; the entry waits for them without a limit until SIGKILL.

Change: PlannedStop knows when the process is killed; requests taken from then on, and those of other nodes for the instance beside it, get a deadline half a second before.

Result: test_instance_stops_before_the_process_of_its_node_ends fails without the change; the deadline of the entry and of the stop are new functions with tests.

--- a/verbenadeck/daemon/_daemon.py
+++ b/verbenadeck/daemon/_daemon.py
@@ -22,6 +22,7 @@
 )
 from verbenadeck.peers import StreamTransport
 from verbenadeck.settings import NodeSettings
+from verbenadeck.utils import Clock
 
 _log = logger.bind(part='node')
 
@@ -63,17 +64,16 @@
     writer = setup_logs(
         level=settings.logging.level, line_format=settings.logging.format
     )
-    stopping = asyncio.Event()
+    stop = PlannedStop(clock=Clock())
     # A signal that arrives during the start takes effect after the start.
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, stop.begin)
     loop.set_exception_handler(
         make_loop_exception_handler(
             flush_logs=writer.flush, exit_process=os._exit
         )
     )
-    stop = PlannedStop(begin=stopping.set, is_begun=stopping.is_set)
     kernel = build_node(settings, stop=stop)
     try:
         await kernel.start()
@@ -81,7 +81,7 @@
         await kernel.stop()
         return Failure(StartError(f'{settings.node_id}: {error}'))
     _announce_ready(kernel, settings)
-    await stopping.wait()
+    await stop.wait()
     await stop_node(kernel, timeout_s=settings.stop_timeout_s)
     writer.flush()
     return Success(None)
--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -1,5 +1,6 @@
 """Conversion of a caller's HTTP request to a typed request."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -35,8 +36,16 @@
     return timeout_s <= SHORT_GRACE_RATIO * objective_s
 
 
+def _never() -> float:
+    return math.inf
+
+
 def make_request_reader(
-    *, policy_of: PolicyLookup, clock: Clock, source: random.Random
+    *,
+    policy_of: PolicyLookup,
+    clock: Clock,
+    source: random.Random,
+    latest_deadline_s: Callable[[], float] = _never,
 ) -> Callable[[CallerRequest, str, bytes], Result[Request, Refusal]]:
     """Return a function that makes a request from a caller's fields.
 
@@ -51,6 +60,9 @@
         Clock of this VM, for deadlines and request ids.
     source : random.Random
         Generator of request ids for callers that sent none.
+    latest_deadline_s : callable
+        Returns the time by which all requests must have their answers, in
+        seconds on the clock of this VM; infinite unless the process ends.
 
     Returns
     -------
@@ -91,7 +103,7 @@
                 headers=caller_request.headers,
                 body=body,
                 is_repeatable=is_repeatable,
-                deadline_s=now_s + timeout_s,
+                deadline_s=min(now_s + timeout_s, latest_deadline_s()),
                 max_sends=caller_request.max_sends,
                 priority=caller_request.priority,
                 objective_at_s=(
--- a/verbenadeck/entry/tests/builders.py
+++ b/verbenadeck/entry/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of entry servers for tests."""
 
+import math
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -39,12 +40,16 @@
     *,
     refuses_when_stopping: bool = False,
     caller_format: CallerFormat = _STANDIN_CALLERS,
+    latest_deadline_s: Callable[[], float] = lambda: math.inf,
     **other_options: object,
 ) -> EntryServer:
     """Make an entry server on a free port in front of a router."""
     clock = Clock()
     read_request = make_request_reader(
-        policy_of=_find_policy, clock=clock, source=random.Random(1)
+        policy_of=_find_policy,
+        clock=clock,
+        source=random.Random(1),
+        latest_deadline_s=latest_deadline_s,
     )
     return EntryServer(
         router=router,
--- a/verbenadeck/entry/tests/test_entry.py
+++ b/verbenadeck/entry/tests/test_entry.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from verbenadeck.adapters import OUTCOME_HEADER
+from verbenadeck.adapters import DEADLINE_HEADER, OUTCOME_HEADER
 from verbenadeck.entry.tests.builders import (
     BODY_LIMIT_BYTES,
     make_entry,
@@ -19,7 +19,7 @@
     RefusalReason,
     Request,
 )
-from verbenadeck.utils import uuid7_time_s
+from verbenadeck.utils import boot_now_s, uuid7_time_s
 
 
 class _EchoRouter:
@@ -61,6 +61,23 @@
     asyncio.run(scenario())
 
 
+def test_request_taken_during_a_stop_ends_before_the_process() -> None:
+    # Guards against requests that are cut without an answer by SIGKILL.
+    async def scenario() -> None:
+        router = _EchoRouter()
+        latest_s = boot_now_s() + 3
+        entry = make_entry(router, latest_deadline_s=lambda: latest_s)
+        async with serving(entry) as session:
+            for timeout_ms in (8_000, 500):
+                headers = {DEADLINE_HEADER: str(timeout_ms)}
+                await (await session.get('/holds/1', headers=headers)).read()
+        long, short = router.requests
+        assert long.deadline_s == latest_s
+        assert short.deadline_s < latest_s - 2
+
+    asyncio.run(scenario())
+
+
 def test_key_is_read_for_keyed_services_only() -> None:
     async def scenario() -> None:
         router = _EchoRouter()
--- a/verbenadeck/node/tests/test_stop.py
+++ b/verbenadeck/node/tests/test_stop.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import math
 
-from verbenadeck.node import begin_drain
+from verbenadeck.node import PlannedStop, begin_drain
 from verbenadeck.testing import run_virtual, virtual_clock
 
 _LINGER_S = 2.2
@@ -105,3 +106,19 @@
         await task
 
     run_virtual(scenario())
+
+
+def test_deadline_of_a_stop_counts_from_its_begin() -> None:
+    async def scenario() -> None:
+        clock = virtual_clock()
+        stop = PlannedStop(clock=clock, timeout_s=6)
+        assert (stop.is_begun(), stop.deadline_s) == (False, math.inf)
+        await asyncio.sleep(1)
+        stop.begin()
+        begun_at_s = clock.now_s()
+        await asyncio.sleep(1)
+        stop.begin()
+        await stop.wait()
+        assert stop.deadline_s == begun_at_s + 6
+
+    run_virtual(scenario())
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -77,6 +77,7 @@
             clock=self._clock,
             route_store=self._route_store,
             heartbeat_interval_s=settings.heartbeat_interval_s,
+            latest_deadline_s=self._latest_deadline_s,
         )
         self._grants: HeartbeatGrants | None = None
         self._is_started = False
@@ -318,6 +319,7 @@
                 policy_of=policies.policy,
                 clock=dependencies.clock,
                 source=dependencies.random_source,
+                latest_deadline_s=self._latest_deadline_s,
             ),
             caller_format=make_caller_format(
                 route_store=self._route_store,
@@ -330,6 +332,9 @@
             options=self._make_entry_options(self._route_store.state),
         )
 
+    def _latest_deadline_s(self) -> float:
+        return self._stop.deadline_s - _options.LAST_ANSWER_MARGIN_S
+
     def _make_entry_options(self, state: OperatorState | None) -> EntryOptions:
         limits = CallerLimits() if state is None else state.limits
         return EntryOptions(
--- a/verbenadeck/platform/_daemon.py
+++ b/verbenadeck/platform/_daemon.py
@@ -19,6 +19,7 @@
 )
 from verbenadeck.platform._assembly import PlatformNode
 from verbenadeck.platform._settings import PlatformSettings, load_settings
+from verbenadeck.utils import Clock
 
 _log = logger.bind(part='node')
 _STOP_TIMEOUT_SHARE = 0.3
@@ -50,10 +51,10 @@
         line_format='json',
         stream=open_pipe(sys.stdout.fileno(), line_format='json'),
     )
-    stopping = asyncio.Event()
+    stop = PlannedStop(clock=Clock(), timeout_s=settings.stop_timeout_s)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
+        loop.add_signal_handler(signal_number, stop.begin)
     loop.add_signal_handler(
         signal.SIGHUP, log_changed_settings, settings, settings_path
     )
@@ -62,7 +63,6 @@
             flush_logs=log_writer.flush, exit_process=os._exit
         )
     )
-    stop = PlannedStop(begin=stopping.set, is_begun=stopping.is_set)
     node = PlatformNode(settings, stop)
     try:
         await node.kernel.start()
@@ -70,7 +70,7 @@
         return Failure(StartError(f'{settings.node_id}: {error}'))
     node.mark_started()
     _log.info('{} started in {}', settings.node_id, settings.zone)
-    await stopping.wait()
+    await stop.wait()
     await stop_node(
         node.kernel,
         timeout_s=settings.stop_timeout_s * _STOP_TIMEOUT_SHARE,
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -86,3 +86,7 @@
 HELD_BODIES_LIMIT_BYTES = 33_554_432
 """Memory in bytes for the bodies of all requests that an entry has in
 progress: a sixth of the smallest VM's memory."""
+
+LAST_ANSWER_MARGIN_S = 0.5
+"""Time in seconds before SIGKILL by which a stopping node ends all requests: a
+few round trips, so that callers get the answers."""
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -69,6 +69,9 @@
         Configuration of the services, with their rate during a cold start.
     heartbeat_interval_s : float
         Interval of the instance's heartbeats, in seconds.
+    latest_deadline_s : callable
+        Returns the time by which all requests must have ended, on the clock
+        of this VM in seconds; infinite unless the process ends.
 
     Attributes
     ----------
@@ -89,6 +92,7 @@
         clock: Clock,
         route_store: RouteStore,
         heartbeat_interval_s: float,
+        latest_deadline_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.hold_handler: Callable[[HoldReport], HoldReply | None] = (
             _renew_nothing
@@ -98,6 +102,7 @@
         )
         self.last_heartbeat_at_s = -math.inf
         self._clock = clock
+        self._latest_deadline_s = latest_deadline_s
         self._route_store = route_store
         self._session: UpstreamSession | None = None
         self._last_heartbeat: InstanceHeartbeat | None = None
@@ -223,7 +228,7 @@
         if session is None or heartbeat is None:
             return Failure(_NO_SESSION_ERROR)
         remaining_s = self._clock.remaining_s(
-            upstream_request.request.deadline_s
+            min(upstream_request.request.deadline_s, self._latest_deadline_s())
         )
         if remaining_s <= 0:
             detail = 'the deadline passed before sending'
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data and a running store stand-in."""
 
+import math
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -67,7 +68,9 @@
 
 
 def make_upstream(
-    route_store: RouteStore | None = None, *, clock: Clock = CLOCK
+    route_store: RouteStore | None = None,
+    *,
+    latest_deadline_s: Callable[[], float] = lambda: math.inf,
 ) -> PlatformUpstream:
     """Return an upstream adapter that has received no heartbeat.
 
@@ -75,13 +78,14 @@
     ----------
     route_store : RouteStore or None
         Its configuration; None for one that knows none.
-    clock : Clock
-        Clock of the VM.
+    latest_deadline_s : callable
+        As for `PlatformUpstream`.
     """
     return PlatformUpstream(
-        clock=clock,
+        clock=CLOCK,
         route_store=route_store or RouteStore(),
         heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+        latest_deadline_s=latest_deadline_s,
     )
 
 
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -12,6 +12,7 @@
 from verbenadeck.adapters import (
     Announcement,
     UpstreamFailure,
+    UpstreamRequest,
     UpstreamSession,
 )
 from verbenadeck.adapters.tests.builders import (
@@ -21,12 +22,20 @@
     ENDLESS_BYTES,
     endless_server,
 )
-from verbenadeck.model import Request, RequestId, ServiceName
+from verbenadeck.model import NO_FENCE, Request, RequestId, ServiceName
 from verbenadeck.platform._exchange import (
     SendResult,
     exchange,
     make_request_headers,
 )
+from verbenadeck.platform._heartbeats import read_heartbeat
+from verbenadeck.platform._units import Address
+from verbenadeck.platform.tests.builders import (
+    EXPECTED_UPSTREAM,
+    make_deadline_s,
+    make_heartbeat_body,
+    make_upstream,
+)
 
 _LINGER_WITH_RESET = struct.pack('ii', 1, 0)
 _LARGE_UPLOAD_BYTES = 20_000_000
@@ -314,3 +323,39 @@
             assert result.failure().failure is UpstreamFailure.BROKEN
 
     asyncio.run(scenario())
+
+
+def test_instance_stops_before_the_process_of_its_node_ends() -> None:
+    # Guards against requests of other nodes that are cut by SIGKILL.
+    heads: list[bytes] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(_make_answer('r1', 'Content-Length: 0\r\n', ''))
+        await writer.drain()
+        writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        upstream = make_upstream(latest_deadline_s=lambda: make_deadline_s(1))
+        address = f'127.0.0.1:{port}'
+        body = msgspec.json.encode(make_heartbeat_body(address=address))
+        expected = msgspec.structs.replace(
+            EXPECTED_UPSTREAM, address=Address('127.0.0.1', port)
+        )
+        upstream.handle_heartbeat(
+            read_heartbeat('i-1', body, expected).unwrap()
+        )
+        request = msgspec.structs.replace(
+            _make_request(), deadline_s=make_deadline_s(10)
+        )
+        await upstream.send(UpstreamRequest(request, NO_FENCE, -1))
+        await upstream.close()
+        server.close()
+
+    asyncio.run(scenario())
+    sent = dict(line.split(b': ', 1) for line in heads[0].split(b'\r\n')[1:-2])
+    assert 500 < int(sent[b'Deadline-Ms']) <= 1000
