Ignore shards that do not exist in records and in messages of peers

Callers saw nothing yet. In a test, one record with an assignment beyond the last shard ended the control services of all nodes that applied it; a release of a peer took memory as a number in it says.

Cause: a record counts as accepted when one of its assignments is, and listeners went over the shards of all of them. Releases of peers were not checked.

Change: existing_shards returns the shards of a stated range, none unless all exist.

--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Fleet state that every node derives by applying the log."""
 
+from verbenadeck.fleet._existing_shards import existing_shards
 from verbenadeck.fleet._incarnations import has_ended, newest_members
 from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
 from verbenadeck.fleet._sharding import key_shard, request_shard, shard_of
@@ -23,6 +24,7 @@
     'MemberState',
     'ShardView',
     'eviction_quorum',
+    'existing_shards',
     'has_ended',
     'key_shard',
     'newest_members',
--- a/verbenadeck/lease/_owned_shards.py
+++ b/verbenadeck/lease/_owned_shards.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbenadeck.fleet import FleetTables, ShardView
+from verbenadeck.fleet import FleetTables, ShardView, existing_shards
 from verbenadeck.lease._fence_rules import takeover_wait_s
 from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
 from verbenadeck.model import (
@@ -141,10 +141,10 @@
             Shards that are assigned.
         """
         self._reset_if_changed(owner)
-        moved = ReleasedRange(move.service, move.first_shard, move.stop_shard)
         fence = Fence(offset)
         is_first = move.expected_fence == NO_FENCE
-        for key in shards_in((moved,)):
+        for shard in existing_shards(self._fleet, move):
+            key = (move.service, Shard(shard))
             if self._fleet.shard(*key).fence == fence:
                 self._owned_shards[key] = OwnedShard(fence, is_first)
 
@@ -165,8 +165,10 @@
         release : ReceivedRelease
             Log offset and ledger entries of the release.
         """
-        for key in shards_in(ranges):
-            self._releases.setdefault(key, {})[member] = release
+        for each in ranges:
+            for shard in existing_shards(self._fleet, each):
+                key = (each.service, Shard(shard))
+                self._releases.setdefault(key, {})[member] = release
 
     def refresh(self, owner: Incarnation) -> list[OpenableShards]:
         """Update the table from the log and open shards that are released.
--- a/verbenadeck/proxy/_departed_owners.py
+++ b/verbenadeck/proxy/_departed_owners.py
@@ -2,7 +2,7 @@
 
 import math
 
-from verbenadeck.fleet import FleetView, Member, MemberState
+from verbenadeck.fleet import FleetView, Member, MemberState, existing_shards
 from verbenadeck.model import (
     Incarnation,
     Offset,
@@ -150,7 +150,7 @@
             history = self._histories.get(move.new_owner)
             if history is not None:
                 history.has_owned = True
-            for shard in range(move.first_shard, move.stop_shard):
+            for shard in existing_shards(self._fleet, move):
                 view = self._fleet.shard(move.service, Shard(shard))
                 if view.earlier_owners:
                     self._earlier_owners[move.service, shard] = (
