Take an unreadable ledger of an earlier owner for a lost one

Callers saw nothing yet. A release of a peer whose ledger can't be decoded raised an error in whatever opened the shards: the handler of heartbeats or the lease.

Change: it is logged and counts as lost, so that requests which may have run are refused as unknown.

Result: the three cases of test_unreadable_ledger_of_the_earlier_owner_counts_as_lost failed before, with msgspec.DecodeError.

--- a/verbenadeck/proxy/_handover.py
+++ b/verbenadeck/proxy/_handover.py
@@ -93,17 +93,15 @@
         """
         shards = self._served_shards(ranges)
         self._gate.closed_shards.difference_update(shards)
-        if ledger_entries is None:
+        exported = _decode_state(ledger_entries)
+        if exported is None:
             self._start_takeovers(ranges)
         elif ledger_entries:
-            exported = msgspec.msgpack.decode(
-                ledger_entries, type=_HandoverState
-            )
             self._load_state(ranges, exported)
         _log.info(
             'opened {} shards, {}',
             len(shards),
-            'ledger lost' if ledger_entries is None else 'ledger handed over',
+            'ledger lost' if exported is None else 'ledger handed over',
         )
 
     def _start_takeovers(self, ranges: tuple[ReleasedRange, ...]) -> None:
@@ -147,3 +145,16 @@
             if self._gate.service in {None, one.service}
             for shard in range(one.first_shard, one.stop_shard)
         )
+
+
+def _decode_state(ledger_entries: bytes | None) -> _HandoverState | None:
+    """Return the state of the earlier owner, None if it is lost."""
+    if ledger_entries is None:
+        return None
+    if not ledger_entries:
+        return _HandoverState([], [])
+    try:
+        return msgspec.msgpack.decode(ledger_entries, type=_HandoverState)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        _log.error('ledger of the earlier owner is unreadable: {}', error)
+        return None
--- a/verbenadeck/proxy/tests/test_deduplication.py
+++ b/verbenadeck/proxy/tests/test_deduplication.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from returns.result import Success
 
 from verbenadeck.model import (
@@ -279,6 +280,23 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize('entries', [b'\xc1', b'\x92\x90', b'\x80'])
+def test_unreadable_ledger_of_the_earlier_owner_counts_as_lost(
+    entries: bytes,
+) -> None:
+    # Guards against one malformed message that ends the lease of its receiver.
+    async def scenario() -> None:
+        site, nodes = await _fleet_with_witnesses()
+        deposit = make_deposit('d1')
+        assert await admit(nodes[0], deposit) == answered(deposit)
+        site.own_all(nodes[1])
+        nodes[1].proxy.open_shards(all_shards(), entries)
+        assert await admit(nodes[1], deposit) != answered(deposit)
+        assert nodes[1].upstream.runs['d1'] == 0
+
+    run_virtual(scenario())
+
+
 def test_resend_during_a_move_waits_for_the_ledger_entries() -> None:
     async def scenario() -> None:
         site, nodes = await _fleet_with_witnesses()
