Check each field of the operators' configuration before it is in force

Callers saw nothing yet. A record of another writer with the version -, with 5,000 digits or with a negative time-out, weight or limit was taken for a configuration; one version outdates all that follow.

Change: the version has at most eight hexadecimal digits; names, prefixes, times, weights, counts and limits are checked, and a record is refused as a whole. What was in force stays, with the log line that there was.

--- a/verbenadeck/platform/_fields.py
+++ b/verbenadeck/platform/_fields.py
@@ -1,5 +1,7 @@
 """Checks of the fields of messages that another writer may have written."""
 
+import math
+
 _MAX_INT = 2**53
 _MAX_NAME_LENGTH = 200
 
@@ -33,6 +35,33 @@
     return number
 
 
+def read_number(number: object) -> float:
+    """Return a finite number that is not negative.
+
+    Parameters
+    ----------
+    number : object
+        Number as decoded; the type is checked.
+
+    Raises
+    ------
+    TypeError
+        When it is not a number.
+    ValueError
+        When it is negative or not finite.
+
+    Examples
+    --------
+    >>> read_number(19)
+    19.0
+    """
+    if isinstance(number, bool) or not isinstance(number, (int, float)):
+        raise TypeError('expected a number')
+    if not 0 <= number < math.inf:
+        raise ValueError('number negative or not finite')
+    return float(number)
+
+
 def read_text(text: object, *, max_length: int = _MAX_NAME_LENGTH) -> str:
     """Return a printable text of bounded length.
 
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -1,5 +1,6 @@
 """Decoding of the configuration that operators write into the store."""
 
+import string
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -15,6 +16,12 @@
 )
 from verbenadeck.journal import RecordsHandler
 from verbenadeck.model import Offset, ServiceName, Zone
+from verbenadeck.platform._fields import (
+    read_int,
+    read_name,
+    read_number,
+    read_text,
+)
 from verbenadeck.platform._frames import make_failure, make_record, split_record
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import DECODE_ERRORS, read_time_s
@@ -35,6 +42,9 @@
 _CONFIG_KEY = 'config'
 _EVACUATION_PREFIX = 'evacuate/'
 _VERSION_BASE = 16
+_MAX_VERSION_DIGITS = 8
+_HEX_DIGITS = frozenset(string.hexdigits)
+_MAX_PREFIX_LENGTH = 8192
 _REPEATABLE_ROUTE_TYPE = 'safe'
 
 _log = logger.bind(part='operators')
@@ -179,7 +189,7 @@
         raw = msgspec.json.decode(content)
         return Success(
             OperatorState(
-                version=int(raw['version'], _VERSION_BASE),
+                version=_read_version(raw['version']),
                 routes=tuple(map(_make_route, _iter_rows(raw['routes']))),
                 services={
                     service_config.name: service_config
@@ -209,43 +219,77 @@
         }
 
 
+def _read_version(text: object) -> int:
+    digits = read_name(text)
+    if len(digits) > _MAX_VERSION_DIGITS or not _HEX_DIGITS.issuperset(digits):
+        raise ValueError('expected a hexadecimal version')
+    return int(digits, _VERSION_BASE)
+
+
 def _make_route(row: dict[str, Any]) -> Route:
-    weighted_parts = row.get('trafficSplit') or (
-        {'service': row['service'], 'weight': 1},
-    )
     return Route(
-        name=row['name'],
-        host=row['host'].lower(),
-        path_prefix=row['pathPrefix'],
-        weighted_services=tuple(
-            WeightedService(ServiceName(part['service']), float(part['weight']))
-            for part in weighted_parts
-        ),
+        name=read_name(row['name']),
+        host=read_name(row['host']).lower(),
+        path_prefix=_read_prefix(row['pathPrefix']),
+        weighted_services=_read_split(row),
         is_repeatable=row['routeType'] == _REPEATABLE_ROUTE_TYPE,
-        timeout_s=read_time_s(row['timeout']),
-        objective_s=read_time_s(row.get('targetLatency', row['timeout'])),
-        priority=int(row.get('priority', 0)),
-        max_sends=int(row.get('maxAttempts', 1)),
+        timeout_s=_read_duration_s(row['timeout']),
+        objective_s=_read_duration_s(row.get('targetLatency', row['timeout'])),
+        priority=read_int(row.get('priority', 0)),
+        max_sends=read_int(row.get('maxAttempts', 1), least=1),
+    )
+
+
+def _read_prefix(text: object) -> str:
+    prefix = read_text(text, max_length=_MAX_PREFIX_LENGTH)
+    if not (prefix.startswith('/') and prefix.endswith('/')):
+        raise ValueError('path prefix without a slash at its ends')
+    return prefix
+
+
+def _read_split(row: dict[str, Any]) -> tuple[WeightedService, ...]:
+    parts = row.get('trafficSplit') or (
+        {'service': row['service'], 'weight': 1},
+    )
+    split = tuple(
+        WeightedService(
+            ServiceName(read_name(part['service'])), read_number(part['weight'])
+        )
+        for part in parts
     )
+    if not any(part.weight for part in split):
+        raise ValueError('traffic split without a weight')
+    return split
+
+
+def _read_duration_s(text: object) -> float:
+    duration_s = read_time_s(text)
+    if duration_s < 0:
+        raise ValueError('negative time')
+    return duration_s
 
 
 def _make_service_config(row: dict[str, Any]) -> ServiceConfig:
     return ServiceConfig(
-        name=ServiceName(row['name']),
+        name=ServiceName(read_name(row['name'])),
         is_keyed=bool(row.get('sharded')),
-        health_path=row.get('healthPath', '/'),
-        max_connections=int(row.get('maxConnections', 1)),
-        cold_requests_per_s=float(row.get('coldPerS', 0)),
+        health_path=read_text(
+            row.get('healthPath', '/'), max_length=_MAX_PREFIX_LENGTH
+        ),
+        max_connections=read_int(row.get('maxConnections', 1)),
+        cold_requests_per_s=read_number(row.get('coldPerS', 0)),
     )
 
 
 def _make_limits(raw: dict[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(
-            raw.get('maxHeaderBytes', defaults.max_header_bytes)
+        max_header_bytes=read_int(
+            raw.get('maxHeaderBytes', defaults.max_header_bytes), least=1
+        ),
+        max_body_bytes=read_int(
+            raw.get('maxBodyBytes', defaults.max_body_bytes)
         ),
-        max_body_bytes=int(raw.get('maxBodyBytes', defaults.max_body_bytes)),
         header_timeout_s=_read_optional_time_s(
             raw, 'headerTimeout', defaults.header_timeout_s
         ),
@@ -258,4 +302,4 @@
 def _read_optional_time_s(
     raw: dict[str, Any], name: str, default_s: float
 ) -> float:
-    return read_time_s(raw[name]) if name in raw else default_s
+    return _read_duration_s(raw[name]) if name in raw else default_s
--- a/verbenadeck/platform/tests/test_operator.py
+++ b/verbenadeck/platform/tests/test_operator.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+from typing import Any
 
+import msgspec
 import pytest
 from returns.pipeline import is_successful
 
@@ -98,6 +100,62 @@
     assert not is_successful(read_operator_state(record, frozenset()))
 
 
+def _make_config_with(row_change: dict[str, object]) -> bytes:
+    config = msgspec.json.decode(make_config())
+    columns = config['routes']['columns']
+    row = config['routes']['rows'][0]
+    for column, cell in row_change.items():
+        row[columns.index(column)] = cell
+    return msgspec.json.encode(config)
+
+
+@pytest.mark.parametrize(
+    'row_change',
+    [
+        {'name': ''},
+        {'host': 7},
+        {'pathPrefix': 'read'},
+        {'timeout': '-1s'},
+        {'targetLatency': '-1s'},
+        {'priority': -1},
+        {'priority': 1.5},
+        {'maxAttempts': 0},
+        {'maxAttempts': 10**30},
+        {'trafficSplit': [{'service': 'desk', 'weight': -1}]},
+        {'trafficSplit': [{'service': 'desk', 'weight': 0}]},
+        {'trafficSplit': [{'service': None, 'weight': 1}]},
+    ],
+)
+def test_route_with_a_field_out_of_range_is_refused_with_the_whole(
+    row_change: dict[str, object],
+) -> None:
+    # Guards against an entry of another writer that every route suffers from.
+    record = _make_config_with(row_change)
+    assert not is_successful(read_operator_state(record, frozenset()))
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'version': '-000000c'},
+        {'version': '0_0_0_0c'},
+        {'version': '9' * 5_000},
+        {'version': 12},
+        {'limits': {'maxBodyBytes': -1}},
+        {'limits': {'maxHeaderBytes': 0}},
+        {'limits': {'idleTimeout': '-1s'}},
+        {'services': {'columns': ['name', 'coldPerS'], 'rows': [['a', -1]]}},
+        {'services': {'columns': ['name'], 'rows': [['']]}},
+    ],
+)
+def test_configuration_with_a_field_out_of_range_is_refused(
+    changes: dict[str, Any],
+) -> None:
+    # Guards against a version that outdates all that follow.
+    record = make_config(**changes)
+    assert not is_successful(read_operator_state(record, frozenset()))
+
+
 def test_older_configuration_version_is_ignored() -> None:
     route_store = _make_route_store(
         make_config('0000000c'), make_config('0000000b')
