Check each field of the settings file, also when it changes at run time

Callers saw nothing yet. A settings file with a list or a number in place of a table or an address raised an error in the handler of SIGHUP or ended the start with a traceback in place of a line that names the cause; empty names, times of zero and ports out of range were taken.

Change: names, ports and times are checked, the name of a node also for its length, as it is part of keys in the store, and all errors of decoding become the line `not usable`. Rows that are too short count as malformed in all decoders.

--- a/verbenadeck/platform/_settings.py
+++ b/verbenadeck/platform/_settings.py
@@ -7,11 +7,20 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.model import NodeId, Region, ServiceName, Zone
-from verbenadeck.platform._units import Address, read_address, read_time_s
+from verbenadeck.platform._fields import read_int, read_name
+from verbenadeck.platform._units import (
+    DECODE_ERRORS,
+    MAX_PORT,
+    Address,
+    read_address,
+    read_time_s,
+)
 
 CONFIG_PATH_VARIABLE = 'VERBENADECK_CONFIG'
 """Environment variable with the path of the settings file."""
 
+_MAX_NODE_NAME_BYTES = 200
+
 
 class PlatformSettings(msgspec.Struct, frozen=True):
     """Identity, addresses and time limits of a node.
@@ -84,7 +93,7 @@
         return Success(_make_settings(msgspec.json.decode(path.read_bytes())))
     except (OSError, msgspec.MsgspecError) as error:
         return Failure(SettingsError(f'{path}: {error}'))
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             SettingsError(f'{path}: missing or invalid field: {error!r}')
         )
@@ -94,18 +103,36 @@
     listen = fields['listen']
     bounds = fields['bounds']
     return PlatformSettings(
-        node_id=NodeId(fields['node']),
-        zone=Zone(fields['zone']),
-        region=Region(fields['region']),
-        service=ServiceName(fields['service']),
+        node_id=NodeId(_read_node_name(fields['node'])),
+        zone=Zone(read_name(fields['zone'])),
+        region=Region(read_name(fields['region'])),
+        service=ServiceName(read_name(fields['service'])),
         entry=read_address(listen['outbound']),
         ready=read_address(listen['ready']),
         heartbeats=read_address(listen['control']),
-        peer=Address(fields['ip'], int(fields['internalPorts'][0])),
+        peer=Address(
+            read_name(fields['ip']),
+            read_int(fields['internalPorts'][0], least=1, most=MAX_PORT),
+        ),
         upstream=read_address(fields['appAddr']),
         store=read_address(fields['platform']['address']),
-        heartbeat_interval_s=read_time_s(fields['heartbeat']),
-        max_hold_s=read_time_s(bounds['holdMax']),
-        drain_timeout_s=read_time_s(bounds['drain']),
-        stop_timeout_s=read_time_s(bounds['grace']),
+        heartbeat_interval_s=_read_positive_s(fields['heartbeat']),
+        max_hold_s=_read_positive_s(bounds['holdMax']),
+        drain_timeout_s=_read_positive_s(bounds['drain']),
+        stop_timeout_s=_read_positive_s(bounds['grace']),
     )
+
+
+def _read_node_name(text: object) -> str:
+    """Return the name of the node, which is part of keys in the store."""
+    name = read_name(text)
+    if len(name.encode()) > _MAX_NODE_NAME_BYTES:
+        raise ValueError('the name of the node is too long')
+    return name
+
+
+def _read_positive_s(text: object) -> float:
+    time_s = read_time_s(text)
+    if time_s <= 0:
+        raise ValueError('expected a positive time')
+    return time_s
--- a/verbenadeck/platform/_units.py
+++ b/verbenadeck/platform/_units.py
@@ -4,14 +4,14 @@
 from typing import NamedTuple
 
 _MS_PER_S = 1000.0
-_MAX_PORT = 65_535
+MAX_PORT = 65_535
 _UNITS_S = (('ms', 1 / _MS_PER_S), ('s', 1.0))
 
 
 DECODE_ERRORS = (
     ArithmeticError,
     AttributeError,
-    KeyError,
+    LookupError,
     RecursionError,
     TypeError,
     ValueError,
@@ -90,6 +90,6 @@
     """
     host, _, port_text = text.rpartition(':')
     port = int(port_text)
-    if not 0 < port <= _MAX_PORT:
+    if not 0 < port <= MAX_PORT:
         raise ValueError(f'port out of range: {port}')
     return Address(host, port)
--- a/verbenadeck/platform/tests/test_settings.py
+++ b/verbenadeck/platform/tests/test_settings.py
@@ -34,6 +34,24 @@
     return fields
 
 
+def _encode(**changes: Any) -> bytes:
+    return msgspec.json.encode(_make_fields(**changes))
+
+
+_ODD_CHANGES: tuple[dict[str, Any], ...] = (
+    {'listen': []},
+    {'listen': {'outbound': 7}},
+    {'appAddr': 7},
+    {'node': 'n' * 300},
+    {'service': None},
+    {'zone': ''},
+    {'heartbeat': '0s'},
+    {'internalPorts': [70_000, 70_001]},
+    {'internalPorts': []},
+    {'bounds': {'drain': '2s', 'grace': '-6s', 'holdMax': '1s'}},
+)
+
+
 @pytest.mark.parametrize(
     ('content', 'line'),
     [
@@ -43,6 +61,8 @@
             'from the next start: zone, heartbeat_interval_s',
         ),
         (b'{"node": 7', 'not usable'),
+        *((_encode(**change), 'not usable') for change in _ODD_CHANGES),
+        (b'[' * 200_000, 'not usable'),
     ],
 )
 def test_reread_settings_are_compared_by_name(
