Check the answers of the store before a start relies on them

Callers saw nothing yet. A value with broken base64 raised binascii.Error in the start of a node (tried on the code before), negative offsets were taken, and a page without records that says that more follow was asked for again and again.

Change: contents are decoded with the page, offsets are not negative, and a page that does not go on is a failure, which the start tries again later.

Result: test_malformed_page_of_newest_records_is_a_failure and test_answer_to_an_append_with_an_odd_offset_leaves_it_unknown.

--- a/verbenadeck/platform/_frames.py
+++ b/verbenadeck/platform/_frames.py
@@ -2,6 +2,7 @@
 
 import struct
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 from loguru import logger
@@ -38,13 +39,16 @@
     records: tuple[bytes, ...]
 
 
+_Offset = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _AppendedBody(msgspec.Struct):
-    offset: int
+    offset: _Offset
 
 
 class _GoneBody(msgspec.Struct):
     # Offset of the oldest kept record.
-    first: int = 0
+    first: _Offset = 0
 
 
 def split_record(record: bytes) -> tuple[str, bytes]:
@@ -99,7 +103,7 @@
         return Success(
             Offset(msgspec.json.decode(body, type=_AppendedBody).offset)
         )
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return make_failure(
             LogFailure.UNKNOWN, f'malformed answer of the store: {error}'
         )
@@ -140,7 +144,7 @@
 def _read_first_offset(body: bytes) -> int:
     try:
         return msgspec.json.decode(body, type=_GoneBody).first
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError):
         return 0
 
 
--- a/verbenadeck/platform/_keyed_state.py
+++ b/verbenadeck/platform/_keyed_state.py
@@ -1,6 +1,6 @@
 """Newest record of every key of a topic."""
 
-import base64
+from typing import Annotated
 
 import msgspec
 from returns.result import Result, Success
@@ -10,6 +10,7 @@
 from verbenadeck.platform._frames import make_failure
 
 _OK = 200
+_Offset = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class KeyedRecord(msgspec.Struct, frozen=True):
@@ -45,15 +46,29 @@
     end_offset: Offset
 
 
-class NewestItem(msgspec.Struct):
-    """Newest record of a key, with its content as base64 in `value`."""
+class NewestItem(msgspec.Struct, frozen=True, rename={'content': 'value'}):
+    """Newest record of a key.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    content : bytes
+        Record without its key, in base64 on the wire.
+    offset : int
+        Offset of the record in the topic.
+    """
 
     key: str
-    value: str
-    offset: int
+    content: bytes
+    offset: _Offset
 
 
-class NewestPage(msgspec.Struct, rename={'has_more': 'more'}):
+class NewestPage(
+    msgspec.Struct,
+    frozen=True,
+    rename={'has_more': 'more', 'end_offset': 'end'},
+):
     """Page of newest records.
 
     Parameters
@@ -62,13 +77,13 @@
         Records by rising key.
     has_more : bool
         Whether further keys follow.
-    end : int
+    end_offset : int
         Offset of the next record to be appended, when the page was read.
     """
 
     items: list[NewestItem]
     has_more: bool
-    end: int
+    end_offset: _Offset
 
     @property
     def last_key(self) -> str:
@@ -76,7 +91,9 @@
         return self.items[-1].key if self.items else ''
 
 
-def read_newest_page(status: int, body: bytes) -> Result[NewestPage, LogError]:
+def read_newest_page(
+    status: int, body: bytes, after: str
+) -> Result[NewestPage, LogError]:
     """Return the page of newest records in an answer of the store.
 
     Parameters
@@ -85,17 +102,25 @@
         HTTP status of the answer.
     body : bytes
         Body of the answer.
+    after : str
+        Key after which the page begins, empty for the first one.
     """
     if status != _OK:
         return make_failure(
             LogFailure.UNAVAILABLE, f'the store answered with status {status}'
         )
     try:
-        return Success(msgspec.json.decode(body, type=NewestPage))
-    except msgspec.MsgspecError as error:
+        page = msgspec.json.decode(body, type=NewestPage)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return make_failure(
             LogFailure.UNAVAILABLE, f'malformed answer of the store: {error}'
         )
+    if page.has_more and page.last_key in {'', after}:
+        # The pages that follow would never end.
+        return make_failure(
+            LogFailure.UNAVAILABLE, 'the store repeats a page of records'
+        )
+    return Success(page)
 
 
 def merge_pages(pages: list[NewestPage]) -> KeyedState:
@@ -106,10 +131,10 @@
     pages : list of NewestPage
         All pages of the topic, at least one.
     """
-    end_offset = Offset(pages[0].end)
+    end_offset = Offset(pages[0].end_offset)
     newest_by_key = {item.key: item for page in pages for item in page.items}
     newest_records = [
-        KeyedRecord(item.key, base64.b64decode(item.value), Offset(item.offset))
+        KeyedRecord(item.key, item.content, Offset(item.offset))
         for item in newest_by_key.values()
         if item.offset < end_offset
     ]
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -203,7 +203,9 @@
                 params=params,
                 timeout=self._make_timeout(deadline_s),
             ) as response:
-                return read_newest_page(response.status, await response.read())
+                return read_newest_page(
+                    response.status, await response.read(), after
+                )
         except _CALL_ERRORS as error:
             return make_failure(
                 LogFailure.UNAVAILABLE, f'no answer from the store: {error!r}'
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -8,13 +8,15 @@
 import pytest
 from returns.pipeline import is_successful
 
+from verbenadeck.adapters import LogFailure
 from verbenadeck.fleet import FleetState
 from verbenadeck.journal import ReadOptions, SourcePlanner, StreamFollower
 from verbenadeck.journal.tests.builders import FaultyAdapter
 from verbenadeck.journal.tests.start_fleets import RetainingAdapter
 from verbenadeck.model import NodeId, Offset
 from verbenadeck.peers import PeerAddress
-from verbenadeck.platform._frames import make_record, read_page
+from verbenadeck.platform._frames import make_record, read_appended, read_page
+from verbenadeck.platform._keyed_state import read_newest_page
 from verbenadeck.platform._operator import (
     make_records_handler,
     read_operator_state,
@@ -156,6 +158,28 @@
     assert upstream.is_usable
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'\xff',
+        b'{"items":[],"more":true,"end":3}',
+        b'{"items":[],"more":false,"end":-1}',
+        b'{"items":[{"key":"b","value":"YQ==","offset":0}],"more":true,"end":3}',
+        b'{"items":[{"key":"c","value":"YQ","offset":0}],"more":false,"end":3}',
+        b'{"items":[{"key":"c","value":"YQ==","offset":-1}],"more":false,"end":3}',
+    ],
+)
+def test_malformed_page_of_newest_records_is_a_failure(body: bytes) -> None:
+    # Guards against a start that ends or never ends by an answer of the store.
+    assert not is_successful(read_newest_page(200, body, 'b'))
+
+
+def test_answer_to_an_append_with_an_odd_offset_leaves_it_unknown() -> None:
+    for body in (b'{"offset":-1}', b'{"offset":1e999}', b'\xff'):
+        failure = read_appended(200, body).failure().failure
+        assert failure is LogFailure.UNKNOWN
+
+
 def test_answer_cut_within_a_record_returns_the_whole_ones() -> None:
     length = (5).to_bytes(4, 'big')
     body = b''.join((bytes(16), length, b'whole', length, b'cu'))
