Bound the texts that instances hand over with their keys

Texts that no move had asked for were kept for good, so that reports of an instance, or of another writer, grew the memory of its node without a limit. A text longer than those of the users made the reply to a heartbeat longer than an instance reads; it would have lost all its keys. A peer's texts for keys that do not exist split the rows of a grant wrongly.

Change: HandoverTexts keeps 4,096 texts of at most 200 characters for keys that exist, and a reply that is too long goes out without texts.

--- a/verbenadeck/lease/_heartbeat_grants.py
+++ b/verbenadeck/lease/_heartbeat_grants.py
@@ -17,6 +17,7 @@
     UpstreamAdapter,
 )
 from verbenadeck.lease._grants_interface import ServableFences
+from verbenadeck.lease._handover_texts import HandoverTexts
 from verbenadeck.lease._hold_rows import (
     KeyLayout,
     build_hold_rows,
@@ -102,8 +103,8 @@
         self._unknown_until_s = clock.now_s() + max_hold_s * CLOCK_RATIO
         # Highest fence sent for each shard, to any instance of the upstream.
         self._max_granted_fences: dict[Shard, Fence] = {}
-        self._pending_handovers: dict[tuple[int, int], str] = {}
-        self._released_handovers: dict[tuple[int, int], str] = {}
+        self._pending_handovers = HandoverTexts(key_space)
+        self._released_handovers = HandoverTexts(key_space)
         self._heartbeat_received = asyncio.Event()
         upstream.on_announce(self._on_announce)
 
@@ -183,11 +184,7 @@
         for each in ranges:
             first = self._key_layout.first_key(each.first_shard)
             stop = self._key_layout.first_key(each.stop_shard)
-            for keys in tuple(self._released_handovers):
-                if first <= keys[0] and keys[1] < stop:
-                    found.append(
-                        KeyHandover(*keys, self._released_handovers.pop(keys))
-                    )
+            found.extend(self._released_handovers.pop_within(first, stop))
         return tuple(found)
 
     def add_handovers(self, handovers: tuple[KeyHandover, ...]) -> None:
@@ -198,8 +195,7 @@
         handovers : tuple of KeyHandover
             Texts of the earlier owner's upstream.
         """
-        for each in handovers:
-            self._pending_handovers[(each.first_key, each.last_key)] = each.text
+        self._pending_handovers.add(handovers)
 
     def holds_for(self, report: HoldReport) -> HoldReply | None:
         """Return the keys that the upstream is to hold from now on.
@@ -256,7 +252,9 @@
             for shard, fence in servable.items()
         }
         rows = tuple(
-            build_hold_rows(fences, self._key_layout, self._pending_handovers)
+            build_hold_rows(
+                fences, self._key_layout, self._pending_handovers.by_range
+            )
         )
         if len(rows) > MAX_ROWS:
             _log.warning(
@@ -289,11 +287,8 @@
         is_unknown = bool(report.held) and not self._key_layout.shard_count()
         self._unknown_until_s = latest_s if is_unknown else -math.inf
         for row in report.held:
-            self._pending_handovers.pop((row.first_key, row.last_key), None)
-        for each in report.released:
-            self._released_handovers[(each.first_key, each.last_key)] = (
-                each.text
-            )
+            self._pending_handovers.discard((row.first_key, row.last_key))
+        self._released_handovers.add(report.released)
 
     def _has_unknown_holds(self, report: HoldReport) -> bool:
         """Return whether the upstream holds keys that are not granted."""
@@ -323,7 +318,7 @@
         self._granted_fences = {}
         self._held_until_s = {}
         self._unknown_until_s = -math.inf
-        self._released_handovers = {}
+        self._released_handovers.clear()
         self._heartbeat_received.set()
         self.on_change()
 
--- a/verbenadeck/lease/tests/test_heartbeat_grants.py
+++ b/verbenadeck/lease/tests/test_heartbeat_grants.py
@@ -316,3 +316,29 @@
         await scenario(_FakeNode(shards=0))
 
     run_virtual(main())
+
+
+def test_texts_that_are_handed_over_are_bounded() -> None:
+    # Guards against memory that grows with every report of the upstream.
+    async def scenario(node: _FakeNode) -> None:
+        for key in range(_KEYS):
+            for last in range(key, _KEYS):
+                released = (KeyHandover(key, last, 'text'),)
+                node.grants.holds_for(_report(freed=released))
+        found = node.grants.pop_handovers((ReleasedRange(_SERVICE, 0, 16),))
+        assert len(found) == 4096
+        assert found[-1] == KeyHandover(_KEYS - 1, _KEYS - 1, 'text')
+
+    _run(scenario)
+
+
+def test_texts_of_keys_that_do_not_exist_are_not_granted() -> None:
+    async def scenario(node: _FakeNode) -> None:
+        node.add_shards(0, 4)
+        odd = ((8, 2, 'x'), (-1, 3, 'x'), (0, _KEYS, 'x'), (0, 9, 'x' * 201))
+        node.grants.add_handovers(tuple(KeyHandover(*each) for each in odd))
+        reply = node.grants.holds_for(_report())
+        assert reply is not None
+        assert reply.held == (HeldRange(0, 39, Fence(5)),)
+
+    _run(scenario)
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -235,6 +235,18 @@
     """
     if reply is None:
         return b'{}'
+    body = _encode_reply(reply)
+    if len(body) <= MAX_REPLY_BYTES:
+        return body
+    # Keys without a handover are slow for a while; those of a reply that the
+    # instance does not read are not held at all.
+    held = tuple(
+        msgspec.structs.replace(each, handover='') for each in reply.held
+    )
+    return _encode_reply(HoldReply(held, reply.hold_s))
+
+
+def _encode_reply(reply: HoldReply) -> bytes:
     hold_rows = [
         [
             held_range.first_key,
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -183,6 +183,17 @@
     assert len(write_reply(reply)) <= MAX_REPLY_BYTES
 
 
+def test_reply_with_long_texts_is_sent_without_them() -> None:
+    # Guards against a reply that the instance does not read: it loses all keys.
+    last_key = 65_535
+    row = HeldRange(last_key, last_key, Fence(2**53), 'x' * 200)
+    reply = HoldReply(tuple(row for _ in range(MAX_ROWS)), 9.999)
+    body = write_reply(reply)
+    assert len(body) <= MAX_REPLY_BYTES
+    rows = msgspec.json.decode(body)['holds']
+    assert rows == [[last_key, last_key, 2**53, ''] for _ in reply.held]
+
+
 @pytest.mark.parametrize('missing', ['holds', 'freed'])
 def test_heartbeat_with_one_of_its_two_lists_is_refused(missing: str) -> None:
     body = make_heartbeat_body()
