Fail a call at once when its reply can't be encoded

Cause: the reply was encoded outside of what catches the errors of a handler, so that the call was never answered.

Result: test_reply_that_cannot_be_encoded_fails_the_call_at_once failed before, after 10 s without a reply.

--- a/verbenadeck/peers/_inbound.py
+++ b/verbenadeck/peers/_inbound.py
@@ -113,6 +113,7 @@
     ) -> None:
         try:
             reply = await self._dispatch(peer, message)
+            body = b'' if reply is None else self._encode(reply)
         except Exception:
             _log.exception(
                 'handler of {} raised an exception; failing the call',
@@ -123,7 +124,6 @@
         if reply is None:
             self._write_failure(FrameKind.FAIL, call_id, 'no reply')
             return
-        body = self._encode(reply)
         await self._connection.send(FrameKind.REPLY, call_id, body)
 
     def _reject(self, call_id: int, reason: str) -> None:
--- a/verbenadeck/peers/tests/test_streams.py
+++ b/verbenadeck/peers/tests/test_streams.py
@@ -277,6 +277,27 @@
     asyncio.run(scenario())
 
 
+def test_reply_that_cannot_be_encoded_fails_the_call_at_once() -> None:
+    # Guards against a caller that waits for its deadline for a known failure.
+    async def scenario() -> None:
+        first_node, second_node = make_transport(), make_transport()
+
+        async def answer(_peer: PeerAddress, _request: Request) -> Response:
+            return Response(2**70)
+
+        second_node.register_handler(Request, answer)
+        async with running_transports(first_node, second_node):
+            async with asyncio.timeout(10):
+                answer_or_error = await first_node.call(
+                    second_node.address,
+                    Request(1),
+                    deadline_s=distant_deadline_s(),
+                )
+        assert answer_or_error.failure().failure is PeerFailure.NO_REPLY
+
+    asyncio.run(scenario())
+
+
 def test_handler_of_datagram_that_raises_leaves_the_next_one_answered() -> None:
     async def scenario() -> None:
         first_node, second_node = make_transport(), make_transport()
