--- a/verbenadeck/platform/__main__.py
+++ b/verbenadeck/platform/__main__.py
@@ -1,9 +1,14 @@
 """Entry point of a node on the platform: `python -m verbenadeck.platform`."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+# By default SIGHUP ends the process, and the imports that follow take most of
+# the time until it is handled.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import uvloop
 from returns.pipeline import is_successful
 
