--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: setup format lint types unit test demo fuzz bench capacity clean golden
+.PHONY: setup format lint types unit test demo soak fuzz bench capacity clean golden
 
 setup: $(VENV)/.verbenadeck-$(shell cksum < requirements/lock.txt | cut -d' ' -f1)
 
@@ -36,6 +36,11 @@
 demo: setup
 	$(PY) -m verbenadeck.demo --out build/demo.json
 
+# Random disorder of real processes; SEED chooses it.
+soak: setup
+	$(PY) -m verbenadeck.demo --site fiji --seed $(SEED) --soak_s 40 \
+		--out build/soak-$(SEED)/report.json
+
 # Longer random runs; SEED chooses them.
 fuzz: setup
 	VERBENADECK_FUZZ_EXAMPLES=300 SEED=$(SEED) $(PY) -m pytest \
--- a/verbenadeck/demo/__main__.py
+++ b/verbenadeck/demo/__main__.py
@@ -16,7 +16,10 @@
 _SITES = flags.DEFINE_multi_enum(
     'site', [], [site.name for site in SITES], 'Sites; all when none.'
 )
-_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load and of a soak.')
+_SOAK_S = flags.DEFINE_float(
+    'soak_s', 0, 'Seconds of random disorder in place of the usual events.'
+)
 _SUBNETS = 240
 _FIRST_SUBNET = 10
 
@@ -37,6 +40,7 @@
             subnet=subnet,
             folder=folder / site.name,
             seed=_SEED.value,
+            soak_s=_SOAK_S.value,
         )
         report = await session.run()
         sys.stdout.write(f'{table_of(report)}\n')
--- a/verbenadeck/demo/_session.py
+++ b/verbenadeck/demo/_session.py
@@ -10,6 +10,7 @@
 from verbenadeck.adapters import LogHttpAdapter
 from verbenadeck.demo._caller import Caller
 from verbenadeck.demo._calls import CallRecord
+from verbenadeck.demo._disorder import disorder_of
 from verbenadeck.demo._events import Event, events_of
 from verbenadeck.demo._fleet import SiteFleet
 from verbenadeck.demo._load import Load
@@ -39,16 +40,26 @@
     folder : Path
         Folder for settings and logs.
     seed : int
-        Seed of the load.
+        Seed of the load, and of the disorder of a soak.
+    soak_s : float
+        Time in seconds of random disorder; 0 for the usual events.
     """
 
     def __init__(
-        self, site: Site, *, subnet: int, folder: Path, seed: int
+        self,
+        site: Site,
+        *,
+        subnet: int,
+        folder: Path,
+        seed: int,
+        soak_s: float = 0,
     ) -> None:
         self._site = site
         self._subnet = subnet
         self._folder = folder
         self._random = random.Random(seed)
+        self._soak_source = random.Random(f'soak/{seed}')
+        self._soak_s = soak_s
         self._clock = Clock()
         self._stretches: list[Stretch] = []
         self._errors: list[str] = []
@@ -99,13 +110,25 @@
         load = Load(self._site, caller, clock=self._clock, source=self._random)
         load.start()
         try:
-            for event in events_of(self._site, fleet, operator):
+            for event in self._make_events(fleet, operator):
                 await self._play(event, observer)
         finally:
             await load.stop()
             await caller.close()
         return await self._gather(fleet, caller.records, load.longest_lag_s)
 
+    def _make_events(
+        self, fleet: SiteFleet, operator: Operator
+    ) -> tuple[Event, ...]:
+        if self._soak_s == 0:
+            return events_of(self._site, fleet, operator)
+        return disorder_of(
+            fleet,
+            operator,
+            source=self._soak_source,
+            duration_s=self._soak_s,
+        )
+
     async def _gather(
         self,
         fleet: SiteFleet,
