Log and count heartbeats that are too long, and keep the details of refusals short

A body over the limit was refused by the HTTP library without a line or a count, and the detail of a refusal repeated texts of another writer of any length in the log.

--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from loguru import logger
 from returns.pipeline import is_successful
+from returns.result import Result, Success
 
 from verbenadeck.adapters import OrderFault
 from verbenadeck.metrics import CONTENT_TYPE
@@ -16,7 +17,11 @@
     read_heartbeat,
     write_reply,
 )
-from verbenadeck.platform._refusals import HeartbeatError, HeartbeatFault
+from verbenadeck.platform._refusals import (
+    HeartbeatError,
+    HeartbeatFault,
+    refuse_heartbeat,
+)
 from verbenadeck.platform._units import Address
 from verbenadeck.platform._upstream import PlatformUpstream
 
@@ -40,9 +45,11 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _CONFLICT = 409
+_TOO_LARGE = 413
 _UNAVAILABLE = 503
 _STATUS_BY_FAULT: Mapping[HeartbeatFault | OrderFault, int] = MappingProxyType(
     {
+        HeartbeatFault.TOO_LONG: _TOO_LARGE,
         HeartbeatFault.OTHER_INSTANCE: _NOT_FOUND,
         HeartbeatFault.NOT_RECORDED: _UNAVAILABLE,
         OrderFault.FUTURE_START: _CONFLICT,
@@ -139,18 +146,21 @@
         return web.Response(status=_UNAVAILABLE if reason else _OK)
 
     async def _handle_heartbeat(self, request: web.Request) -> web.Response:
-        body = await request.read()
         instance = request.match_info['instance']
-        result = read_heartbeat(instance, body, self._expected).bind(
-            self._upstream.handle_heartbeat
-        )
+        body = await _read_body(request)
+        result = body.bind(
+            lambda content: read_heartbeat(instance, content, self._expected)
+        ).bind(self._upstream.handle_heartbeat)
         if is_successful(result):
             return _make_json_response(_OK, write_reply(result.unwrap()))
         return self._refuse('heartbeat', result.failure())
 
     async def _handle_deregister(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        message = read_deregistration(request.match_info['instance'], body)
+        instance = request.match_info['instance']
+        body = await _read_body(request)
+        message = body.bind(
+            lambda content: read_deregistration(instance, content)
+        )
         if not is_successful(message):
             return self._refuse('deregistration', message.failure())
         result = await self._upstream.handle_deregister(message.unwrap())
@@ -173,6 +183,13 @@
         )
 
 
+async def _read_body(request: web.Request) -> Result[bytes, HeartbeatError]:
+    try:
+        return Success(await request.read())
+    except web.HTTPRequestEntityTooLarge as error:
+        return refuse_heartbeat(HeartbeatFault.TOO_LONG, str(error))
+
+
 def _make_json_response(status: int, body: bytes) -> web.Response:
     return web.Response(
         status=status, body=body, content_type='application/json'
--- a/verbenadeck/platform/_heartbeats.py
+++ b/verbenadeck/platform/_heartbeats.py
@@ -274,6 +274,7 @@
     ):
         if found != known:
             return refuse_heartbeat(fault, f'{found!r} in place of {known!r}')
+    # Not used, but a heartbeat without it is not one of an instance.
     read_text(info['version'])
     started_at_ms = read_int(body_fields['born'])
     return Success(
--- a/verbenadeck/platform/_refusals.py
+++ b/verbenadeck/platform/_refusals.py
@@ -7,11 +7,14 @@
 
 from verbenadeck.adapters import OrderFault
 
+_MAX_DETAIL_LENGTH = 200
+
 
 class HeartbeatFault(enum.Enum):
     """Reason for refusing a heartbeat; also the end of its counter's name."""
 
     MALFORMED = 'malformed'
+    TOO_LONG = 'too_long'
     OTHER_SERVICE = 'other_service'
     OTHER_ADDRESS = 'other_address'
     OTHER_ZONE = 'other_zone'
@@ -40,4 +43,4 @@
     detail : str
         Cause, for logs.
     """
-    return Failure(HeartbeatError(fault, detail))
+    return Failure(HeartbeatError(fault, detail[:_MAX_DETAIL_LENGTH]))
--- a/verbenadeck/platform/tests/test_control.py
+++ b/verbenadeck/platform/tests/test_control.py
@@ -44,6 +44,7 @@
             status, _ = await control.post(path, bytes(300_000))
             assert status == 413
             assert not control.upstream.is_usable
+            assert control.counters == {'heartbeats_refused_too_long': 1}
 
     asyncio.run(scenario())
 
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -100,6 +100,14 @@
     assert not is_successful(decode_heartbeat(body))
 
 
+@pytest.mark.parametrize(
+    'change', [{'info_service': 'x' * 9_999}, {'status_state': 'x' * 9_999}]
+)
+def test_detail_of_a_refusal_is_short(change: dict[str, Any]) -> None:
+    body = msgspec.json.encode(make_heartbeat_body(**change))
+    assert len(decode_heartbeat(body).failure().detail) <= 200
+
+
 @pytest.mark.parametrize(
     ('change', 'fault'),
     [
