--- a/verbenadeck/demo/_operator.py
+++ b/verbenadeck/demo/_operator.py
@@ -27,12 +27,12 @@
         await self._run('publish', str(path))
 
     async def take_zone_out(self, zone: str, reason: str) -> None:
-        """Take an availability zone out of service."""
-        await self._run('zone', 'out', zone, f'--reason={reason}')
+        """Take an availability zone out of service, also one without nodes."""
+        await self._run('zone', 'out', zone, f'--reason={reason}', '--force')
 
     async def take_zone_in(self, zone: str, reason: str) -> None:
         """Bring an availability zone back into service."""
-        await self._run('zone', 'in', zone, f'--reason={reason}')
+        await self._run('zone', 'in', zone, f'--reason={reason}', '--force')
 
     async def _run(self, *arguments: str) -> None:
         child = await self._group.start(
