Ask the store again soon after an answer with the configuration is lost

Cause: a waiting read of the operators' topic ended without an answer, and the node then took stale answers of a peer for up to 3 s, and left the log out for up to 1.5 s.

Change: how long stale answers are accepted and how long the log is left out after its first failure are options; for operators' reads their mean is 0.3 s.

--- a/verbenadeck/journal/_log_backoff.py
+++ b/verbenadeck/journal/_log_backoff.py
@@ -5,7 +5,6 @@
 
 from verbenadeck.utils import Clock
 
-_MIN_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 4.0
 
 
@@ -21,13 +20,20 @@
         Monotonic clock of this VM.
     add_jitter : callable
         Returns a time around a mean time, both in seconds.
+    min_backoff_s : float
+        Mean time in seconds of the back-off after the first failure.
     """
 
     def __init__(
-        self, *, clock: Clock, add_jitter: Callable[[float], float]
+        self,
+        *,
+        clock: Clock,
+        add_jitter: Callable[[float], float],
+        min_backoff_s: float,
     ) -> None:
         self._clock = clock
         self._add_jitter = add_jitter
+        self._min_backoff_s = min_backoff_s
         self._mean_s = 0.0
         self._until_s = -math.inf
 
@@ -39,7 +45,7 @@
     def record_failure(self) -> None:
         """Start or prolong the back-off after a failed read of the log."""
         self._mean_s = min(
-            _MAX_BACKOFF_S, max(_MIN_BACKOFF_S, 2 * self._mean_s)
+            _MAX_BACKOFF_S, max(self._min_backoff_s, 2 * self._mean_s)
         )
         self._until_s = self._clock.now_s() + self._add_jitter(self._mean_s)
 
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -56,6 +56,12 @@
         source was fresh, and to avoid the preferred source after a failure.
     retry_s : float
         Mean wait in seconds after every source has failed.
+    stale_hold_s : float
+        Mean time in seconds for which stale answers are accepted after all
+        sources have failed or were stale.
+    log_backoff_s : float
+        Mean time in seconds for which a node that is no direct reader leaves
+        the log out after its first failed read; it doubles with each one.
     min_read_interval_s : float
         Minimum time in seconds between a page with records and the next
         read, so that a burst of records is transferred in few pages.
@@ -70,6 +76,8 @@
     max_age_s: float = 2.5
     source_hold_s: float = 4
     retry_s: float = 0.5
+    stale_hold_s: float = 4
+    log_backoff_s: float = 1
     min_read_interval_s: float = 0.02
     direct_readers: int = DIRECT_READERS
 
@@ -132,7 +140,11 @@
         self._stale_allowed_until_s = -math.inf
         self._end_known_at_s = -math.inf
         self._refreshed_at_s = -math.inf
-        self._log_backoff = LogBackoff(clock=clock, add_jitter=self._add_jitter)
+        self._log_backoff = LogBackoff(
+            clock=clock,
+            add_jitter=self._add_jitter,
+            min_backoff_s=options.log_backoff_s,
+        )
         self._next_read_at_s = -math.inf
 
     @property
@@ -272,7 +284,7 @@
         self._sources = self._plan()
         self._source_index = 0
         self._stale_allowed_until_s = now_s + self._add_jitter(
-            self._options.source_hold_s
+            self._options.stale_hold_s
         )
         if failed == self._sources[0] and len(self._sources) > 1:
             # The preferred source was the last to fail, and the others may
--- a/verbenadeck/journal/tests/test_stream.py
+++ b/verbenadeck/journal/tests/test_stream.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure, NewestRecords
@@ -29,6 +30,9 @@
     wait_s=1.0,
     max_age_s=1.5,
     reply_margin_s=0.3,
+    source_hold_s=2.0,
+    stale_hold_s=0.3,
+    log_backoff_s=0.3,
     direct_readers=_DIRECT_READERS,
 )
 
@@ -128,6 +132,35 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize('index', [5, 11, 17])
+@pytest.mark.parametrize('lost_after_s', [0.2, 0.5, 0.8, 1.1])
+def test_lost_answer_of_the_log_delays_records_within_bound(
+    index: int, lost_after_s: float
+) -> None:
+    """Guard against stale peers that are asked while the log would answer.
+
+    All peers of a node are cut off from the log, and it reads the log itself.
+    One answer of the log is lost, at the moment of a new record.
+    """
+
+    async def scenario() -> None:
+        stream = MemoryLog()
+        async with _make_readers(stream) as (site, readers):
+            cut_off = readers.pop(index)
+            for reader in readers:
+                reader.adapter.fails_reads = True
+            await site.settle(8 + lost_after_s)
+            cut_off.adapter.is_silent = True
+            await site.settle(0.05)
+            stream.records.append(b'news')
+            await site.settle(1.0)
+            cut_off.adapter.is_silent = False
+            await site.settle(_MAX_APPLY_S - 1.0)
+            assert cut_off.records == [b'news']
+
+    run_virtual(scenario())
+
+
 def test_burst_of_records_arrives_complete_and_in_order() -> None:
     async def scenario() -> None:
         stream = MemoryLog()
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -53,12 +53,15 @@
     max_age_s=1.5,
     reply_margin_s=0.3,
     source_hold_s=2.0,
+    stale_hold_s=0.3,
+    log_backoff_s=0.3,
     min_read_interval_s=0.05,
     direct_readers=DIRECT_READERS,
 )
 """Reads of the operators' topic. An answer may be lost while its connection
 stays open, so `wait_s` and `reply_margin_s` together stay below the 2 s within
-which a configuration must take effect."""
+which a configuration must take effect, along with the time until the log is
+read again after such a loss."""
 
 JOURNAL_OPTIONS = JournalOptions(
     reads=ReadOptions(
