--- a/verbenadeck/adapters/_report_order.py
+++ b/verbenadeck/adapters/_report_order.py
@@ -8,7 +8,7 @@
 
 from verbenadeck.utils import Clock
 
-MAX_CLOCK_ERROR_S = 60.0
+_MAX_CLOCK_ERROR_S = 60.0
 """Largest difference in seconds between the time of day on this VM, which may
 jump by seconds, and that of an upstream."""
 
@@ -89,7 +89,7 @@
         position : ReportPosition
             Position that the report states.
         """
-        latest_ms = (self._clock.wall_s() + MAX_CLOCK_ERROR_S) * _MS_PER_S
+        latest_ms = (self._clock.wall_s() + _MAX_CLOCK_ERROR_S) * _MS_PER_S
         if position.started_at_ms > latest_ms:
             return OrderFault.FUTURE_START
         fault = self._find_fault(position)
@@ -106,7 +106,7 @@
             if last is not None and position.started_at_ms < last.started_at_ms:
                 return OrderFault.OUTDATED
             started_at_s = position.started_at_ms / _MS_PER_S
-            age_s = self._clock.wall_s() - started_at_s + MAX_CLOCK_ERROR_S
+            age_s = self._clock.wall_s() - started_at_s + _MAX_CLOCK_ERROR_S
             return _check_skipped(position.sequence, age_s)
         if position.sequence <= last.sequence:
             return OrderFault.OUTDATED
--- a/verbenadeck/platform/_departures.py
+++ b/verbenadeck/platform/_departures.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.is_departing = False
-        self._announced: _Departure | None = None
+        self._received: _Departure | None = None
         self._listeners: list[Callable[[UpstreamDeparture], None]] = []
 
     def subscribe(self, listener: Callable[[UpstreamDeparture], None]) -> None:
@@ -39,8 +39,8 @@
         """
         self._listeners.append(listener)
 
-    def announce(self, instance: str, how: UpstreamDeparture) -> None:
-        """Notify of what an instance says; repetitions change nothing.
+    def receive(self, instance: str, how: UpstreamDeparture) -> None:
+        """Take what an instance says and notify of it, once.
 
         Parameters
         ----------
@@ -50,8 +50,8 @@
             Way in which it departs.
         """
         departure = _Departure(instance, how)
-        if departure != self._announced:
-            self._announced = departure
+        if departure != self._received:
+            self._received = departure
             self.notify(how)
 
     def notify(self, how: UpstreamDeparture) -> None:
@@ -78,5 +78,5 @@
             Id of the instance of the new session.
         """
         self.is_departing = False
-        if self._announced is not None and self._announced.instance == instance:
-            self.notify(self._announced.how)
+        if self._received is not None and self._received.instance == instance:
+            self.notify(self._received.how)
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -199,7 +199,7 @@
             return refuse_heartbeat(
                 HeartbeatFault.OTHER_INSTANCE, deregistration.instance
             )
-        self._departures.announce(heartbeat.instance_id, UpstreamDeparture.LEFT)
+        self._departures.receive(heartbeat.instance_id, UpstreamDeparture.LEFT)
         if await self.record_departure(heartbeat.instance_id):
             return Success(None)
         return refuse_heartbeat(
@@ -311,7 +311,7 @@
         ):
             self._start_session(heartbeat)
         if heartbeat.is_draining and not self._departures.is_departing:
-            self._departures.announce(
+            self._departures.receive(
                 heartbeat.instance_id, UpstreamDeparture.DRAINING
             )
         return None if report is None else self.hold_handler(report)
