Log how the lease stood when a member was evicted

Cause: after two owners of a key, the log lines did not tell whether the evicted one still held its lease, nor as of which offset the witnesses counted as ended. Change: each node logs its own eviction with the time left of its lease, as an error if it was in force; a vote by quorum loss logs its offset.

--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -230,8 +230,10 @@
         )
         for vote in votes:
             _log.warning(
-                'witnesses of incarnation {} have left; voting to evict it',
+                'witnesses of incarnation {} have ended as of offset {}; '
+                'voting to evict it',
                 vote.incarnation,
+                vote.since_offset,
             )
         if votes:
             await self._journal.propose(
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -13,6 +13,7 @@
 from verbenadeck.membership._earlier_incarnations import (
     make_stale_member_removal,
 )
+from verbenadeck.membership._eviction_report import make_eviction_report
 from verbenadeck.membership._heartbeats import Heartbeats
 from verbenadeck.membership._proposer import make_proposer
 from verbenadeck.membership._quorum_loss import has_lost_quorum
@@ -126,6 +127,16 @@
             is_long_without_lease=lambda: self.is_long_without_lease,
         )
         self._tasks: list[asyncio.Task[None]] = []
+        journal.fleet.subscribe(
+            make_eviction_report(
+                journal.fleet,
+                clock=clock,
+                incarnation=lambda: self._incarnation,
+                lease_deadline_s=lambda member: self._renewals.deadline_s(
+                    self._witness_set_manager.required_sets(member)
+                ),
+            )
+        )
 
     @property
     def incarnation(self) -> Incarnation:
