Renew under the witness's own lease or after a read of the log

Cause: votes by quorum loss (rule 7 of docs/notes-log.md) count ended witnesses, since all that they renewed has run out one lease after their end became known. That held only for witnesses that know of their end. One that was evicted and can't read the log went on renewing, so a member cut off with two of its witnesses kept its lease after any live member had evicted it. Change: a witness renews while its own lease is in force, so that it can't have been evicted; without one only after a read of the log to its end, begun after the heartbeat came in, shows it as a member. Reads are shared by the heartbeats that wait and begin at most every two heartbeat intervals. Why it works: a renewal is older than the end of its witness in both cases, and a voter waits a full lease from that end. Without the second way no lease would come back after all have lapsed. Cost: if more than half of the members lapse together while the log is down, keys have no owner until it is back.

--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -49,11 +49,14 @@
         Offset of the first record of `records`.
     records : tuple of bytes
         Records in order; empty when none was appended before the deadline.
+    reaches_end : bool
+        Whether the log certainly ended after these records when it answered.
     """
 
     first_offset: Offset
     start_offset: Offset
     records: tuple[bytes, ...]
+    reaches_end: bool = False
 
 
 class NewestRecords(msgspec.Struct, frozen=True):
--- a/verbenadeck/adapters/_log_http.py
+++ b/verbenadeck/adapters/_log_http.py
@@ -106,7 +106,7 @@
             async with self._get_session().get(
                 self._url, params=query, timeout=timeout
             ) as response:
-                return _read_page(response.status, await response.read())
+                return _read_page(response.status, await response.read(), limit)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             error_name = type(error).__name__
             return _make_failure(
@@ -158,7 +158,9 @@
     return Success(Offset(answer.offset))
 
 
-def _read_page(status: int, body: bytes) -> Result[LogPage, LogError]:
+def _read_page(
+    status: int, body: bytes, limit: int
+) -> Result[LogPage, LogError]:
     if status != _OK:
         refusal = _read_refusal(body)
         is_gone = status == _GONE
@@ -171,7 +173,10 @@
             LogFailure.UNAVAILABLE, 'malformed page of records from the log'
         )
     first = Offset(page.first_offset)
-    return Success(LogPage(first, Offset(page.start_offset), page.records))
+    reaches_end = len(page.records) < limit
+    return Success(
+        LogPage(first, Offset(page.start_offset), page.records, reaches_end)
+    )
 
 
 def _read_refusal(body: bytes) -> wire.LogRefusal:
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -21,6 +21,10 @@
 
 _log = logger.bind(part='journal')
 
+_END_TIMEOUT_S = 0.25
+"""Maximum time in seconds that a read of the end of the log waits for a
+record."""
+
 
 class TailError(Exception):
     """Tailing ended because applying a record broke an invariant.
@@ -154,6 +158,32 @@
             return True
         return await self._waiters.wait(offset, deadline_s=deadline_s)
 
+    async def catch_up(self, *, deadline_s: float) -> bool:
+        """Apply the log up to the end that it has during this call.
+
+        Reads the log itself, since what peers relay may be older. Returns
+        False if the end is not known or not applied by the deadline.
+        """
+        next_offset = Offset(self._fleet.applied_offset + 1)
+        answer = await self._adapter.read(
+            next_offset,
+            limit=self._page_limit,
+            deadline_s=min(deadline_s, self._clock.now_s() + _END_TIMEOUT_S),
+        )
+        match answer:
+            case Success(page):
+                last_offset = Offset(next_offset + len(page.records) - 1)
+                return (
+                    page.reaches_end
+                    and page.start_offset == next_offset
+                    and await self.wait_applied(
+                        last_offset, deadline_s=deadline_s
+                    )
+                )
+            case Failure(error):
+                _log.info('reading the end of the log failed: {}', error.detail)
+        return False
+
     async def _tail(self) -> None:
         await self._load_state()
         while True:
--- a/verbenadeck/journal/_interface.py
+++ b/verbenadeck/journal/_interface.py
@@ -69,3 +69,11 @@
     async def wait_applied(self, offset: Offset, *, deadline_s: float) -> bool:
         """Wait until a record is applied; return False at the deadline."""
         ...
+
+    async def catch_up(self, *, deadline_s: float) -> bool:
+        """Apply the log up to the end that it has during this call.
+
+        Reads the log itself, since what peers relay may be older. Returns
+        False if the end is not known or not applied by the deadline.
+        """
+        ...
--- a/verbenadeck/lease/_quorum_loss_monitor.py
+++ b/verbenadeck/lease/_quorum_loss_monitor.py
@@ -32,9 +32,9 @@
 
     An owner can be lost together with its witnesses, for instance when all
     lose power and its VM never comes back. No witness is then left to vote
-    that the lease has lapsed. All renewals have run out once a full lease has
-    passed since the end of the witnesses became known, so any live member may
-    vote after that time.
+    that the lease has lapsed. `LeaseWitness` renews nothing after its end, so
+    all renewals have run out once a full lease has passed since the end of
+    the witnesses became known, and any live member may vote after that time.
 
     Parameters
     ----------
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -9,6 +9,7 @@
 
 from verbenadeck.fleet import Member, has_ended
 from verbenadeck.journal import Journal
+from verbenadeck.lease._membership_check import MembershipCheck
 from verbenadeck.lease._quorum_loss_monitor import QuorumLossMonitor
 from verbenadeck.membership import Heartbeat, HeartbeatAck, Membership
 from verbenadeck.model import Epoch, Incarnation, Offset
@@ -49,6 +50,12 @@
     it applied the epoch. After the vote it does not renew the member again
     under that epoch. All members watch those whose witnesses have left.
 
+    A witness renews nothing after its own end, also while it can't read the
+    log: it is evicted only once its own lease has run out, and without a
+    lease it renews only after a read of the log that began after the
+    heartbeat came in. So once a full lease has passed since the end of a
+    witness, nothing that it renewed is in force.
+
     Parameters
     ----------
     clock : Clock
@@ -84,8 +91,12 @@
             lease_s=self._timing.lease_s,
             random_source=random_source,
         )
+        self._membership_check = MembershipCheck(
+            clock=clock, journal=journal, timing=self._timing
+        )
+        # Members whose heartbeats wait for a check in the log.
+        self._waiting_members: set[Incarnation] = set()
         self._is_rescan_due = True
-        self._own = membership.incarnation
         self._task: asyncio.Task[None] | None = None
         transport.register_handler(Heartbeat, self._on_heartbeat)
         journal.fleet.subscribe(self._on_applied)
@@ -99,6 +110,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        await self._membership_check.stop()
 
     def _on_applied(
         self, _offset: Offset, _record: Record, _verdict: Verdict
@@ -108,13 +120,11 @@
     async def _on_heartbeat(
         self, _source: PeerAddress, heartbeat: Heartbeat
     ) -> HeartbeatAck | None:
-        membership = self._membership
-        is_addressee = heartbeat.witness == membership.incarnation
-        if not is_addressee or membership.is_stopping:
-            return None
-        if self._is_refused(heartbeat.member):
+        if self._is_refused(heartbeat):
             return None
         if heartbeat.is_renewal:
+            if not await self._may_renew(heartbeat):
+                return None
             self._renewed_s[heartbeat.member] = self._clock.now_s()
         return HeartbeatAck(
             heartbeat.member,
@@ -123,12 +133,30 @@
             heartbeat.is_renewal,
         )
 
-    def _is_refused(self, incarnation: Incarnation) -> bool:
+    async def _may_renew(self, heartbeat: Heartbeat) -> bool:
+        """Return whether this node has certainly not ended before now."""
+        member = heartbeat.member
+        if self._membership.is_leased:
+            return True
+        if member in self._waiting_members:
+            return False
+        self._waiting_members.add(member)
+        try:
+            is_checked = await self._membership_check.run()
+        finally:
+            self._waiting_members.discard(member)
+        return is_checked and not self._is_refused(heartbeat)
+
+    def _is_refused(self, heartbeat: Heartbeat) -> bool:
+        membership = self._membership
+        is_addressee = heartbeat.witness == membership.incarnation
+        if not is_addressee or membership.is_stopping:
+            return True
         fleet = self._journal.fleet
-        if has_ended(fleet, incarnation):
+        if has_ended(fleet, heartbeat.member):
             return True
-        member = fleet.members.get(incarnation)
-        voted = self._voted_epochs.get(incarnation)
+        member = fleet.members.get(heartbeat.member)
+        voted = self._voted_epochs.get(heartbeat.member)
         # An accepted change of the witness set has a new epoch, which voids
         # votes of earlier epochs.
         return member is not None and voted == member.epoch
--- a/verbenadeck/platform/_log.py
+++ b/verbenadeck/platform/_log.py
@@ -140,10 +140,12 @@
 
 
 def _make_log_page(page: StorePage, limit: int) -> LogPage:
+    records = tuple(split_record(record)[1] for record in page.records[:limit])
     return LogPage(
         page.first_offset,
         page.start_offset,
-        tuple(split_record(record)[1] for record in page.records[:limit]),
+        records,
+        reaches_end=page.start_offset + len(records) >= page.end_offset,
     )
 
 
--- a/verbenadeck/platform/tests/test_log.py
+++ b/verbenadeck/platform/tests/test_log.py
@@ -77,6 +77,25 @@
     _run_scenario(scenario)
 
 
+def test_page_tells_whether_the_log_ended_after_it() -> None:
+    async def scenario(_store: StoreStandin, client: StoreClient) -> None:
+        log = _make_log(client)
+        for record in (b'a', b'bc'):
+            await log.append(record, deadline_s=make_deadline_s())
+        part, whole = [
+            (
+                await log.read(
+                    Offset(0), limit=limit, deadline_s=make_deadline_s()
+                )
+            ).unwrap()
+            for limit in (1, 2)
+        ]
+        assert not part.reaches_end
+        assert whole.reaches_end
+
+    _run_scenario(scenario)
+
+
 def test_failed_append_tells_whether_record_may_be_in_the_log() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
         log = _make_log(client)
--- a/verbenadeck/standins/tests/test_log_over_http.py
+++ b/verbenadeck/standins/tests/test_log_over_http.py
@@ -55,6 +55,22 @@
     _run_scenario(scenario)
 
 
+def test_full_page_does_not_tell_whether_the_log_ended_after_it() -> None:
+    async def scenario(_store: LogStore, adapter: LogHttpAdapter) -> None:
+        for record in (b'a', b'b'):
+            await adapter.append(record, deadline_s=_deadline_after())
+        full, partial = [
+            await adapter.read(
+                Offset(0), limit=limit, deadline_s=_deadline_after()
+            )
+            for limit in (2, 3)
+        ]
+        assert not full.unwrap().reaches_end
+        assert partial.unwrap().reaches_end
+
+    _run_scenario(scenario)
+
+
 def test_read_at_end_waits_for_next_append() -> None:
     async def scenario(_store: LogStore, adapter: LogHttpAdapter) -> None:
         reading = asyncio.ensure_future(
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -98,7 +98,14 @@
             return Failure(LogError(LogFailure.UNAVAILABLE, 'log is down'))
         stop = start_offset + limit
         records = tuple(log.records[start_offset:stop])
-        return Success(LogPage(Offset(log.first_offset), start_offset, records))
+        return Success(
+            LogPage(
+                Offset(log.first_offset),
+                start_offset,
+                records,
+                reaches_end=stop >= len(log.records),
+            )
+        )
 
     async def newest(self) -> Result[NewestRecords | None, LogError]:
         """Return None, since this log retains no record indefinitely."""
