Keep requiring a witness set that an earlier proposal may bring

Callers could see: two instances with the same keys. Cause: a member that proposes the same witness set again, after an append of unknown outcome, forgot the set once the repeat was certainly not appended. The first record could still take effect; the lease then rested on a quorum of the old set alone, from an empty set on nobody, while the new witnesses evicted the member. A cut brings this order: the answer of the append in progress is lost, and reconnecting fails. Change: only the first proposal of a set withdraws it when it was not appended. A set of unknown outcome stays required until the epoch changes. Result: test_repeat_that_is_not_appended_leaves_an_earlier_proposal_required failed before and passes.

--- a/verbenadeck/membership/_witness_set.py
+++ b/verbenadeck/membership/_witness_set.py
@@ -207,7 +207,8 @@
         self._pending = [
             each for each in self._pending if each[0] == member.epoch
         ]
-        if entry not in self._pending:
+        is_first = entry not in self._pending
+        if is_first:
             if len(self._pending) >= _MAX_PENDING_CHANGES:
                 return
             self._pending.append(entry)
@@ -215,12 +216,14 @@
             Witnesses(member.incarnation, member.epoch, target),
             deadline_s=self._clock.now_s() + self._timing.append_timeout_s,
         )
-        self._handle_outcome(entry, outcome)
+        self._handle_outcome(entry, outcome, is_first=is_first)
 
     def _handle_outcome(
         self,
         entry: tuple[Epoch, WitnessSet],
         outcome: Result[AppliedRecord, JournalError],
+        *,
+        is_first: bool,
     ) -> None:
         match outcome:
             case Success(AppliedRecord(verdict=verdict)):
@@ -230,10 +233,13 @@
                     entry[1],
                     verdict.value,
                 )
-            case Failure(JournalError(failure=JournalFailure.NOT_APPENDED)):
+            case Failure(JournalError(failure=JournalFailure.NOT_APPENDED)) if (
+                is_first
+            ):
                 self._pending.remove(entry)
             case _:
-                # The record may still be appended, so both sets count.
+                # This record or an earlier one with the same set may still be
+                # appended, so both sets count.
                 _log.warning(
                     'change of the witness set to {} has an unknown outcome; '
                     'the lease needs a quorum of the old and the new set',
--- a/verbenadeck/membership/tests/test_witness_set.py
+++ b/verbenadeck/membership/tests/test_witness_set.py
@@ -91,7 +91,6 @@
 
 # Guards against a lease on the old set alone while the log appends an earlier
 # proposal of the new set, whose members then evict this node.
-@pytest.mark.xfail(strict=True, reason='issue 34: witness set forgotten')
 def test_repeat_that_is_not_appended_leaves_an_earlier_proposal_required() -> (
     None
 ):
