Refuse renewals of members whose end is no longer kept

Callers could see: two instances with the same keys. Cause: a witness refused only members whose end the log's state still lists, the 512 that ended last. One that ended before and can't read the log would be renewed again. Change: an incarnation is the offset of its join, so a witness renews only members and those whose join it has not applied yet. Result: test_ended_member_is_not_renewed_however_many_end_later[512] failed before and passes. Votes by quorum loss still count only ends that are kept, as all nodes must judge them alike.

--- a/verbenadeck/fleet/__init__.py
+++ b/verbenadeck/fleet/__init__.py
@@ -1,7 +1,11 @@
 """Fleet state that every node derives by applying the log."""
 
 from verbenadeck.fleet._existing_shards import existing_shards
-from verbenadeck.fleet._incarnations import has_ended, newest_members
+from verbenadeck.fleet._incarnations import (
+    has_ended,
+    may_be_member,
+    newest_members,
+)
 from verbenadeck.fleet._members import eviction_quorum, renewal_quorum
 from verbenadeck.fleet._sharding import key_shard, request_shard, shard_of
 from verbenadeck.fleet._snapshot import compress_snapshot
@@ -27,6 +31,7 @@
     'existing_shards',
     'has_ended',
     'key_shard',
+    'may_be_member',
     'newest_members',
     'compress_snapshot',
     'renewal_quorum',
--- a/verbenadeck/fleet/_incarnations.py
+++ b/verbenadeck/fleet/_incarnations.py
@@ -16,7 +16,8 @@
     fleet : FleetView
         Fleet state.
     incarnation : Incarnation
-        Incarnation to look up; one that is not known counts as not ended.
+        Incarnation to look up; one that is not known, or whose end is no
+        longer kept, counts as not ended.
 
     Returns
     -------
@@ -25,6 +26,26 @@
     return fleet.state_of(incarnation) in _ENDED
 
 
+def may_be_member(fleet: FleetView, incarnation: Incarnation) -> bool:
+    """Return whether an incarnation is a member as far as the log was applied.
+
+    An incarnation is the offset of its join. So one that is no member has
+    ended, however long ago, unless its join has not been applied yet.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Fleet state.
+    incarnation : Incarnation
+        Incarnation to look up.
+
+    Returns
+    -------
+    bool
+    """
+    return incarnation in fleet.members or incarnation > fleet.applied_offset
+
+
 def newest_members(members: Iterable[Member]) -> list[Member]:
     """Return the newest incarnation of each node, in order of joining.
 
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -7,7 +7,7 @@
 import msgspec
 from loguru import logger
 
-from verbenadeck.fleet import Member, has_ended
+from verbenadeck.fleet import Member, may_be_member
 from verbenadeck.journal import Journal
 from verbenadeck.lease._membership_check import MembershipCheck
 from verbenadeck.lease._quorum_loss_monitor import QuorumLossMonitor
@@ -153,7 +153,7 @@
         if not is_addressee or membership.is_stopping:
             return True
         fleet = self._journal.fleet
-        if has_ended(fleet, heartbeat.member):
+        if not may_be_member(fleet, heartbeat.member):
             return True
         member = fleet.members.get(heartbeat.member)
         voted = self._voted_epochs.get(heartbeat.member)
--- a/verbenadeck/lease/tests/test_witness.py
+++ b/verbenadeck/lease/tests/test_witness.py
@@ -65,12 +65,7 @@
         _KEPT_ENDS - 1,
         # Guards against the renewal of an evicted member that can't read the
         # log, once its end is no longer among those that the log keeps.
-        pytest.param(
-            _KEPT_ENDS,
-            marks=pytest.mark.xfail(
-                strict=True, reason='issue 34: forgotten ended member'
-            ),
-        ),
+        _KEPT_ENDS,
     ],
 )
 def test_ended_member_is_not_renewed_however_many_end_later(
