Release shards as of their closing, not as of the record's writing

Callers could see: two instances with the same keys. Cause: the record of a release took the log offset at its writing, anew for each repeat. After X, Y, X, Z, while appends of X fail, the repeat covered the assignment back to X and struck X off although its instance held the shard again. Change: the offset and the incarnation at which the instance gave up the shards are kept with them and used for the message and the record; a batch takes the earliest. Result: test_release_covers_no_assignment_after_the_shards_were_closed failed before and passes.

--- a/verbenadeck/lease/_handover.py
+++ b/verbenadeck/lease/_handover.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 
+import msgspec
 from loguru import logger
 from returns.pipeline import is_successful
 from returns.result import Success
@@ -14,7 +15,7 @@
 from verbenadeck.lease._ranges import ShardKey, ranges_of, shards_in
 from verbenadeck.lease._view import ProxyHandover
 from verbenadeck.membership import Membership
-from verbenadeck.model import NO_MEMBER, Incarnation
+from verbenadeck.model import NO_MEMBER, Incarnation, Offset
 from verbenadeck.peers import PeerTransport
 from verbenadeck.records import Released
 from verbenadeck.utils import Clock
@@ -27,6 +28,22 @@
 _CLOSE_MARGIN_S = 1.0
 
 
+class _Closure(msgspec.Struct, frozen=True):
+    """State of this node when its upstream had given up some shards.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Incarnation of this node.
+    as_of_offset : Offset
+        Log offset up to which it had applied: a later assignment to this
+        node is not released.
+    """
+
+    incarnation: Incarnation
+    as_of_offset: Offset
+
+
 class Handover:
     """Handover of shards that were assigned to another member.
 
@@ -67,7 +84,7 @@
         self._proxy = proxy
         self._grants = grants
         self._in_progress: set[ShardKey] = set()
-        self._closed: set[ShardKey] = set()
+        self._closed: dict[ShardKey, _Closure] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
@@ -116,20 +133,21 @@
 
     async def _hand_over(self, owner: Incarnation, keys: set[ShardKey]) -> None:
         try:
-            is_notified = await self._close_and_notify(owner, keys)
+            closure = await self._close_and_notify(owner, keys)
         except BaseException:
             self._in_progress -= keys
             raise
-        if is_notified:
-            # The keys stay in progress until the log has the release.
-            self._closed |= keys
-        else:
+        if closure is None:
             self._in_progress -= keys
+        else:
+            # The keys stay in progress until the log has the release.
+            self._closed.update(dict.fromkeys(keys, closure))
         self._wake.set()
 
     async def _close_and_notify(
         self, owner: Incarnation, keys: set[ShardKey]
-    ) -> bool:
+    ) -> _Closure | None:
+        """Close shards and send their release; None if they moved again."""
         own = self._membership.incarnation
         ranges = ranges_of(keys)
         _log.info(
@@ -145,26 +163,23 @@
             deadline_s=self._clock.now_s() + max_timeout_s + _CLOSE_MARGIN_S,
         )
         await self._grants.revoke()
+        closure = _Closure(own, self._journal.fleet.applied_offset)
         handovers = self._grants.pop_handovers(ranges)
         retry_until_s = self._clock.now_s() + _RELEASE_RETRY_S
         while self._is_still_assigned(own, owner, keys):
             release = Release(
-                own,
-                ranges,
-                self._journal.fleet.applied_offset,
-                entries,
-                handovers,
+                own, ranges, closure.as_of_offset, entries, handovers
             )
             if await self._send_release(owner, release):
-                return True
+                return closure
             if self._clock.now_s() > retry_until_s:
                 _log.warning(
                     'new owner did not acknowledge the release of shards {}; '
                     'recording it in the log only',
                     ranges,
                 )
-                return True
-        return False
+                return closure
+        return None
 
     def _is_still_assigned(
         self, own: Incarnation, owner: Incarnation, keys: set[ShardKey]
@@ -192,20 +207,26 @@
         if not self._closed:
             return
         await asyncio.sleep(_RELEASE_BATCH_S)
-        keys = self._closed
-        self._closed = set()
+        closed = self._closed
+        self._closed = {}
         fleet = self._journal.fleet
         own = self._membership.incarnation
         # A shard that was assigned back to this node is not released.
-        released_keys = [key for key in keys if fleet.shard(*key).owner != own]
-        record = Released(own, ranges_of(released_keys), fleet.applied_offset)
-        if released_keys and own != NO_MEMBER:
-            self._spawn_task(self._append_released(record, keys))
-        else:
-            self._in_progress -= keys
+        released = {
+            key: closure
+            for key, closure in closed.items()
+            if closure.incarnation == own and fleet.shard(*key).owner != own
+        }
+        self._in_progress -= closed.keys() - released.keys()
+        if released:
+            # Shards that were assigned after the earliest closure stay
+            # unreleased and are closed again.
+            as_of_offset = min(each.as_of_offset for each in released.values())
+            record = Released(own, ranges_of(released), as_of_offset)
+            self._spawn_task(self._append_released(record, released))
 
     async def _append_released(
-        self, record: Released, keys: set[ShardKey]
+        self, record: Released, closures: dict[ShardKey, _Closure]
     ) -> None:
         timeout_s = self._membership.timing.append_timeout_s
         outcome = await self._journal.propose(
@@ -218,9 +239,9 @@
                     record.ranges,
                     verdict.value,
                 )
-                self._in_progress -= keys
+                self._in_progress -= closures.keys()
             case _:
-                self._closed |= keys
+                self._closed.update(closures)
         self._wake.set()
 
     def _spawn_task(self, work: Coroutine[None, None, None]) -> None:
--- a/verbenadeck/lease/tests/test_handover.py
+++ b/verbenadeck/lease/tests/test_handover.py
@@ -4,7 +4,6 @@
 from types import SimpleNamespace
 from typing import Any
 
-import pytest
 from returns.result import Failure, Result, Success
 
 from verbenadeck.fleet.tests.builders import HOLDS, Recorder, make_fleet
@@ -131,7 +130,6 @@
 
 # Guards against a release of the first move that is written after the second
 # one and frees a shard which the upstream holds again.
-@pytest.mark.xfail(strict=True, reason='issue 34: release as of its writing')
 def test_release_covers_no_assignment_after_the_shards_were_closed() -> None:
     async def main() -> None:
         owner, own = await _hand_over_twice()
