Check the own lease where the log is read for it

The reads that serve heartbeats are left out once the lease is back while they wait. A wait of one heartbeat interval before each read, meant to save reads at a start, was tried and dropped: test_owner_lost_with_all_its_witnesses_is_replaced and test_fleet_serves_after_all_nodes_restart_on_their_vms missed their limits.

--- a/verbenadeck/lease/_membership_check.py
+++ b/verbenadeck/lease/_membership_check.py
@@ -1,18 +1,20 @@
 """Check in the log that this node is still a member."""
 
 import asyncio
+import math
 
 from verbenadeck.journal import Journal
-from verbenadeck.membership import LeaseTiming
+from verbenadeck.membership import Membership
 from verbenadeck.utils import Clock
 
-_HEARTBEATS_PER_CHECK = 2
+_HEARTBEATS_PER_READ = 2
 
 
 class MembershipCheck:
-    """Reads of the log that show the members as of a request or later.
+    """Check that this node has not ended before a request.
 
-    A read serves all requests that were made before it began. So that nodes
+    Under its own lease it has not. Without one, a read of the log to its end
+    tells. It serves all requests that were made before it began. So that nodes
     without a lease do not load the log, reads begin at an interval.
 
     Parameters
@@ -21,18 +23,21 @@
         Boot clock of the VM.
     journal : Journal
         Log client.
-    timing : LeaseTiming
-        Times of the lease protocol.
+    membership : Membership
+        Membership and lease of this node.
     """
 
     def __init__(
-        self, *, clock: Clock, journal: Journal, timing: LeaseTiming
+        self, *, clock: Clock, journal: Journal, membership: Membership
     ) -> None:
         self._clock = clock
         self._journal = journal
-        self._timeout_s = timing.append_timeout_s
-        self._interval_s = _HEARTBEATS_PER_CHECK * timing.heartbeat_interval_s
-        self._next_at_s = clock.now_s()
+        self._membership = membership
+        self._timeout_s = membership.timing.append_timeout_s
+        self._interval_s = (
+            _HEARTBEATS_PER_READ * membership.timing.heartbeat_interval_s
+        )
+        self._next_read_at_s = -math.inf
         self._pending: asyncio.Task[bool] | None = None
         self._tasks: set[asyncio.Task[bool]] = set()
 
@@ -42,8 +47,11 @@
         Returns
         -------
         bool
-            False if the log could not be read to its end in time.
+            True at once under the lease; False if the log could not be read
+            to its end in time.
         """
+        if self._membership.is_leased:
+            return True
         if self._pending is None:
             self._pending = asyncio.ensure_future(self._read_to_end())
             self._tasks.add(self._pending)
@@ -57,9 +65,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _read_to_end(self) -> bool:
-        await self._clock.sleep_until(self._next_at_s)
+        await self._clock.sleep_until(self._next_read_at_s)
         # From here on, a request needs a read of its own.
         self._pending = None
+        if self._membership.is_leased:
+            return True
         now_s = self._clock.now_s()
-        self._next_at_s = now_s + self._interval_s
+        self._next_read_at_s = now_s + self._interval_s
         return await self._journal.catch_up(deadline_s=now_s + self._timeout_s)
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -92,7 +92,7 @@
             random_source=random_source,
         )
         self._membership_check = MembershipCheck(
-            clock=clock, journal=journal, timing=self._timing
+            clock=clock, journal=journal, membership=membership
         )
         # Members whose heartbeats wait for a check in the log.
         self._waiting_members: set[Incarnation] = set()
@@ -134,10 +134,8 @@
         )
 
     async def _may_renew(self, heartbeat: Heartbeat) -> bool:
-        """Return whether this node has certainly not ended before now."""
+        """Return whether this node has not ended before the heartbeat."""
         member = heartbeat.member
-        if self._membership.is_leased:
-            return True
         if member in self._waiting_members:
             return False
         self._waiting_members.add(member)
