Explore large fleets with faults of whole groups

Add fixed scenarios with the timing of the platform (groups cut off, cut one way, frozen and thawed, in series) and a seeded series of faults of groups, whose long form `make fuzz` runs.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 # Longer random runs; SEED chooses them.
 fuzz: setup
 	VERBENADECK_FUZZ_EXAMPLES=300 SEED=$(SEED) $(PY) -m pytest \
-		--timeout 3600 verbenadeck/lease/tests/test_fuzz.py
+		--timeout 3600 verbenadeck/lease/tests/test_fuzz.py \
+		verbenadeck/lease/tests/test_large_fleets.py
 
 BENCHES = peers route logs placement records relay start control
 
--- a/verbenadeck/lease/tests/fuzzing.py
+++ b/verbenadeck/lease/tests/fuzzing.py
@@ -133,14 +133,25 @@
         )
         await fleet.wait_until(fleet.is_served)
         for step in run.steps:
-            await _inject_fault(fleet, step)
+            await inject_fault(fleet, step)
             await asyncio.sleep(step.wait_s)
             fleet.raise_violations()
-        await _end_all_faults(fleet)
+        await end_all_faults(fleet)
+        await asyncio.sleep(1)
+        _publish(fleet)
         await fleet.wait_until(fleet.is_served, limit_s=RECOVERY_LIMIT_S)
 
 
-async def _inject_fault(fleet: VirtualFleet, step: Step) -> None:
+async def inject_fault(fleet: VirtualFleet, step: Step) -> None:
+    """Inject the fault of a step, without the wait after it.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet that gets the fault.
+    step : Step
+        Fault and node.
+    """
     names = tuple(fleet.nodes)
     name = names[step.node % len(names)]
     node = fleet.nodes[name]
@@ -220,8 +231,14 @@
         await node.stop()
 
 
-async def _end_all_faults(fleet: VirtualFleet) -> None:
-    """End all faults and restart every node that is down."""
+async def end_all_faults(fleet: VirtualFleet) -> None:
+    """End all faults and restart every node that is down.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet whose faults end.
+    """
     fleet.network.heal()
     fleet.network.loss = 0
     fleet.log.is_up = True
@@ -234,5 +251,3 @@
         else:
             await node.kill()
             await fleet.restart(name)
-    await asyncio.sleep(1)
-    _publish(fleet)
