Bound the bodies of all answers that are being read together

Callers saw, at 40 requests at a time to an instance whose bodies had no end, that the node beside it exceeded 200 MB and ended, and with it the requests of all callers of that VM.

Change: all answers that a node reads share 32 MiB (AnswerBudget). When they need more, the largest is abandoned and counts as broken: it is the one that may have no end, and small ones are still read. A connection stops to read at 128 KiB.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,6 +1,7 @@
 """Adapters between the router and the log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._answer_budget import AnswerBudget
 from verbenadeck.adapters._bounded_connector import MAX_ANSWER_BYTES
 from verbenadeck.adapters._caller_calls import (
     OutgoingCall,
@@ -83,6 +84,7 @@
     'STANDIN_FORMAT',
     'UPSTREAM_ADAPTERS',
     'AnnounceError',
+    'AnswerBudget',
     'AnnouncedUpstream',
     'CallerAnswer',
     'OrderFault',
--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -11,6 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from loguru import logger
 
+from verbenadeck.adapters._answer_budget import AnswerBudget
+
 _log = logger.bind(part='upstream')
 
 MAX_ANSWER_BYTES = 8_388_608
@@ -37,10 +39,20 @@
     ----------
     loop : asyncio.AbstractEventLoop
         Event loop of the connection.
+    budget : AnswerBudget
+        Memory for the bodies of answers.
+
+    Attributes
+    ----------
+    budget : AnswerBudget
+        The same budget, for those who read the answers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, budget: AnswerBudget
+    ) -> None:
         super().__init__(loop=loop)
+        self.budget = budget
         self._left_bytes = _MAX_HEADS_BYTES
         self._error: AnswerTooLargeError | None = None
         self._is_idle = True
@@ -103,8 +115,10 @@
             self.transport.abort()
 
 
-def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
-    return BoundedProtocol(loop)
+def _make_protocol(
+    loop: asyncio.AbstractEventLoop, budget: AnswerBudget
+) -> ResponseHandler:
+    return BoundedProtocol(loop, budget)
 
 
 class BoundedConnector(aiohttp.TCPConnector):
@@ -114,14 +128,20 @@
     ----------
     limit : int
         Maximum number of connections.
+    budget : AnswerBudget
+        Memory for the bodies of answers.
     is_pooled : bool
         Whether a connection is used for several requests.
     """
 
-    def __init__(self, *, limit: int, is_pooled: bool = True) -> None:
+    def __init__(
+        self, *, limit: int, budget: AnswerBudget, is_pooled: bool = True
+    ) -> None:
         super().__init__(limit=limit, force_close=not is_pooled)
         # aiohttp has no public option for the protocol of its connections.
-        self._factory = functools.partial(_make_protocol, loop=self._loop)
+        self._factory = functools.partial(
+            _make_protocol, loop=self._loop, budget=budget
+        )
 
     def _release(
         self,
--- a/verbenadeck/adapters/_upstream_http.py
+++ b/verbenadeck/adapters/_upstream_http.py
@@ -8,6 +8,7 @@
 
 from verbenadeck.adapters import wire
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._answer_budget import AnswerBudget
 from verbenadeck.adapters._http_headers import end_to_end_headers
 from verbenadeck.adapters._upstream import (
     Announcement,
@@ -42,6 +43,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._session: UpstreamSession | None = None
+        self._answer_budget = AnswerBudget()
         self._listeners: list[Callable[[Announcement], None]] = []
 
     def on_announce(self, listener: Callable[[Announcement], None]) -> None:
@@ -167,7 +169,9 @@
             announcement
         ):
             return wire.AnnounceReply(is_new=False)
-        self._session = UpstreamSession(announcement)
+        self._session = UpstreamSession(
+            announcement, budget=self._answer_budget
+        )
         if earlier_session is not None:
             earlier_session.retire()
         for listener in self._listeners:
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -9,6 +9,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from verbenadeck.adapters._answer_budget import AnswerBudget, HeldAnswer
 from verbenadeck.adapters._bounded_connector import (
     MAX_ANSWER_BYTES,
     AnswerTooLargeError,
@@ -17,6 +18,10 @@
 )
 from verbenadeck.adapters._upstream import Announcement
 
+_READ_BUFFER_BYTES = 65_536
+"""Half of the size in bytes of the bodies' bytes that a connection may keep
+beside the budget before it stops to read."""
+
 _SKIPPED_CLIENT_HEADERS = (
     'User-Agent',
     'Accept',
@@ -31,6 +36,7 @@
     def __init__(self, *given: Any, **named: Any) -> None:
         super().__init__(*given, **named)
         self._connection_closed: asyncio.Future[None] | None = None
+        self._budget = AnswerBudget()
 
     @property
     def is_closed_cleanly(self) -> bool:
@@ -59,6 +65,7 @@
         await super().start(connection)
         if isinstance(connection.protocol, BoundedProtocol):
             connection.protocol.allow_body()
+            self._budget = connection.protocol.budget
         return self
 
     async def read(self) -> bytes:
@@ -67,22 +74,36 @@
         Raises
         ------
         AnswerTooLargeError
-            If the body is longer than `MAX_ANSWER_BYTES`.
+            If the body is longer than `MAX_ANSWER_BYTES`, or the largest one
+            when all answers that are being read take too much memory.
         """
-        body = bytearray()
+        with self._budget.hold(self._abandon) as held:
+            await self._read_into(held)
+            # The upstream may answer before it has received the whole request.
+            await self.wait_for_close()
+            if held.is_abandoned:
+                raise _make_abandoned_error()
+            return bytes(held.body)
+
+    async def _read_into(self, held: HeldAnswer) -> None:
         try:
             while block := await self.content.readany():
-                body += block
-                if len(body) > MAX_ANSWER_BYTES:
+                held.add(block)
+                if len(held.body) > MAX_ANSWER_BYTES:
                     raise AnswerTooLargeError(
                         f'the body is larger than {MAX_ANSWER_BYTES} bytes'
                     )
         finally:
             if not self.content.is_eof():
                 self.close()
-        # The upstream may answer before it has received the whole request.
-        await self.wait_for_close()
-        return bytes(body)
+
+    def _abandon(self) -> None:
+        self.content.set_exception(_make_abandoned_error())
+        self.close()
+
+
+def _make_abandoned_error() -> AnswerTooLargeError:
+    return AnswerTooLargeError('all answers together are too large')
 
 
 def _mark_error_retrieved(connection_closed: 'asyncio.Future[None]') -> None:
@@ -118,10 +139,19 @@
     ----------
     announcement : Announcement
         Announcement of the upstream process.
+    budget : AnswerBudget or None
+        Memory for the bodies of answers, shared with other sessions; None
+        for one of its own.
     """
 
-    def __init__(self, announcement: Announcement) -> None:
+    def __init__(
+        self,
+        announcement: Announcement,
+        *,
+        budget: AnswerBudget | None = None,
+    ) -> None:
         self.announcement = announcement
+        self._budget = budget or AnswerBudget()
         self._sessions: dict[bool, aiohttp.ClientSession] = {}
         self._in_flight = 0
         self._is_retired = False
@@ -214,10 +244,13 @@
         if session is None:
             session = aiohttp.ClientSession(
                 connector=BoundedConnector(
-                    limit=self.announcement.connections, is_pooled=is_pooled
+                    limit=self.announcement.connections,
+                    budget=self._budget,
+                    is_pooled=is_pooled,
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
+                read_bufsize=_READ_BUFFER_BYTES,
                 skip_auto_headers=_SKIPPED_CLIENT_HEADERS,
                 middlewares=(_send_once,),
                 response_class=WatchedResponse,
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -1,6 +1,7 @@
 """Exchanges with upstreams over HTTP, and announcements of upstreams."""
 
 import asyncio
+import random
 import socket
 from types import MappingProxyType
 
@@ -15,6 +16,7 @@
     UpstreamFailure,
     UpstreamHttpAdapter,
 )
+from verbenadeck.adapters._answer_budget import MAX_HELD_ANSWERS_BYTES
 from verbenadeck.adapters.tests.builders import (
     ABANDONED_AFTER_S,
     ENDLESS_ANSWERS,
@@ -44,6 +46,10 @@
 
 _KEPT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nKEEP'
 _COPY_ARRIVES_S = 0.05
+_UNFINISHED_BYTES = 6_000_000
+_UNFINISHED_ANSWERS = 8
+_EXCESS_ANSWERS = 3
+"""Number of these answers that do not fit into the memory that all share."""
 
 
 async def _send_to(
@@ -90,6 +96,56 @@
     assert asyncio.run(send()).sent_bytes < ENDLESS_BYTES
 
 
+def test_answers_being_read_share_their_memory() -> None:
+    """The largest ones are abandoned, and small ones are still read."""
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {MAX_ANSWER_BYTES}\r\n\r\n'
+    unfinished = b''.join((head.encode(), bytes(_UNFINISHED_BYTES), b'KEEP'))
+
+    def answer(count: int) -> bytes:
+        return _KEPT_ANSWER if count > _UNFINISHED_ANSWERS else unfinished
+
+    async def scenario() -> None:
+        clock = Clock()
+        async with raw_server(answer) as server:
+            adapter = build_adapter(clock, server.port)
+            tasks = [
+                asyncio.ensure_future(
+                    adapter.send(build_upstream_request(clock))
+                )
+                for _ in range(_UNFINISHED_ANSWERS)
+            ]
+            async with asyncio.timeout(ABANDONED_AFTER_S):
+                while sum(each.done() for each in tasks) < _EXCESS_ANSWERS:
+                    await asyncio.sleep(0.01)
+            small = await adapter.send(build_upstream_request(clock))
+            assert small.unwrap().body == b'KEEP'
+            unfinished_count = sum(not each.done() for each in tasks)
+            assert unfinished_count * _UNFINISHED_BYTES <= (
+                MAX_HELD_ANSWERS_BYTES
+            )
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await adapter.close()
+
+    asyncio.run(scenario())
+
+
+def test_answer_in_small_chunks_is_returned_whole() -> None:
+    # Guards against bytes lost while a connection pauses.
+    body = random.Random(1).randbytes(2_000_000)
+    chunks = (body[start : start + 100] for start in range(0, len(body), 100))
+    reply = b''.join(
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            *(b'64\r\n%b\r\n' % chunk for chunk in chunks),
+            b'0\r\n\r\n',
+        )
+    )
+    result, _ = asyncio.run(_send_to(reply))
+    assert result.unwrap().body == body
+
+
 def test_answer_cut_at_any_byte_is_never_complete() -> None:
     # Guards against an answer that ends in its head and passes as an empty one.
     async def scenario() -> None:
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -13,6 +13,7 @@
 
 from verbenadeck.adapters import (
     Announcement,
+    AnswerBudget,
     ColdStartState,
     Grant,
     HoldReply,
@@ -105,6 +106,7 @@
         self._latest_deadline_s = latest_deadline_s
         self._route_store = route_store
         self._session: UpstreamSession | None = None
+        self._answer_budget = AnswerBudget()
         self._last_heartbeat: InstanceHeartbeat | None = None
         self._order = ReportOrder(
             clock=clock,
@@ -332,7 +334,9 @@
                 self._route_store, heartbeat.service, self._cold_until_s
             ),
         )
-        self._session = UpstreamSession(announcement)
+        self._session = UpstreamSession(
+            announcement, budget=self._answer_budget
+        )
         for listener in self._announce_listeners:
             listener(announcement)
         self._departures.begin_session(heartbeat.instance_id)
