Keep the bytes of odd answers out of error details

Callers saw, at 40 requests at a time to an instance that sent zeros in place of an answer, that the node beside it exceeded 200 MB and ended. Cause: the parser's error contains the bytes that it could not read, four times as long, and its text went into the detail of the refusal, two log lines of up to 900 kB each and the reply to the peer that had sent the request.

Change: the detail of a broken answer has at most 300 characters (describe_broken_answer).

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -65,6 +65,7 @@
     UpstreamFailure,
     UpstreamRequest,
 )
+from verbenadeck.adapters._upstream_exchange import describe_broken_answer
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
 from verbenadeck.adapters._upstream_session import (
     UpstreamSession,
@@ -102,6 +103,7 @@
     'UpstreamAdapterFactory',
     'UpstreamSession',
     'WatchedResponse',
+    'describe_broken_answer',
     'end_to_end_headers',
     'read_announcement',
     'read_call',
--- a/verbenadeck/adapters/_upstream_exchange.py
+++ b/verbenadeck/adapters/_upstream_exchange.py
@@ -18,6 +18,7 @@
 from verbenadeck.model import Answer
 
 _CONNECT_TIMEOUT_S = 1.0
+_MAX_DETAIL_LENGTH = 300
 _BODILESS_STATUSES = frozenset((204, 304))
 _FAILURES_BY_REASON: Mapping[str, UpstreamFailure] = MappingProxyType(
     {
@@ -92,7 +93,7 @@
         )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         return make_failure(
-            UpstreamFailure.BROKEN, f'incomplete answer: {error!r}'
+            UpstreamFailure.BROKEN, describe_broken_answer(error)
         )
 
 
@@ -153,6 +154,24 @@
     return int(text or 0) if is_number else None
 
 
+def describe_broken_answer(error: Exception) -> str:
+    """Return the cause of a broken answer, short enough for logs and peers.
+
+    The text of an error may contain all bytes that could not be parsed.
+
+    Parameters
+    ----------
+    error : Exception
+        Error that ended the exchange.
+
+    Examples
+    --------
+    >>> describe_broken_answer(OSError(5, 'I/O'))
+    "incomplete answer: OSError(5, 'I/O')"
+    """
+    return f'incomplete answer: {error!r}'[:_MAX_DETAIL_LENGTH]
+
+
 def make_failure(
     failure: UpstreamFailure,
     detail: str,
--- a/verbenadeck/adapters/tests/builders.py
+++ b/verbenadeck/adapters/tests/builders.py
@@ -20,6 +20,7 @@
 DEADLINE_S = 30.0
 ABANDONED_AFTER_S = 5.0
 ENDLESS_BYTES = 4 * MAX_ANSWER_BYTES
+MAX_DETAIL_LENGTH = 300
 
 
 def build_announcement(port: int, *, instance: str = 'life-1') -> AnnounceBody:
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -22,6 +22,7 @@
     ENDLESS_ANSWERS,
     ENDLESS_BYTES,
     HOST,
+    MAX_DETAIL_LENGTH,
     EndlessServer,
     build_adapter,
     build_announcement,
@@ -89,6 +90,8 @@
                 adapter.send(build_upstream_request(clock)), ABANDONED_AFTER_S
             )
             assert result.failure().failure is UpstreamFailure.BROKEN
+            # Guards against logs and messages to peers that repeat the bytes.
+            assert len(result.failure().detail) <= MAX_DETAIL_LENGTH
             await asyncio.wait_for(server.closed.wait(), 5)
             await adapter.close()
             return server
--- a/verbenadeck/platform/_exchange.py
+++ b/verbenadeck/platform/_exchange.py
@@ -12,6 +12,7 @@
     UpstreamFailure,
     UpstreamSession,
     WatchedResponse,
+    describe_broken_answer,
     end_to_end_headers,
 )
 from verbenadeck.model import Answer, Request
@@ -121,7 +122,7 @@
         )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         return make_failure(
-            UpstreamFailure.BROKEN, f'incomplete answer: {error!r}'
+            UpstreamFailure.BROKEN, describe_broken_answer(error)
         )
 
 
--- a/verbenadeck/platform/tests/test_answers_without_end.py
+++ b/verbenadeck/platform/tests/test_answers_without_end.py
@@ -68,6 +68,7 @@
             'body in chunks',
             'body with length',
             'body without length',
+            'no answer',
         )
     }
 )
--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -20,6 +20,7 @@
     DEADLINE_S,
     ENDLESS_ANSWERS,
     ENDLESS_BYTES,
+    MAX_DETAIL_LENGTH,
     endless_server,
 )
 from verbenadeck.model import NO_FENCE, Request, RequestId, ServiceName
@@ -217,6 +218,7 @@
                 ABANDONED_AFTER_S,
             )
             assert result.failure().failure is UpstreamFailure.BROKEN
+            assert len(result.failure().detail) <= MAX_DETAIL_LENGTH
             await asyncio.wait_for(server.closed.wait(), 5)
             await session.close()
             return server.sent_bytes
