--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -1,6 +1,7 @@
 """Adapters between the router and the log, the upstream and the callers."""
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
+from verbenadeck.adapters._answer_budget import AnswerBudget
 from verbenadeck.adapters._bounded_connector import MAX_ANSWER_BYTES
 from verbenadeck.adapters._caller_calls import (
     OutgoingCall,
@@ -64,6 +65,7 @@
     UpstreamFailure,
     UpstreamRequest,
 )
+from verbenadeck.adapters._upstream_exchange import describe_broken_answer
 from verbenadeck.adapters._upstream_http import UpstreamHttpAdapter
 from verbenadeck.adapters._upstream_session import (
     UpstreamSession,
@@ -83,6 +85,7 @@
     'STANDIN_FORMAT',
     'UPSTREAM_ADAPTERS',
     'AnnounceError',
+    'AnswerBudget',
     'AnnouncedUpstream',
     'CallerAnswer',
     'OrderFault',
@@ -100,6 +103,7 @@
     'UpstreamAdapterFactory',
     'UpstreamSession',
     'WatchedResponse',
+    'describe_broken_answer',
     'end_to_end_headers',
     'read_announcement',
     'read_call',
--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -9,19 +9,35 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 from loguru import logger
 
+from verbenadeck.adapters._answer_budget import AnswerBudget
+
 _log = logger.bind(part='upstream')
 
 MAX_ANSWER_BYTES = 8_388_608
 """Maximum size in bytes of the body of an answer."""
 
-_MAX_HEADS_BYTES = 1_048_576
+_MAX_HEADS_BYTES = 65_536
 """Maximum size in bytes of the head of an answer and all interim heads."""
 
+_MAX_HEADS = 64
+"""Maximum number of the interim heads of an answer and its head."""
+
+_INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+
 _MAX_ENCODED_BODY_BYTES = 2 * MAX_ANSWER_BYTES
 """Maximum size in bytes of a body with chunk headers and trailers."""
 
+_HEAD_PIECE_BYTES = 4096
+"""Number of bytes of heads that are parsed at a time. A parsed head can take a
+hundred times the memory of its bytes, and one read brings up to 256 KiB."""
+
+_BODY_PIECE_BYTES = 16_384
+"""The same for bodies, after which another head may follow."""
+
 
 class AnswerTooLargeError(aiohttp.ClientError):
     """Failure of an answer that exceeds its size limits."""
@@ -37,13 +53,26 @@
     ----------
     loop : asyncio.AbstractEventLoop
         Event loop of the connection.
+    budget : AnswerBudget
+        Memory for the bodies of answers.
+
+    Attributes
+    ----------
+    budget : AnswerBudget
+        The same budget, for those who read the answers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, budget: AnswerBudget
+    ) -> None:
         super().__init__(loop=loop)
+        self.budget = budget
         self._left_bytes = _MAX_HEADS_BYTES
+        self._left_heads = _MAX_HEADS
+        self._is_head_due = True
         self._error: AnswerTooLargeError | None = None
         self._is_idle = True
+        self._unparsed = b''
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the next answer on this connection.
@@ -54,16 +83,16 @@
             Options of the answer's parser.
         """
         self._left_bytes = _MAX_HEADS_BYTES
+        self._left_heads = _MAX_HEADS
+        self._is_head_due = True
         self._is_idle = False
         super().set_response_params(**options)
 
     def mark_idle(self) -> None:
         """Note that the connection waits for its next request in the pool."""
         self._is_idle = True
-
-    def allow_body(self) -> None:
-        """Apply the limit of bodies from now on; the head is complete."""
-        self._left_bytes = _MAX_ENCODED_BODY_BYTES
+        if self._unparsed:
+            self._refuse_surplus(self._unparsed)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the answer, or abort the connection.
@@ -73,19 +102,39 @@
         data : bytes
             Bytes received.
         """
-        if self._is_idle and data:
-            # aiohttp would take them for the answer to the next request.
-            _log.warning('{} bytes on an idle connection, closed', len(data))
-            self._abort()
-            return
-        self._left_bytes -= len(data)
-        if self._left_bytes >= 0:
-            super().data_received(data)
+        unparsed = self._unparsed + data
+        self._unparsed = b''
+        position = 0
+        # aiohttp also calls this without bytes, to go on after a pause.
+        while not position or (position < len(unparsed) and self._is_open):
+            if position and self._reading_paused:
+                self._unparsed = unparsed[position:]
+                return
+            piece = unparsed[position : position + self._piece_bytes]
+            self._receive(piece)
+            position += max(1, len(piece))
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Queue a parsed head; apply the limit of bodies after the last one.
+
+        Parameters
+        ----------
+        data : tuple of RawResponseMessage and StreamReader
+            Head and the body that belongs to it.
+        size : int
+            Not used.
+        """
+        self._left_heads -= 1
+        if not self._is_head_due:
+            # A second answer belongs to no request.
+            self.force_close()
             return
-        self._error = AnswerTooLargeError(
-            'the heads or the encoded body are too large'
-        )
-        self._abort()
+        if data[0].code not in _INTERIM_STATUSES:
+            self._is_head_due = False
+            self._left_bytes = _MAX_ENCODED_BODY_BYTES
+        super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer that is being read.
@@ -98,13 +147,42 @@
         """
         super().connection_lost(exc or self._error)
 
+    @property
+    def _piece_bytes(self) -> int:
+        return _HEAD_PIECE_BYTES if self._is_head_due else _BODY_PIECE_BYTES
+
+    @property
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _receive(self, piece: bytes) -> None:
+        if self._is_idle and piece:
+            self._refuse_surplus(piece)
+            return
+        self._left_bytes -= len(piece)
+        if self._left_bytes >= 0:
+            ResponseHandler.data_received(self, piece)
+        if self._left_bytes < 0 or self._left_heads < 0:
+            self._refuse('the heads or the encoded body are too large')
+
+    def _refuse_surplus(self, surplus: bytes) -> None:
+        # aiohttp would take them for the answer to the next request.
+        _log.warning('{} bytes on an idle connection, closed', len(surplus))
+        self._abort()
+
+    def _refuse(self, detail: str) -> None:
+        self._error = AnswerTooLargeError(detail)
+        self._abort()
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
 
-def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
-    return BoundedProtocol(loop)
+def _make_protocol(
+    loop: asyncio.AbstractEventLoop, budget: AnswerBudget
+) -> ResponseHandler:
+    return BoundedProtocol(loop, budget)
 
 
 class BoundedConnector(aiohttp.TCPConnector):
@@ -114,14 +192,20 @@
     ----------
     limit : int
         Maximum number of connections.
+    budget : AnswerBudget
+        Memory for the bodies of answers.
     is_pooled : bool
         Whether a connection is used for several requests.
     """
 
-    def __init__(self, *, limit: int, is_pooled: bool = True) -> None:
+    def __init__(
+        self, *, limit: int, budget: AnswerBudget, is_pooled: bool = True
+    ) -> None:
         super().__init__(limit=limit, force_close=not is_pooled)
         # aiohttp has no public option for the protocol of its connections.
-        self._factory = functools.partial(_make_protocol, loop=self._loop)
+        self._factory = functools.partial(
+            _make_protocol, loop=self._loop, budget=budget
+        )
 
     def _release(
         self,
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -1,7 +1,9 @@
 """Exchanges with upstreams over HTTP, and announcements of upstreams."""
 
 import asyncio
+import random
 import socket
+import tracemalloc
 from types import MappingProxyType
 
 import msgspec
@@ -15,11 +17,13 @@
     UpstreamFailure,
     UpstreamHttpAdapter,
 )
+from verbenadeck.adapters._answer_budget import MAX_HELD_ANSWERS_BYTES
 from verbenadeck.adapters.tests.builders import (
     ABANDONED_AFTER_S,
     ENDLESS_ANSWERS,
     ENDLESS_BYTES,
     HOST,
+    MAX_DETAIL_LENGTH,
     EndlessServer,
     build_adapter,
     build_announcement,
@@ -44,6 +48,12 @@
 
 _KEPT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nKEEP'
 _COPY_ARRIVES_S = 0.05
+_UNFINISHED_BYTES = 6_000_000
+_UNFINISHED_ANSWERS = 8
+_EXCESS_ANSWERS = 3
+"""Number of these answers that do not fit into the memory that all share."""
+
+_MAX_HEADS_MEMORY_BYTES = 4_000_000
 
 
 async def _send_to(
@@ -83,6 +93,8 @@
                 adapter.send(build_upstream_request(clock)), ABANDONED_AFTER_S
             )
             assert result.failure().failure is UpstreamFailure.BROKEN
+            # Guards against logs and messages to peers that repeat the bytes.
+            assert len(result.failure().detail) <= MAX_DETAIL_LENGTH
             await asyncio.wait_for(server.closed.wait(), 5)
             await adapter.close()
             return server
@@ -90,6 +102,72 @@
     assert asyncio.run(send()).sent_bytes < ENDLESS_BYTES
 
 
+def test_answers_being_read_share_their_memory() -> None:
+    """The largest ones are abandoned, and small ones are still read."""
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {MAX_ANSWER_BYTES}\r\n\r\n'
+    unfinished = b''.join((head.encode(), bytes(_UNFINISHED_BYTES), b'KEEP'))
+
+    def answer(count: int) -> bytes:
+        return _KEPT_ANSWER if count > _UNFINISHED_ANSWERS else unfinished
+
+    async def scenario() -> None:
+        clock = Clock()
+        async with raw_server(answer) as server:
+            adapter = build_adapter(clock, server.port)
+            tasks = [
+                asyncio.ensure_future(
+                    adapter.send(build_upstream_request(clock))
+                )
+                for _ in range(_UNFINISHED_ANSWERS)
+            ]
+            async with asyncio.timeout(ABANDONED_AFTER_S):
+                while sum(each.done() for each in tasks) < _EXCESS_ANSWERS:
+                    await asyncio.sleep(0.01)
+            small = await adapter.send(build_upstream_request(clock))
+            assert small.unwrap().body == b'KEEP'
+            unfinished_count = sum(not each.done() for each in tasks)
+            assert unfinished_count * _UNFINISHED_BYTES <= (
+                MAX_HELD_ANSWERS_BYTES
+            )
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await adapter.close()
+
+    asyncio.run(scenario())
+
+
+def test_interim_heads_take_little_memory() -> None:
+    async def measure_peak() -> int:
+        clock = Clock()
+        async with endless_server(*ENDLESS_ANSWERS['interim heads']) as server:
+            adapter = build_adapter(clock, server.port)
+            tracemalloc.start()
+            result = await adapter.send(build_upstream_request(clock))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert result.failure().failure is UpstreamFailure.BROKEN
+            await adapter.close()
+            return peak_bytes
+
+    assert asyncio.run(measure_peak()) < _MAX_HEADS_MEMORY_BYTES
+
+
+def test_answer_in_small_chunks_is_returned_whole() -> None:
+    # Guards against bytes lost while a connection pauses.
+    body = random.Random(1).randbytes(2_000_000)
+    chunks = (body[start : start + 100] for start in range(0, len(body), 100))
+    reply = b''.join(
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            *(b'64\r\n%b\r\n' % chunk for chunk in chunks),
+            b'0\r\n\r\n',
+        )
+    )
+    result, _ = asyncio.run(_send_to(reply))
+    assert result.unwrap().body == body
+
+
 def test_answer_cut_at_any_byte_is_never_complete() -> None:
     # Guards against an answer that ends in its head and passes as an empty one.
     async def scenario() -> None:
