--- a/verbenadeck/lease/tests/test_handover.py
+++ b/verbenadeck/lease/tests/test_handover.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from returns.result import Failure, Result, Success
 
 from verbenadeck.fleet import ShardView
@@ -177,7 +178,7 @@
         pytest.param(
             {0},
             marks=pytest.mark.xfail(
-                strict=True, reason='issue 34: release held up'
+                strict=True, reason='issue 25: release held up'
             ),
         ),
     ],
