--- a/verbenadeck/lease/tests/exploration.py
+++ b/verbenadeck/lease/tests/exploration.py
@@ -4,6 +4,7 @@
 import enum
 import itertools
 import random
+import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import TypeVar
@@ -33,6 +34,7 @@
 FORMATION_LIMIT_S = 60.0
 """Time within which a new fleet serves all shards, in seconds."""
 
+_ENUM_MEMBER = re.compile(r"<(\w+\.\w+): '[^']*'>")
 _SETTLING_S = 2.0
 _CLOCK_RATES = (0.99, 1.0, 1.01)
 _MIN_WAIT_S = 0.3
@@ -214,14 +216,19 @@
     """Lead a fleet with the platform's timing through a series of faults.
 
     Raises an error if two nodes serve one shard, or if some shard is not
-    served within `RECOVERY_LIMIT_S` after the last fault.
+    served within `RECOVERY_LIMIT_S` after the last fault. A note of the error
+    has the exploration as code, to be kept as a known run.
 
     Parameters
     ----------
     exploration : Exploration
         Fleet and faults.
     """
-    run_processes(_explore(exploration))
+    try:
+        run_processes(_explore(exploration))
+    except Exception as error:
+        error.add_note(_ENUM_MEMBER.sub(r'\1', repr(exploration)))
+        raise
 
 
 async def _explore(exploration: Exploration) -> None:
