--- a/verbenadeck/lease/tests/test_membership_check.py
+++ b/verbenadeck/lease/tests/test_membership_check.py
@@ -90,7 +90,7 @@
         journal = SimpleNamespace(catch_up=_fail_to_read)
         check = MembershipCheck(
             clock=witness.clock,
-            journal=journal,  # type: ignore[arg-type]
+            journal=journal,
             membership=witness,  # type: ignore[arg-type]
         )
         assert not await check.run()
