Release the shards that still move when another one comes back

Callers could see: keys without an owner for as long as their earlier owner keeps another one. Cause: a handover waits until none of its shards is granted. One that is assigned back to the node before the next heartbeat stays granted, so the others were released to nobody. Change: the wait ends when a shard of the handover is assigned elsewhere; those that still move are handed over anew. Result: test_shard_that_came_back_does_not_hold_up_the_release_of_others[held1] failed before and passes.

--- a/verbenadeck/lease/_handover.py
+++ b/verbenadeck/lease/_handover.py
@@ -157,7 +157,8 @@
             max_request_timeout_s(self._journal.fleet.config, each.service)
             for each in ranges
         )
-        await self._grants.await_release(frozenset(shard for _, shard in keys))
+        if not await self._await_release(own, owner, keys):
+            return None
         entries = await self._proxy.close_shards(
             ranges,
             deadline_s=self._clock.now_s() + max_timeout_s + _CLOSE_MARGIN_S,
@@ -181,6 +182,26 @@
                 return closure
         return None
 
+    async def _await_release(
+        self, own: Incarnation, owner: Incarnation, keys: set[ShardKey]
+    ) -> bool:
+        """Wait until no shard is granted; return False if one moves elsewhere.
+
+        One that has come back to this node may be granted for long.
+        """
+        release = asyncio.ensure_future(
+            self._grants.await_release(frozenset(shard for _, shard in keys))
+        )
+        try:
+            while not release.done():
+                if not self._is_still_assigned(own, owner, keys):
+                    return False
+                await asyncio.wait((release,), timeout=_ASSIGNMENT_POLL_S)
+            await release
+        finally:
+            release.cancel()
+        return self._is_still_assigned(own, owner, keys)
+
     def _is_still_assigned(
         self, own: Incarnation, owner: Incarnation, keys: set[ShardKey]
     ) -> bool:
--- a/verbenadeck/lease/tests/test_handover.py
+++ b/verbenadeck/lease/tests/test_handover.py
@@ -175,12 +175,7 @@
         set(),
         # Guards against shards without an owner for as long as this node owns
         # another one that was to move along with them.
-        pytest.param(
-            {0},
-            marks=pytest.mark.xfail(
-                strict=True, reason='issue 25: release held up'
-            ),
-        ),
+        {0},
     ],
 )
 def test_shard_that_came_back_does_not_hold_up_the_release_of_others(
