Parse answers in pieces, and bound their interim heads by number

Callers saw, at 40 requests at a time to an instance that sent interim heads without end, that the node beside it exceeded 200 MB and ended. Answers in series and bytes after an answer did the same, and a chunk extension failed others' requests with 502. Cause: up to 1 MiB of heads was parsed, which as objects takes a hundred times the memory and more than a second of the event loop; one read of 256 KiB was parsed at once, up to an error with a text of megabytes.

Change: heads are parsed in pieces of 4 KiB, bodies of 16 KiB; an answer has at most 64 heads of 64 KiB together; a second answer is dropped and its connection closed. A connection that pauses parses nothing more until its answer is read, and the limit of bodies holds from the last head on (it was from the time the head was read).

--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -64,7 +64,6 @@
             self._connection_closed.add_done_callback(_mark_error_retrieved)
         await super().start(connection)
         if isinstance(connection.protocol, BoundedProtocol):
-            connection.protocol.allow_body()
             self._budget = connection.protocol.budget
         return self
 
--- a/verbenadeck/adapters/tests/test_upstream_http.py
+++ b/verbenadeck/adapters/tests/test_upstream_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+import tracemalloc
 from types import MappingProxyType
 
 import msgspec
@@ -52,6 +53,8 @@
 _EXCESS_ANSWERS = 3
 """Number of these answers that do not fit into the memory that all share."""
 
+_MAX_HEADS_MEMORY_BYTES = 4_000_000
+
 
 async def _send_to(
     reply: bytes, *, method: str = 'POST'
@@ -134,6 +137,22 @@
     asyncio.run(scenario())
 
 
+def test_interim_heads_take_little_memory() -> None:
+    async def measure_peak() -> int:
+        clock = Clock()
+        async with endless_server(*ENDLESS_ANSWERS['interim heads']) as server:
+            adapter = build_adapter(clock, server.port)
+            tracemalloc.start()
+            result = await adapter.send(build_upstream_request(clock))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert result.failure().failure is UpstreamFailure.BROKEN
+            await adapter.close()
+            return peak_bytes
+
+    assert asyncio.run(measure_peak()) < _MAX_HEADS_MEMORY_BYTES
+
+
 def test_answer_in_small_chunks_is_returned_whole() -> None:
     # Guards against bytes lost while a connection pauses.
     body = random.Random(1).randbytes(2_000_000)
--- a/verbenadeck/platform/tests/test_answers_without_end.py
+++ b/verbenadeck/platform/tests/test_answers_without_end.py
@@ -63,13 +63,9 @@
 
 _ENDLESS = MappingProxyType(
     {
-        form: ENDLESS_ANSWERS[form]
-        for form in (
-            'body in chunks',
-            'body with length',
-            'body without length',
-            'no answer',
-        )
+        **ENDLESS_ANSWERS,
+        'bytes after an answer': (_make_answer(b'id-1', b'ok'), bytes(65_536)),
+        'answers in series': (b'', _make_answer(b'id-1', b'') * 1024),
     }
 )
 
