End answers whose chunk headers are larger than the body

Callers saw, at 40 requests at a time to an instance that sent its body in chunks of one byte, that requests of others were refused after 4 s or answered with 502: the event loop had no time for them, nor to connect within 0.5 s. Cause: a chunk takes about as long to parse as a block of kilobytes, and 16 MiB of chunk headers and body were parsed, nearly three million chunks.

Change: chunk headers and trailers may exceed the body by 8 KiB; beyond that the connection closes and the answer counts as broken.

--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -31,6 +31,10 @@
 _MAX_ENCODED_BODY_BYTES = 2 * MAX_ANSWER_BYTES
 """Maximum size in bytes of a body with chunk headers and trailers."""
 
+_MAX_FRAMING_BYTES = 8_192
+"""Maximum size in bytes by which the chunk headers and trailers of a body may
+exceed the body. Each chunk takes processor time, however short it is."""
+
 _HEAD_PIECE_BYTES = 4096
 """Number of bytes of heads that are parsed at a time. A parsed head can take a
 hundred times the memory of its bytes, and one read brings up to 256 KiB."""
@@ -164,6 +168,15 @@
             ResponseHandler.data_received(self, piece)
         if self._left_bytes < 0 or self._left_heads < 0:
             self._refuse('the heads or the encoded body are too large')
+        elif self._is_framing_too_large():
+            self._refuse('the chunk headers are larger than the body')
+
+    def _is_framing_too_large(self) -> bool:
+        if self._is_head_due or self._payload is None:
+            return False
+        body_bytes = self._payload.total_bytes
+        encoded_bytes = _MAX_ENCODED_BODY_BYTES - self._left_bytes
+        return encoded_bytes > 2 * body_bytes + _MAX_FRAMING_BYTES
 
     def _refuse_surplus(self, surplus: bytes) -> None:
         # aiohttp would take them for the answer to the next request.
--- a/verbenadeck/adapters/tests/builders.py
+++ b/verbenadeck/adapters/tests/builders.py
@@ -213,6 +213,10 @@
             _make_head('Transfer-Encoding: chunked\r\n\r\n'),
             b''.join((b'10000\r\n', _BLOCK, b'\r\n')),
         ),
+        'body in tiny chunks': (
+            _make_head('Transfer-Encoding: chunked\r\n\r\n'),
+            b'1\r\na\r\n' * 8192,
+        ),
         'trailers': (
             _make_head('Transfer-Encoding: chunked\r\n\r\n0\r\n'),
             _FIELDS,
