Stop at the first bytes of a call that are no request

Callers saw, beside 8 connections of an instance that sent zeros or header lines without end to the address for heartbeats, or to the entry, that the node exceeded 200 MB and ended, and with it the requests of all callers of that VM. Cause: aiohttp parses each read of up to 256 KiB at once, puts all that it could not read into the text of an error, and that into a traceback in the log and into the answer; it also parses on after the first error.

Change: BoundedConnection, for callers and for heartbeats, parses pieces of 4 KiB up to the first error and answers 400 without the bytes, with one log line of at most 300 characters of the error. The rest of the body of a refused heartbeat is read for 1 s in place of 10 s, since an instance waits no longer.

--- a/verbenadeck/entry/_connections.py
+++ b/verbenadeck/entry/_connections.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from verbenadeck.entry._bounded_connection import BoundedConnection
 from verbenadeck.entry._options import EntryOptions
 
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -17,7 +18,7 @@
 the caller has read its answer."""
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedConnection):
     """Connection of a caller, closed if its first request does not arrive.
 
     Parameters
--- a/verbenadeck/platform/_control.py
+++ b/verbenadeck/platform/_control.py
@@ -1,5 +1,6 @@
 """HTTP server for readiness checks, heartbeats of the instance and metrics."""
 
+import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
@@ -10,6 +11,7 @@
 from returns.result import Result, Success
 
 from verbenadeck.adapters import OrderFault
+from verbenadeck.entry import BoundedConnection
 from verbenadeck.metrics import CONTENT_TYPE
 from verbenadeck.platform._heartbeats import (
     ExpectedUpstream,
@@ -59,6 +61,11 @@
 )
 _STOP_TIMEOUT_S = 0.2
 _KEEPALIVE_TIMEOUT_S = 30.0
+_NO_ACCESS_LOG = None
+_LINGERING_TIME_S = 1.0
+"""Time in seconds for which the rest of the body of a refused heartbeat is read
+and dropped; an instance waits no longer for an acknowledgement."""
+
 _log = logger.bind(part='control')
 
 
@@ -101,6 +108,7 @@
         self._logged_reason = 'not started'
         self._failed_checks = 0
         self._runner: web.AppRunner | None = None
+        self._listening: list[asyncio.Server] = []
 
     @property
     def are_callers_notified(self) -> bool:
@@ -121,22 +129,35 @@
         app.router.add_post(DEREGISTER_PATH, self._handle_deregister)
         app.router.add_get(METRICS_PATH, self._handle_metrics)
         self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handle_signals=False,
-            shutdown_timeout=_STOP_TIMEOUT_S,
-            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
+            app, handle_signals=False, shutdown_timeout=_STOP_TIMEOUT_S
         )
         await self._runner.setup()
         for address in self._addresses:
             listener = socket.create_server(address, backlog=_LISTEN_BACKLOG)
-            await web.SockSite(self._runner, listener).start()
+            self._listening.append(
+                await asyncio.get_running_loop().create_server(
+                    self._make_connection, sock=listener
+                )
+            )
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        for listening in self._listening:
+            listening.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _make_connection(self) -> BoundedConnection:
+        if self._runner is None or self._runner.server is None:
+            raise RuntimeError('the control server does not run')
+        return BoundedConnection(
+            self._runner.server,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
+            lingering_time=_LINGERING_TIME_S,
+            access_log=_NO_ACCESS_LOG,  # type: ignore[arg-type]
+        )
+
     async def _handle_ready(self, _request: web.Request) -> web.Response:
         reason = self._why_unready()
         if reason != self._logged_reason:
--- a/verbenadeck/platform/tests/test_answers_without_end.py
+++ b/verbenadeck/platform/tests/test_answers_without_end.py
@@ -14,6 +14,7 @@
 from verbenadeck.adapters.tests.builders import ENDLESS_ANSWERS
 from verbenadeck.platform.tests.node_process import (
     CALLER_HOST,
+    CONTROL_PORT,
     ENTRY_PORT,
     NodeProcess,
     running_node,
@@ -24,6 +25,7 @@
 
 _SLOTS = 100
 _FAULTY_CALLERS = 40
+_FAULTY_CALLS = 8
 _SOUND_REQUESTS = 30
 _PAUSE_S = 0.05
 _FAULTY_PAUSE_S = 0.3
@@ -68,6 +70,34 @@
         'answers in series': (b'', _make_answer(b'id-1', b'') * 1024),
     }
 )
+_BLOCK = bytes(65_536)
+
+
+def _make_heartbeat(fields: bytes) -> bytes:
+    return (
+        b'POST /v1/Instances.Heartbeat/i-2 HTTP/1.1\r\nHost: a\r\n%b' % fields
+    )
+
+
+_ENDLESS_CALLS = MappingProxyType(
+    {
+        'no call': (b'', _BLOCK),
+        'header field': (_make_heartbeat(b'X-Long: '), b'a' * len(_BLOCK)),
+        'header fields': (_make_heartbeat(b''), b'X-Many: a\r\n' * 4096),
+        'body in chunks': (
+            _make_heartbeat(b'Transfer-Encoding: chunked\r\n\r\n'),
+            b'10000\r\n%b\r\n' % _BLOCK,
+        ),
+        'body with length': (
+            _make_heartbeat(b'Content-Length: 99999999999999\r\n\r\n'),
+            _BLOCK,
+        ),
+        'calls in series': (
+            b'',
+            _make_heartbeat(b'Content-Length: 2\r\n\r\n{}') * 512,
+        ),
+    }
+)
 
 
 async def _send_without_end(
@@ -194,6 +224,42 @@
             return Evidence(node, statuses)
 
 
+async def _call_without_end(
+    node: NodeProcess, port: int, head: bytes, block: bytes
+) -> None:
+    while True:
+        with suppress(ConnectionError):
+            _, writer = await asyncio.open_connection(node.host, port)
+            try:
+                await _send_without_end(writer, head, block)
+            finally:
+                writer.close()
+        await asyncio.sleep(_PAUSE_S)
+
+
+async def _run_calls(
+    folder: Path, port: int, head: bytes, block: bytes
+) -> Evidence:
+    async with (
+        running_node(
+            folder,
+            respond=_FaultyInstance(b'', b'').respond,
+            slots=_SLOTS,
+            limit_bytes=_MEMORY_LIMIT_BYTES,
+        ) as node,
+        aiohttp.ClientSession() as session,
+    ):
+        caller = _Caller(session, node)
+        await caller.wait_until_served()
+        faulty = (
+            _call_without_end(node, port, head, block)
+            for _ in range(_FAULTY_CALLS)
+        )
+        async with _running(*faulty):
+            statuses = await caller.call_sound()
+            return Evidence(node, statuses)
+
+
 def _check(evidence: Evidence) -> None:
     assert evidence.node.peak_bytes < _MEMORY_LIMIT_BYTES
     assert set(evidence.statuses) == {_OK}
@@ -206,3 +272,12 @@
     form: str, tmp_path: Path
 ) -> None:
     _check(asyncio.run(_run_answers(tmp_path, *_ENDLESS[form])))
+
+
+@pytest.mark.parametrize('port', [CONTROL_PORT, ENTRY_PORT])
+@pytest.mark.parametrize('form', sorted(_ENDLESS_CALLS))
+def test_other_requests_are_answered_beside_calls_without_end(
+    form: str, port: int, tmp_path: Path
+) -> None:
+    """The instance sends heartbeats, and requests of its own to the entry."""
+    _check(asyncio.run(_run_calls(tmp_path, port, *_ENDLESS_CALLS[form])))
