--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -31,7 +31,7 @@
 _MAX_ENCODED_BODY_BYTES = 2 * MAX_ANSWER_BYTES
 """Maximum size in bytes of a body with chunk headers and trailers."""
 
-_MAX_FRAMING_BYTES = 16_384
+_MAX_FRAMING_BYTES = 8_192
 """Maximum size in bytes by which the chunk headers and trailers of a body may
 exceed the body. Each chunk takes processor time, however short it is."""
 
