Do not vote about members whose heartbeats wait for a read of the log

Callers saw: nothing yet; after a cut of all links, members that are well are evicted and their keys move. Cause: a witness without a lease holds heartbeats until it has read the log. If its own lease comes back first, it took the members whose heartbeats it held for lapsed, and refused their later heartbeats until the read had ended. Change: under its lease a witness renews at once, whatever still waits, and it votes about no member whose heartbeat waits.

--- a/verbenadeck/lease/_membership_check.py
+++ b/verbenadeck/lease/_membership_check.py
@@ -47,11 +47,9 @@
         Returns
         -------
         bool
-            True at once under the lease; False if the log could not be read
-            to its end in time.
+            True without a read if the lease comes back meanwhile; False if the
+            log could not be read to its end in time.
         """
-        if self._membership.is_leased:
-            return True
         if self._pending is None:
             self._pending = asyncio.ensure_future(self._read_to_end())
             self._tasks.add(self._pending)
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -135,6 +135,8 @@
 
     async def _may_renew(self, heartbeat: Heartbeat) -> bool:
         """Return whether this node has not ended before the heartbeat."""
+        if self._membership.is_leased:
+            return True
         member = heartbeat.member
         if member in self._waiting_members:
             return False
@@ -207,6 +209,7 @@
             members[incarnation]
             for incarnation, watch in self._watched_members.items()
             if incarnation in members
+            and incarnation not in self._waiting_members
             and members[incarnation].epoch == watch.epoch
             and watch.voted_until_s <= now_s
             and now_s - self._last_renewal_s(incarnation, watch) > wait_s
--- a/verbenadeck/lease/tests/test_witness.py
+++ b/verbenadeck/lease/tests/test_witness.py
@@ -1,5 +1,7 @@
 """Renewals by a witness, by what its log says of the member."""
 
+import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -8,12 +10,13 @@
 from verbenadeck.fleet.tests.builders import Recorder
 from verbenadeck.lease import LeaseWitness
 from verbenadeck.membership import Heartbeat, LeaseTiming
-from verbenadeck.model import Incarnation
+from verbenadeck.model import NO_MEMBER, Incarnation
 from verbenadeck.peers import PeerAddress
 from verbenadeck.records import LeavePhase, NodeLeave, Verdict
 from verbenadeck.testing import FakeNetwork, run_virtual, virtual_clock
 
 _KEPT_ENDS = 512
+_READ_S = 0.1
 _SOURCE = PeerAddress('127.0.0.1', 7000)
 
 
@@ -78,3 +81,100 @@
     _end(recorder, member)
     _end_others(recorder, later_ends)
     assert not run_virtual(_is_renewed(recorder, own, member))
+
+
+class _WaitingWitness:
+    """Witness without a lease whose read of the log lasts until a test says."""
+
+    def __init__(self) -> None:
+        self.recorder = Recorder()
+        self.incarnation = self.recorder.join('own')
+        self.member = self.recorder.join(
+            'member', witnesses=(self.incarnation,)
+        )
+        self.is_stopping = False
+        self.is_leased = False
+        self.timing = LeaseTiming()
+        self.fleet = self.recorder.state
+        self.read = asyncio.get_running_loop().create_future()
+        self._clock = virtual_clock()
+        self._transport = FakeNetwork().transport(_SOURCE, self._clock)
+        stand_in: Any = self
+        LeaseWitness(
+            clock=self._clock,
+            transport=self._transport,
+            journal=stand_in,
+            membership=stand_in,
+            random_source=None,  # type: ignore[arg-type]
+        )
+
+    async def catch_up(self, *, deadline_s: float) -> bool:
+        assert deadline_s > self._clock.now_s()
+        return bool(await self.read)
+
+    async def is_renewed(self) -> bool:
+        heartbeat = Heartbeat(
+            self.member, self.incarnation, self._clock.now_s(), is_renewal=True
+        )
+        return await self._transport.receive(_SOURCE, heartbeat) is not None
+
+
+def _end_self(witness: _WaitingWitness) -> None:
+    witness.incarnation = NO_MEMBER
+
+
+def _end_member(witness: _WaitingWitness) -> None:
+    _end(witness.recorder, witness.member)
+
+
+def _stop(witness: _WaitingWitness) -> None:
+    witness.is_stopping = True
+
+
+async def _is_renewed_after(
+    change: Callable[[_WaitingWitness], None], *, is_read: bool = True
+) -> bool:
+    witness = _WaitingWitness()
+    renewing = asyncio.ensure_future(witness.is_renewed())
+    await asyncio.sleep(_READ_S)
+    assert not renewing.done()
+    change(witness)
+    witness.read.set_result(is_read)
+    return await renewing
+
+
+def _change_nothing(_witness: _WaitingWitness) -> None:
+    """Leave the witness as it is."""
+
+
+@pytest.mark.parametrize('is_read', [True, False])
+def test_witness_without_a_lease_renews_if_it_has_read_the_log(
+    is_read: bool,
+) -> None:
+    renewing = _is_renewed_after(_change_nothing, is_read=is_read)
+    assert run_virtual(renewing) is is_read
+
+
+# Guards against renewals by what was true before the read of the log.
+@pytest.mark.parametrize('change', [_end_self, _end_member, _stop])
+def test_end_during_the_read_of_the_log_forbids_the_renewal(
+    change: Callable[[_WaitingWitness], None],
+) -> None:
+    assert not run_virtual(_is_renewed_after(change))
+
+
+# Guards against a witness that refuses heartbeats under its lease while an
+# earlier one still waits for the log.
+def test_witness_renews_under_its_lease_while_an_earlier_heartbeat_waits() -> (
+    None
+):
+    async def main() -> None:
+        witness = _WaitingWitness()
+        waiting = asyncio.ensure_future(witness.is_renewed())
+        await asyncio.sleep(_READ_S)
+        witness.is_leased = True
+        assert await witness.is_renewed()
+        witness.read.set_result(False)
+        assert not await waiting
+
+    run_virtual(main())
