--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -205,11 +205,15 @@
             return []
         now_s = self._clock.now_s()
         members = self._journal.fleet.members
+        watched = (
+            each
+            for each in self._watched_members.items()
+            if each[0] not in self._waiting_members
+        )
         return [
             members[incarnation]
-            for incarnation, watch in self._watched_members.items()
+            for incarnation, watch in watched
             if incarnation in members
-            and incarnation not in self._waiting_members
             and members[incarnation].epoch == watch.epoch
             and watch.voted_until_s <= now_s
             and now_s - self._last_renewal_s(incarnation, watch) > wait_s
--- a/verbenadeck/lease/tests/test_small_fleets.py
+++ b/verbenadeck/lease/tests/test_small_fleets.py
@@ -184,3 +184,19 @@
         assert incarnations(fleet) == before
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('node_count', [2, 3])
+def test_leases_lost_in_an_outage_of_the_log_come_back_with_it(
+    node_count: int,
+) -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        fleet.log.is_up = False
+        fleet.nodes[_FIRST_NODE].process.pause()
+        await asyncio.sleep(3)
+        fleet.nodes[_FIRST_NODE].process.resume()
+        await asyncio.sleep(3)
+        fleet.log.is_up = True
+        await fleet.wait_until(fleet.is_served, limit_s=TAKEOVER_LIMIT_S)
+
+    run_scenario(scenario, specs=zoned_specs(*(1,) * node_count))
--- a/verbenadeck/membership/_eviction_report.py
+++ b/verbenadeck/membership/_eviction_report.py
@@ -33,8 +33,9 @@
     incarnation : callable
         Returns the incarnation of this node, `NO_MEMBER` if it has none.
     lease_deadline_s : callable
-        Returns the end of the lease on the boot clock for a member in its
-        last state, in seconds.
+        Returns the end of the lease on the boot clock for this node as a
+        member in its last state, in seconds; in the past once it has given
+        the lease up.
 
     Returns
     -------
--- a/verbenadeck/membership/_membership.py
+++ b/verbenadeck/membership/_membership.py
@@ -132,8 +132,12 @@
                 journal.fleet,
                 clock=clock,
                 incarnation=lambda: self._incarnation,
-                lease_deadline_s=lambda member: self._renewals.deadline_s(
-                    self._witness_set_manager.required_sets(member)
+                lease_deadline_s=lambda member: (
+                    -math.inf
+                    if self.is_stopping or self._is_resigning
+                    else self._renewals.deadline_s(
+                        self._witness_set_manager.required_sets(member)
+                    )
                 ),
             )
         )
