Probe a candidate that answers until it has read the log

Cause: a candidate for a witness set that did not renew within 0.3 s was left out for 5 s. Since a witness without a lease reads the log before it renews, the only ones that are left after all have lapsed were left out. Change: a candidate that answers is probed for a lease; one that does not, as before.

--- a/verbenadeck/membership/_heartbeats.py
+++ b/verbenadeck/membership/_heartbeats.py
@@ -91,6 +91,7 @@
     async def _on_ack(self, _source: PeerAddress, ack: HeartbeatAck) -> None:
         if ack.member != self._incarnation():
             return
+        self._renewals.record_answer(ack.witness)
         if ack.is_renewal:
             self._renewals.record_renewal(ack.witness, ack.sent_s)
         elif self._renewals.age_s(ack.witness) > self._probe_after_s:
--- a/verbenadeck/membership/_probes.py
+++ b/verbenadeck/membership/_probes.py
@@ -70,10 +70,13 @@
         }
 
     def expire(self) -> None:
-        """Exclude candidates that did not answer in time, for a cooldown."""
+        """Exclude candidates that did not renew in time, for a cooldown.
+
+        One that answers without a renewal may have to read the log first.
+        """
         now_s = self._clock.now_s()
         for each, since_s in tuple(self._probed_since_s.items()):
-            is_late = now_s - since_s > self._timing.probe_timeout_s
+            is_late = now_s - since_s > self._limit_s(each)
             if is_late and not self.is_answering(each):
                 self._probed_since_s.pop(each)
                 self._cooldown_until_s[each] = (
@@ -82,3 +85,9 @@
         for each, until_s in tuple(self._cooldown_until_s.items()):
             if until_s <= now_s:
                 self._cooldown_until_s.pop(each)
+
+    def _limit_s(self, candidate: Incarnation) -> float:
+        age_s = self._renewals.answer_age_s(candidate)
+        if age_s <= self._timing.probe_timeout_s:
+            return self._timing.lease_s
+        return self._timing.probe_timeout_s
--- a/verbenadeck/membership/_renewals.py
+++ b/verbenadeck/membership/_renewals.py
@@ -28,10 +28,12 @@
         self._clock = clock
         self._timing = timing
         self._renewal_sent_s: dict[Incarnation, float] = {}
+        self._answered_s: dict[Incarnation, float] = {}
 
     def reset(self) -> None:
         """Discard all renewals, for a new incarnation."""
         self._renewal_sent_s.clear()
+        self._answered_s.clear()
 
     def discard_except(self, kept: set[Incarnation]) -> None:
         """Discard the renewals by all other witnesses.
@@ -57,6 +59,26 @@
         known_s = self._renewal_sent_s.get(witness, -math.inf)
         self._renewal_sent_s[witness] = max(known_s, sent_s)
 
+    def record_answer(self, witness: Incarnation) -> None:
+        """Record that a witness has answered, with or without a renewal.
+
+        Parameters
+        ----------
+        witness : Incarnation
+            Witness that answered.
+        """
+        self._answered_s[witness] = self._clock.now_s()
+
+    def answer_age_s(self, witness: Incarnation) -> float:
+        """Return the age of the last answer of a witness, in seconds.
+
+        Parameters
+        ----------
+        witness : Incarnation
+            Witness to check.
+        """
+        return self._clock.now_s() - self._answered_s.get(witness, -math.inf)
+
     def age_s(self, witness: Incarnation) -> float:
         """Return the age of the last renewal by a witness, in seconds.
 
