--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -135,6 +135,8 @@
 
     async def _may_renew(self, heartbeat: Heartbeat) -> bool:
         """Return whether this node has not ended before the heartbeat."""
+        if self._membership.is_leased:
+            return True
         member = heartbeat.member
         if member in self._waiting_members:
             return False
@@ -203,9 +205,14 @@
             return []
         now_s = self._clock.now_s()
         members = self._journal.fleet.members
+        watched = (
+            each
+            for each in self._watched_members.items()
+            if each[0] not in self._waiting_members
+        )
         return [
             members[incarnation]
-            for incarnation, watch in self._watched_members.items()
+            for incarnation, watch in watched
             if incarnation in members
             and members[incarnation].epoch == watch.epoch
             and watch.voted_until_s <= now_s
