Treat answers of upstreams without a final status as broken

An upstream that answered with status 000 was taken at its word: the caller got `HTTP/1.1 0`, and with `Not-Executed` (or `Upstream-Refused`) the request counted as not run, so that the caller got status 503 for a request that may have run. The same held for 001, 099, 600, 999 and for 101 without an upgrade. The connection was used for the next request.

An answer now counts only with a status from 200 to 599 (`is_final_status`). `BoundedProtocol`, through which upstreams of both formats answer, fails any other one before its headers are read: the outcome is unknown, the connection is closed, and one decision line names the status. Status lines without three digits were refused by aiohttp before; they get the same line and detail.

--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -1,6 +1,7 @@
 """HTTP connections that end when an answer exceeds its size limits.
 
-They also end when bytes arrive for which no request waits.
+They also end when bytes arrive for which no request waits, and after an answer
+without a valid final status.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from loguru import logger
 
 from verbenadeck.adapters._answer_budget import AnswerBudget
+from verbenadeck.model import is_final_status
 
 _log = logger.bind(part='upstream')
 
@@ -47,6 +49,10 @@
     """Failure of an answer that exceeds its size limits."""
 
 
+class InvalidAnswerError(aiohttp.ClientError):
+    """Failure of an answer that has no valid final status."""
+
+
 class BoundedProtocol(ResponseHandler):
     """Connection that closes when an answer exceeds its size limits.
 
@@ -123,6 +129,9 @@
     ) -> None:
         """Queue a parsed head; apply the limit of bodies after the last one.
 
+        A head without a valid status fails the answer, and the connection is
+        not used again.
+
         Parameters
         ----------
         data : tuple of RawResponseMessage and StreamReader
@@ -135,6 +144,12 @@
             # A second answer belongs to no request.
             self.force_close()
             return
+        fault = _find_status_fault(data[0])
+        if fault is not None:
+            # Later heads on this connection must not become the answer.
+            self._is_head_due = False
+            self.set_exception(InvalidAnswerError(fault))
+            return
         if data[0].code not in _INTERIM_STATUSES:
             self._is_head_due = False
             self._left_bytes = _MAX_ENCODED_BODY_BYTES
@@ -192,6 +207,13 @@
             self.transport.abort()
 
 
+def _find_status_fault(head: RawResponseMessage) -> str | None:
+    """Return why the status of a head is not valid, None if it is."""
+    if head.code in _INTERIM_STATUSES or is_final_status(head.code):
+        return None
+    return f'status {head.code:03} is not final'
+
+
 def _make_protocol(
     loop: asyncio.AbstractEventLoop, budget: AnswerBudget
 ) -> ResponseHandler:
--- a/verbenadeck/adapters/_upstream_exchange.py
+++ b/verbenadeck/adapters/_upstream_exchange.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from verbenadeck.adapters import wire
+from verbenadeck.adapters._bounded_connector import InvalidAnswerError
 from verbenadeck.adapters._http_headers import end_to_end_headers
 from verbenadeck.adapters._upstream import (
     Announcement,
@@ -169,6 +170,8 @@
     >>> describe_broken_answer(OSError(5, 'I/O'))
     "incomplete answer: OSError(5, 'I/O')"
     """
+    if isinstance(error, InvalidAnswerError):
+        return f'invalid answer: {error}'[:_MAX_DETAIL_LENGTH]
     return f'incomplete answer: {error!r}'[:_MAX_DETAIL_LENGTH]
 
 
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -15,13 +15,21 @@
     AnswerTooLargeError,
     BoundedConnector,
     BoundedProtocol,
+    InvalidAnswerError,
 )
 from verbenadeck.adapters._upstream import Announcement
+from verbenadeck.logs import make_decision_logger
+
+_log_decision = make_decision_logger('upstream')
 
 _READ_BUFFER_BYTES = 65_536
 """Half of the size in bytes of the bodies' bytes that a connection may keep
 beside the budget before it stops to read."""
 
+_MAX_LOGGED_LENGTH = 200
+"""Length in characters to which the description of an invalid answer is cut,
+since it may repeat the bytes received."""
+
 _SKIPPED_CLIENT_HEADERS = (
     'User-Agent',
     'Accept',
@@ -57,12 +65,23 @@
         ----------
         connection : Connection
             Connection on which the request was sent.
+
+        Raises
+        ------
+        InvalidAnswerError
+            If the answer has no valid final status. aiohttp then closes the
+            connection.
         """
         if connection.protocol is not None:
             self._connection_closed = connection.protocol.closed
         if self._connection_closed is not None:
             self._connection_closed.add_done_callback(_mark_error_retrieved)
-        await super().start(connection)
+        try:
+            await super().start(connection)
+        except aiohttp.ClientResponseError as error:
+            raise self._log_invalid(' '.join(error.message.split())) from error
+        except InvalidAnswerError as error:
+            raise self._log_invalid(str(error)) from error
         if isinstance(connection.protocol, BoundedProtocol):
             self._budget = connection.protocol.budget
         return self
@@ -84,6 +103,16 @@
                 raise _make_abandoned_error()
             return bytes(held.body)
 
+    def _log_invalid(self, detail: str) -> InvalidAnswerError:
+        cut_detail = detail[:_MAX_LOGGED_LENGTH]
+        _log_decision(
+            'invalid answer from {}:{}: {}',
+            self.url.host,
+            self.url.port,
+            cut_detail,
+        )
+        return InvalidAnswerError(cut_detail)
+
     async def _read_into(self, held: HeldAnswer) -> None:
         try:
             while block := await self.content.readany():
--- a/verbenadeck/model/__init__.py
+++ b/verbenadeck/model/__init__.py
@@ -30,6 +30,7 @@
     Outcome,
     Refusal,
     RefusalReason,
+    is_final_status,
 )
 from verbenadeck.model._requests import Request
 
@@ -60,4 +61,5 @@
     'Shard',
     'WriterId',
     'Zone',
+    'is_final_status',
 )
--- a/verbenadeck/model/_outcomes.py
+++ b/verbenadeck/model/_outcomes.py
@@ -5,6 +5,8 @@
 import msgspec
 from returns.result import Result
 
+_FINAL_STATUSES = range(200, 600)
+
 
 class Outcome(enum.Enum):
     """Execution state of a request that has no answer.
@@ -86,5 +88,24 @@
     body: bytes = b''
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether an answer with a status is one of a request.
+
+    Nothing is known about the request after any other status, whatever the
+    headers say.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+
+    Examples
+    --------
+    >>> [is_final_status(status) for status in (0, 101, 200, 599, 600)]
+    [False, False, True, True, False]
+    """
+    return status in _FINAL_STATUSES
+
+
 AnswerResult = Result[Answer, Refusal]
 """Result of routing or admitting one request."""
