Fail an answer at once whose interim head has a body

An answer with status 199 and a body was skipped by aiohttp like an interim head, and the request kept its slot until the deadline. Interim heads carry no body, so `BoundedProtocol` now treats such a head as an invalid answer. `Content-Length: 0` remains allowed. Statuses 100 and 102 with a body were already broken, since aiohttp takes their body for the next status line.

--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -208,12 +208,23 @@
 
 
 def _find_status_fault(head: RawResponseMessage) -> str | None:
-    """Return why the status of a head is not valid, None if it is."""
-    if head.code in _INTERIM_STATUSES or is_final_status(head.code):
+    """Return why the status of a head is not valid, None if it is.
+
+    An interim head has no body; aiohttp would skip one and wait for another
+    head until the deadline.
+    """
+    if head.code in _INTERIM_STATUSES:
+        return f'status {head.code} has a body' if _has_body(head) else None
+    if is_final_status(head.code):
         return None
     return f'status {head.code:03} is not final'
 
 
+def _has_body(head: RawResponseMessage) -> bool:
+    length = head.headers.get('Content-Length', '0')
+    return length != '0' or 'Transfer-Encoding' in head.headers
+
+
 def _make_protocol(
     loop: asyncio.AbstractEventLoop, budget: AnswerBudget
 ) -> ResponseHandler:
--- a/verbenadeck/adapters/tests/invalid_answers.py
+++ b/verbenadeck/adapters/tests/invalid_answers.py
@@ -14,6 +14,7 @@
         },
         'status 100 with a body': 'HTTP/1.1 100 Continue',
         'status 102 with a body': 'HTTP/1.1 102 Processing',
+        'status 199 with a body': 'HTTP/1.1 199 OK',
         'two digits': 'HTTP/1.1 20 OK',
         'four digits': 'HTTP/1.1 2000 OK',
         'letters': 'HTTP/1.1 abc OK',
@@ -56,7 +57,7 @@
         f'{form} before an answer': complete[form].removesuffix(b'KEEP')
         + b'body'
         + answer
-        for form in ('status 000', 'status 101')
+        for form in ('status 000', 'status 101', 'status 199 with a body')
     }
     return complete | followed | _CUT_ANSWERS
 
