Check the status of an answer that another node forwards

An `Answer` in a `ForwardAnswer` was returned to the caller with any status, also a negative one or one of many digits. A node of an earlier release still forwards what its upstream answered.

`ForwardAnswer.unpack` gives an unknown outcome for an answer without a final status, also when the message has a refusal beside it, and logs a decision line with the status. The message itself decodes, so that other calls on the connection go on.

--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Success
 
+from verbenadeck.logs import make_decision_logger
 from verbenadeck.model import (
     NO_MEMBER,
     Answer,
@@ -11,12 +12,17 @@
     AttemptId,
     Incarnation,
     Refusal,
+    RefusalReason,
     Request,
     RequestId,
     ServiceName,
+    is_final_status,
 )
 from verbenadeck.peers import Message
 from verbenadeck.proxy._interface import ProxyLoad
+from verbenadeck.proxy._refusals import refuse, unknown
+
+_log_decision = make_decision_logger('door')
 
 
 class ForwardRequest(Message, frozen=True, array_like=True, tag='forward'):
@@ -140,7 +146,17 @@
         raise AssertionError('a result is a success or a failure')
 
     def unpack(self) -> AnswerResult:
-        """Return the result that the message carries."""
+        """Return the result that the message carries.
+
+        An answer without a final status means an unknown outcome, also when
+        the message has a refusal: earlier releases forward any status.
+        """
+        if self.answer is not None and not is_final_status(self.answer.status):
+            detail = f'invalid answer: status {self.answer.status} is not final'
+            _log_decision(
+                'incarnation {} forwarded an {}', self.incarnation, detail
+            )
+            return refuse(unknown(RefusalReason.UPSTREAM_FAILED, detail))
         if self.answer is not None:
             return Success(self.answer)
         if self.refusal is None:
