Check the status of the answers that the client gets

The client library returned an answer with status 000, 001, 099, 101, 600 or 999 as the answer of the call, and took `Verbenadeck-Outcome: not-run` on one as a guarantee. The connection was used for the next call.

The check of the connections to upstreams moves to `CheckedProtocol`, which `BoundedProtocol` extends and the client's `CheckedConnector` uses. Such an answer ends the attempt with an unknown outcome, as a lost answer does; the detail names the status. The check can't wait until the head reaches the client's code: aiohttp returns a connection to the pool before that, when the whole answer is there.

--- a/verbenadeck/adapters/__init__.py
+++ b/verbenadeck/adapters/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenadeck.adapters._announce import AnnounceError, read_announcement
 from verbenadeck.adapters._answer_budget import AnswerBudget
+from verbenadeck.adapters._answer_status import CheckedConnector
 from verbenadeck.adapters._bounded_connector import MAX_ANSWER_BYTES
 from verbenadeck.adapters._caller_calls import (
     OutgoingCall,
@@ -88,6 +89,7 @@
     'AnswerBudget',
     'AnnouncedUpstream',
     'CallerAnswer',
+    'CheckedConnector',
     'OrderFault',
     'OutgoingCall',
     'OwnerHint',
--- a/verbenadeck/adapters/_bounded_connector.py
+++ b/verbenadeck/adapters/_bounded_connector.py
@@ -15,7 +15,10 @@
 from loguru import logger
 
 from verbenadeck.adapters._answer_budget import AnswerBudget
-from verbenadeck.model import is_final_status
+from verbenadeck.adapters._answer_status import (
+    INTERIM_STATUSES,
+    CheckedProtocol,
+)
 
 _log = logger.bind(part='upstream')
 
@@ -28,8 +31,6 @@
 _MAX_HEADS = 64
 """Maximum number of the interim heads of an answer and its head."""
 
-_INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
-
 _MAX_ENCODED_BODY_BYTES = 2 * MAX_ANSWER_BYTES
 """Maximum size in bytes of a body with chunk headers and trailers."""
 
@@ -49,11 +50,7 @@
     """Failure of an answer that exceeds its size limits."""
 
 
-class InvalidAnswerError(aiohttp.ClientError):
-    """Failure of an answer that has no valid final status."""
-
-
-class BoundedProtocol(ResponseHandler):
+class BoundedProtocol(CheckedProtocol):
     """Connection that closes when an answer exceeds its size limits.
 
     The limits hold for the bytes received, since interim heads and chunk
@@ -129,9 +126,6 @@
     ) -> None:
         """Queue a parsed head; apply the limit of bodies after the last one.
 
-        A head without a valid status fails the answer, and the connection is
-        not used again.
-
         Parameters
         ----------
         data : tuple of RawResponseMessage and StreamReader
@@ -144,13 +138,7 @@
             # A second answer belongs to no request.
             self.force_close()
             return
-        fault = _find_status_fault(data[0])
-        if fault is not None:
-            # Later heads on this connection must not become the answer.
-            self._is_head_due = False
-            self.set_exception(InvalidAnswerError(fault))
-            return
-        if data[0].code not in _INTERIM_STATUSES:
+        if data[0].code not in INTERIM_STATUSES:
             self._is_head_due = False
             self._left_bytes = _MAX_ENCODED_BODY_BYTES
         super().feed_data(data, size)
@@ -207,24 +195,6 @@
             self.transport.abort()
 
 
-def _find_status_fault(head: RawResponseMessage) -> str | None:
-    """Return why the status of a head is not valid, None if it is.
-
-    An interim head has no body; aiohttp would skip one and wait for another
-    head until the deadline.
-    """
-    if head.code in _INTERIM_STATUSES:
-        return f'status {head.code} has a body' if _has_body(head) else None
-    if is_final_status(head.code):
-        return None
-    return f'status {head.code:03} is not final'
-
-
-def _has_body(head: RawResponseMessage) -> bool:
-    length = head.headers.get('Content-Length', '0')
-    return length != '0' or 'Transfer-Encoding' in head.headers
-
-
 def _make_protocol(
     loop: asyncio.AbstractEventLoop, budget: AnswerBudget
 ) -> ResponseHandler:
--- a/verbenadeck/adapters/_upstream_exchange.py
+++ b/verbenadeck/adapters/_upstream_exchange.py
@@ -8,7 +8,7 @@
 from yarl import URL
 
 from verbenadeck.adapters import wire
-from verbenadeck.adapters._bounded_connector import InvalidAnswerError
+from verbenadeck.adapters._answer_status import InvalidAnswerError
 from verbenadeck.adapters._http_headers import end_to_end_headers
 from verbenadeck.adapters._upstream import (
     Announcement,
--- a/verbenadeck/adapters/_upstream_session.py
+++ b/verbenadeck/adapters/_upstream_session.py
@@ -10,12 +10,12 @@
 from yarl import URL
 
 from verbenadeck.adapters._answer_budget import AnswerBudget, HeldAnswer
+from verbenadeck.adapters._answer_status import InvalidAnswerError
 from verbenadeck.adapters._bounded_connector import (
     MAX_ANSWER_BYTES,
     AnswerTooLargeError,
     BoundedConnector,
     BoundedProtocol,
-    InvalidAnswerError,
 )
 from verbenadeck.adapters._upstream import Announcement
 from verbenadeck.logs import make_decision_logger
--- a/verbenadeck/client/_transport.py
+++ b/verbenadeck/client/_transport.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Failure
 
-from verbenadeck.adapters import CallerFormat, OwnerHint
+from verbenadeck.adapters import CallerFormat, CheckedConnector, OwnerHint
 from verbenadeck.client._entries import EntryAddress
 from verbenadeck.client._options import ClientOptions
 from verbenadeck.model import AnswerResult, Outcome, Refusal, RefusalReason
@@ -112,7 +112,7 @@
     async def start(self) -> None:
         """Open the connection pool."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=CheckedConnector(
                 limit=0, limit_per_host=self._options.connections
             ),
             auto_decompress=False,
