Test the reply margin without the speed of the machine

test_answer_of_instance_that_stops_at_its_deadline_arrives_in_time failed once in a run with 6 processes on 7 cores, with TimeoutError. Its instance answered 550 ms after the head arrived, and the exchange ended 600 ms after its start, all in one event loop. The test thus depends on less than 50 ms of real time for opening the session and connection, sending the head, and reading the answer. On an idle machine it passes with the loop blocked for 40 ms and fails with 45 ms.

It is replaced by two tests over real sockets on a loop whose time only the test advances. The deadline that the instance gets must leave `reply_margin_s`, and an answer sent at the end of nine tenths of that margin must be taken, where the old test sent it at the begin; an answer at the deadline of the exchange must not be.

--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -37,11 +37,14 @@
     make_heartbeat_body,
     make_upstream,
 )
+from verbenadeck.platform.tests.stepped_loop import SteppedLoop, run_stepped
+from verbenadeck.utils import reply_margin_s
 
 _LINGER_WITH_RESET = struct.pack('ii', 1, 0)
 _LARGE_UPLOAD_BYTES = 20_000_000
 _SMALL_BUFFER_BYTES = 4_096
 _UPLOAD_UNREAD_S = 1.0
+_TIMEOUT_S = 0.6
 _ServerAction = Callable[[asyncio.StreamWriter], None]
 
 
@@ -139,10 +142,18 @@
     assert failure.failure is UpstreamFailure.BROKEN
 
 
-# Guards against slots that stay taken after an instance has stopped its run.
-def test_answer_of_instance_that_stops_at_its_deadline_arrives_in_time() -> (
-    None
-):
+async def _answer_at(
+    loop: SteppedLoop, find_time_s: Callable[[float], float]
+) -> tuple[SendResult, float]:
+    """Send a request that is answered at a time that its deadline decides.
+
+    Returns
+    -------
+    tuple of (SendResult, float)
+        Result, and the deadline that the instance got, in seconds.
+    """
+    deadlines_s: list[float] = []
+
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -150,23 +161,43 @@
         fields = dict(
             line.split(b': ', 1) for line in head.splitlines() if b': ' in line
         )
-        await asyncio.sleep(int(fields[b'Deadline-Ms']) / 1000)
+        deadlines_s.append(int(fields[b'Deadline-Ms']) / 1000)
+        await loop.advance_to(find_time_s(deadlines_s[0]))
         writer.write(
             _make_answer('r1', 'Content-Length: 0\r\n', '', status=504)
         )
         writer.close()
 
-    async def send() -> SendResult:
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        session = _make_session(server.sockets[0].getsockname()[1])
-        request = _make_request()
-        headers = make_request_headers(request, 'i-1', 0.6)
-        result = await exchange(session, request, headers, 0.6)
-        await session.close()
-        server.close()
-        return result
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    session = _make_session(server.sockets[0].getsockname()[1])
+    request = _make_request()
+    headers = make_request_headers(request, 'i-1', _TIMEOUT_S)
+    result = await exchange(session, request, headers, _TIMEOUT_S)
+    await session.close()
+    server.close()
+    return result, deadlines_s[0]
+
+
+# Guards against slots that stay taken after an instance has stopped its run.
+def test_answer_of_instance_that_stops_at_its_deadline_is_taken() -> None:
+    """The instance also has the whole margin to send its answer."""
+    margin_s = reply_margin_s(_TIMEOUT_S)
+
+    def find_time_s(deadline_s: float) -> float:
+        return deadline_s + margin_s * 0.9
+
+    loop = SteppedLoop()
+    result, deadline_s = run_stepped(_answer_at(loop, find_time_s), loop)
+    assert result.unwrap().status == 504
+    assert deadline_s == pytest.approx(_TIMEOUT_S - margin_s, abs=0.001)
+    assert deadline_s <= _TIMEOUT_S - margin_s
+
 
-    assert asyncio.run(send()).unwrap().status == 504
+def test_answer_after_the_deadline_of_the_exchange_is_not_taken() -> None:
+    # Shows that the time-out follows the time that these tests set.
+    loop = SteppedLoop()
+    result, _ = run_stepped(_answer_at(loop, lambda _: _TIMEOUT_S), loop)
+    assert result.failure().failure is UpstreamFailure.BROKEN
 
 
 @pytest.mark.parametrize('is_repeatable', [True, False])
