Test answers before the end of an upload without a real time-out

test_answer_before_the_end_of_an_upload_is_delivered_at_once gave an exchange with 20 MB of body 0.5 s of real time, and failed once under load. The instance now reads nothing until its answer has been delivered, instead of for 1 s, and the exchange runs on a loop whose time stands still.

It no longer bounds the processor time of the exchange.

--- a/verbenadeck/platform/tests/test_exchange.py
+++ b/verbenadeck/platform/tests/test_exchange.py
@@ -43,7 +43,6 @@
 _LINGER_WITH_RESET = struct.pack('ii', 1, 0)
 _LARGE_UPLOAD_BYTES = 20_000_000
 _SMALL_BUFFER_BYTES = 4_096
-_UPLOAD_UNREAD_S = 1.0
 _TIMEOUT_S = 0.6
 _ServerAction = Callable[[asyncio.StreamWriter], None]
 
@@ -200,21 +199,25 @@
     assert result.failure().failure is UpstreamFailure.BROKEN
 
 
+# Guards against an answer that waits for the end of the upload, or for a timer
+# that was set meanwhile: no time passes here.
 @pytest.mark.parametrize('is_repeatable', [True, False])
 def test_answer_before_the_end_of_an_upload_is_delivered_at_once(
     is_repeatable: bool,
 ) -> None:
-    """The instance reads the rest of the upload later, or never."""
-
-    async def serve(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(_make_answer('r1', 'Content-Length: 2\r\n', 'ok'))
-        await asyncio.sleep(_UPLOAD_UNREAD_S)
-        writer.close()
+    """The instance reads nothing more until its answer has been delivered."""
 
     async def send() -> SendResult:
+        delivered = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(_make_answer('r1', 'Content-Length: 2\r\n', 'ok'))
+            await delivered.wait()
+            writer.close()
+
         server = await asyncio.start_server(
             serve, '127.0.0.1', 0, limit=_SMALL_BUFFER_BYTES
         )
@@ -226,13 +229,13 @@
             is_repeatable=is_repeatable,
         )
         headers = make_request_headers(request, 'i-1', 2.0)
-        async with asyncio.timeout(_UPLOAD_UNREAD_S / 2):
-            result = await exchange(session, request, headers, 2.0)
+        result = await exchange(session, request, headers, 2.0)
+        delivered.set()
         await session.close()
         server.close()
         return result
 
-    assert asyncio.run(send()).unwrap().body == b'ok'
+    assert run_stepped(send(), SteppedLoop()).unwrap().body == b'ok'
 
 
 # Guards against a node that buffers an answer beyond its memory limit, or
