Tell proxies which callers were probably refused before

Cause: a second refusal is final for most callers, but a proxy could not tell a returning request from a new one.

Change: Request and ForwardRequest have is_returning as their last field. The entry on the platform sets it when the estimated age of the attempt is above 0.

--- a/verbenadeck/adapters/_caller_headers.py
+++ b/verbenadeck/adapters/_caller_headers.py
@@ -88,6 +88,8 @@
         its caller may try again.
     kind : str
         Kind of request whose service times are alike; empty when not known.
+    is_returning : bool
+        Whether the caller was probably refused before.
     """
 
     service: ServiceName
@@ -103,6 +105,7 @@
     objective_s: float | None = None
     on_refused: Callable[[], None] | None = None
     kind: str = ''
+    is_returning: bool = False
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
--- a/verbenadeck/entry/_requests.py
+++ b/verbenadeck/entry/_requests.py
@@ -112,6 +112,7 @@
                 is_new=caller_request.is_new,
                 kind=caller_request.kind,
                 has_short_grace=_has_short_grace(timeout_s, objective_s),
+                is_returning=caller_request.is_returning,
             )
         )
 
--- a/verbenadeck/model/_requests.py
+++ b/verbenadeck/model/_requests.py
@@ -46,6 +46,9 @@
     has_short_grace : bool
         Whether an answer between objective and deadline is as good as one
         before the objective. Such a request is mostly a step of another one.
+    is_returning : bool
+        Whether its caller was probably refused before; a second refusal is
+        final for most callers.
     """
 
     request_id: RequestId
@@ -63,3 +66,4 @@
     is_new: bool = False
     kind: str = ''
     has_short_grace: bool = False
+    is_returning: bool = False
--- a/verbenadeck/platform/_callers.py
+++ b/verbenadeck/platform/_callers.py
@@ -123,6 +123,7 @@
                 objective_s=route.objective_s - attempt.age_s,
                 on_refused=attempt.mark_refused,
                 kind=route.name,
+                is_returning=attempt.age_s > 0,
             )
         )
 
--- a/verbenadeck/platform/tests/test_operator.py
+++ b/verbenadeck/platform/tests/test_operator.py
@@ -250,8 +250,10 @@
         _read_attempt(caller_format, 2800)
     fields = _read_attempt(caller_format, 2800)
     assert fields.objective_s == pytest.approx(0.3)
+    assert fields.is_returning
     fields = _read_attempt(caller_format, 3000)
     assert fields.objective_s == pytest.approx(0.5)
+    assert not fields.is_returning
 
 
 def test_call_without_known_routes_is_refused_with_503_and_retry_after() -> (
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -30,7 +30,8 @@
         Time until the request's deadline, in seconds. Each VM has its own
         clock, so no absolute time is sent.
     request_id, service, key, method, path, headers, body, is_repeatable,
-    max_sends, priority, is_new, kind, has_short_grace
+    max_sends, priority, is_new, kind, has_short_grace,
+    is_returning
         Fields of `Request`.
     objective_remaining_s : float or None
         Time until the request's latency objective, in seconds.
@@ -52,6 +53,7 @@
     is_new: bool = False
     kind: str = ''
     has_short_grace: bool = False
+    is_returning: bool = False
 
     @classmethod
     def pack(
@@ -79,6 +81,7 @@
             request.is_new,
             request.kind,
             request.has_short_grace,
+            request.is_returning,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -101,6 +104,7 @@
             self.is_new,
             self.kind,
             self.has_short_grace,
+            self.is_returning,
         )
 
 
