Give scheduled retry times little jitter

Cause: a jitter of a quarter would undo the spacing of retry times that a proxy assigns one after the other.

Change: Refusal.is_scheduled marks such a time; with_retry_hint changes it by at most 5%. Other refusals keep their jitter.

--- a/verbenadeck/model/_outcomes.py
+++ b/verbenadeck/model/_outcomes.py
@@ -60,12 +60,16 @@
         Recommended delay in seconds before a retry; 0 means at once.
     detail : str
         Explanation in one short sentence.
+    is_scheduled : bool
+        Whether `retry_after_s` was assigned to this request alone, so that
+        requests refused together have different times already.
     """
 
     outcome: Outcome
     reason: RefusalReason
     retry_after_s: float = 0
     detail: str = ''
+    is_scheduled: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
--- a/verbenadeck/proxy/_refusals.py
+++ b/verbenadeck/proxy/_refusals.py
@@ -12,7 +12,11 @@
 
 
 def not_run(
-    reason: RefusalReason, detail: str = '', *, retry_after_s: float = 0
+    reason: RefusalReason,
+    detail: str = '',
+    *,
+    retry_after_s: float = 0,
+    is_scheduled: bool = False,
 ) -> Refusal:
     """Return a refusal of a request that certainly did not run.
 
@@ -24,8 +28,10 @@
         Reason for people.
     retry_after_s : float
         Time after which a retry may succeed, in seconds; 0 if unknown.
+    is_scheduled : bool
+        Whether that time was assigned to this request alone.
     """
-    return Refusal(Outcome.NOT_RUN, reason, retry_after_s, detail)
+    return Refusal(Outcome.NOT_RUN, reason, retry_after_s, detail, is_scheduled)
 
 
 def unknown(reason: RefusalReason, detail: str = '') -> Refusal:
--- a/verbenadeck/router/_outcomes.py
+++ b/verbenadeck/router/_outcomes.py
@@ -29,8 +29,8 @@
 """Typical time in seconds until a moving shard is served by its new owner:
 half of an upstream's heartbeat interval."""
 
-_MIN_JITTER = 0.75
-_MAX_JITTER = 1.25
+_JITTER = 0.25
+_SCHEDULED_JITTER = 0.05
 _MAX_RETRY_AFTER_RATIO = 1 / 3
 
 _NEXT_STEPS = MappingProxyType(
@@ -139,7 +139,8 @@
     """Return the refusal with a jittered hint when to retry.
 
     The jitter keeps callers that were refused together from retrying
-    together. Callers follow hints of up to a third of the time that they
+    together. Times that the proxy scheduled are spread already, so they get
+    little of it. Callers follow hints of up to a third of the time that they
     have left, so the hint is no longer than that.
 
     Parameters
@@ -154,6 +155,7 @@
     base_s = refusal.retry_after_s
     if _NEXT_STEPS[refusal.reason] is NextStep.WAIT:
         base_s = max(base_s, TYPICAL_MOVE_S)
-    jitter = source.uniform(_MIN_JITTER, _MAX_JITTER)
+    spread = _SCHEDULED_JITTER if refusal.is_scheduled else _JITTER
+    jitter = source.uniform(1 - spread, 1 + spread)
     hint_s = min(base_s * jitter, left_s * _MAX_RETRY_AFTER_RATIO)
     return msgspec.structs.replace(refusal, retry_after_s=hint_s)
--- a/verbenadeck/router/tests/test_refusal_handling.py
+++ b/verbenadeck/router/tests/test_refusal_handling.py
@@ -64,6 +64,17 @@
     assert short.retry_after_s <= _WAIT_S / 3
 
 
+# Guards against callers that were refused in a row and return together.
+def test_scheduled_retry_times_keep_their_spacing() -> None:
+    scheduled = Refusal(
+        Outcome.NOT_RUN, RefusalReason.QUEUE_FULL, _WAIT_S, is_scheduled=True
+    )
+    source = random.Random(3)
+    for _ in range(50):
+        hint_s = with_retry_hint(scheduled, 3.0, source).retry_after_s
+        assert hint_s == pytest.approx(_WAIT_S, rel=0.05)
+
+
 def test_retry_hint_for_a_moving_key_covers_the_move() -> None:
     moving = Refusal(Outcome.NOT_RUN, RefusalReason.MOVING)
     hinted = with_retry_hint(moving, 3.0, random.Random(3))
