Forecast the queue of upstreams with few slots by kinds of requests

Cause: with few slots, a count of requests times their mean service time is far from the wait when kinds differ by a factor of ten, refused callers returned together, and a burst at one entry could take all waiting places.

Change: the decisions of SlotQueue are in rules of their own. CountRules are those before. ForecastRules apply with at most QueueOptions.few_slots announced slots (0 by default): waits from the expected times of the running and waiting requests, checks of waiting requests when one joins and when a slot is assigned, retry times in succession, room for late returning requests, and equal shares of the waiting places between origins. A waiting request is refused when half of its forecast wait is too long, since the expected times follow short spans of slowness.

--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -29,7 +29,12 @@
 from verbenadeck.node._late_bound_ownership import LateBoundOwnership
 from verbenadeck.peers import PeerTransport
 from verbenadeck.placement import LoadReporter, LoadTable, Planner
-from verbenadeck.proxy import LimitOptions, UpstreamProxy
+from verbenadeck.proxy import (
+    LimitOptions,
+    QueueOptions,
+    UpstreamProxy,
+    ignore_count,
+)
 from verbenadeck.router import ProxyRouter
 from verbenadeck.utils import Clock, always_true
 
@@ -109,6 +114,10 @@
         ended; with None, they have one lease duration after the start.
     limits : LimitOptions
         Options of the concurrency limit of the proxy.
+    queue : QueueOptions
+        Options of the queue of the proxy.
+    count : callable
+        Adds one to the counter with a name.
     """
 
     timing: LeaseTiming | None = None
@@ -118,6 +127,8 @@
     can_join: Callable[[], bool] = always_true
     are_earlier_grants_over: Callable[[], bool] | None = None
     limits: LimitOptions = LimitOptions()
+    queue: QueueOptions = QueueOptions()
+    count: Callable[[str], None] = ignore_count
 
 
 _DEFAULT_CORE_OPTIONS = CoreOptions()
@@ -253,6 +264,8 @@
         clock=dependencies.clock,
         random_source=dependencies.random_source,
         limits=options.limits,
+        queue=options.queue,
+        count=options.count,
     )
 
 
--- a/verbenadeck/proxy/__init__.py
+++ b/verbenadeck/proxy/__init__.py
@@ -23,6 +23,7 @@
 )
 from verbenadeck.proxy._policy import PolicyCache
 from verbenadeck.proxy._proxy import UpstreamProxy
+from verbenadeck.proxy._queue_options import QueueOptions, ignore_count
 from verbenadeck.proxy._refusals import not_run, refusal_of, refuse, unknown
 from verbenadeck.proxy._shard_rates import ShardRates
 
@@ -34,6 +35,7 @@
     'ConcurrencyLimit',
     'Proxy',
     'ProxyLoad',
+    'QueueOptions',
     'ForwardRequest',
     'ForwardAnswer',
     'Ledger',
@@ -44,6 +46,7 @@
     'UpstreamProxy',
     'fixed_limit',
     'gradient_limit',
+    'ignore_count',
     'not_run',
     'refusal_of',
     'refuse',
--- a/verbenadeck/proxy/_admission.py
+++ b/verbenadeck/proxy/_admission.py
@@ -14,6 +14,7 @@
     RefusalReason,
     Request,
 )
+from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy._components import ProxyComponents
 from verbenadeck.proxy._ledger import Entry, EntryState
 from verbenadeck.proxy._pipeline import Pipeline
@@ -42,7 +43,11 @@
         self._ledger = components.ledger
 
     async def admit(
-        self, attempt_id: AttemptId, request: Request
+        self,
+        attempt_id: AttemptId,
+        request: Request,
+        *,
+        origin: PeerAddress,
     ) -> AnswerResult:
         """Run a request, wait for its run, or return its recorded answer.
 
@@ -52,10 +57,12 @@
             Attempt of a router; a copy of it joins the same run.
         request : Request
             Request; its deadline is on the clock of this VM.
+        origin : PeerAddress
+            Address of the node at which the request entered.
         """
         if self._runs.has_tombstone(attempt_id):
             return refuse(_cancelled_refusal())
-        result = await self._find_or_run(attempt_id, request)
+        result = await self._find_or_run(attempt_id, request, origin)
         refusal = refusal_of(result)
         if refusal is not None:
             self._record_refusal(attempt_id, request, refusal)
@@ -77,7 +84,7 @@
             self._pipeline.abandon(run)
 
     async def _find_or_run(
-        self, attempt_id: AttemptId, request: Request
+        self, attempt_id: AttemptId, request: Request, origin: PeerAddress
     ) -> AnswerResult:
         run = self._runs.find(attempt_id)
         if run is not None:
@@ -89,9 +96,10 @@
         shard = NO_SHARD if owned is None else int(owned)
         if policy.is_keyed:
             self._components.rates.record_request(shard)
+        run = Run(attempt_id, request, shard, origin=origin)
         if request.is_repeatable:
-            return await self._run_repeatable(Run(attempt_id, request, shard))
-        return await self._run_non_repeatable(attempt_id, request, shard)
+            return await self._run_repeatable(run)
+        return await self._run_non_repeatable(run)
 
     async def _run_repeatable(self, run: Run) -> AnswerResult:
         refusal = self._gate.refusal(run.request, run.shard)
@@ -108,9 +116,8 @@
             run.complete(result)
         return result
 
-    async def _run_non_repeatable(
-        self, attempt_id: AttemptId, request: Request, shard: int
-    ) -> AnswerResult:
+    async def _run_non_repeatable(self, run: Run) -> AnswerResult:
+        request, shard = run.request, run.shard
         fingerprint = fingerprint_of(request)
         entry = self._find_entry(request)
         if entry is not None:
@@ -122,7 +129,7 @@
         entry = self._find_entry(request)
         if entry is not None:
             return await self._answer_from_entry(entry, fingerprint, request)
-        if refusal is not None or self._runs.has_tombstone(attempt_id):
+        if refusal is not None or self._runs.has_tombstone(run.attempt_id):
             return refuse(refusal or _cancelled_refusal())
         entry = self._ledger.open(
             request.request_id,
@@ -132,7 +139,6 @@
         )
         if entry is None:
             return refuse(_ledger_full_refusal())
-        run = Run(attempt_id, request, shard)
         run.waiter_count = 0
         entry.run = run
         self._runs.add(run)
--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -18,6 +18,7 @@
 from verbenadeck.proxy._ledger import Ledger
 from verbenadeck.proxy._limit import ConcurrencyLimit, LimitOptions
 from verbenadeck.proxy._poison import Quarantine
+from verbenadeck.proxy._queue_options import QueueOptions
 from verbenadeck.proxy._runs import RunRegistry
 from verbenadeck.proxy._sender import Sender
 from verbenadeck.proxy._service_times import ServiceTimes
@@ -76,6 +77,10 @@
         Ledger of non-repeatable requests.
     limits : LimitOptions
         Options of the concurrency limit.
+    queue : QueueOptions
+        Options of the queue.
+    count : callable
+        Adds one to the counter with a name.
     """
 
     def __init__(
@@ -84,6 +89,8 @@
         *,
         ledger: Ledger,
         limits: LimitOptions,
+        queue: QueueOptions,
+        count: Callable[[str], None],
     ) -> None:
         clock = dependencies.clock
         self.dependencies = dependencies
@@ -116,6 +123,9 @@
             limit=lambda: self.limit.limit,
             service_time_s=lambda: self.limit.service_time_s,
             service_times=self.service_times,
+            slots=lambda: self.limit.slots,
+            options=queue,
+            count=count,
         )
         self.crash_tracker = CrashTracker(
             node_id=dependencies.node_id,
--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -52,11 +52,13 @@
         peers.register_handler(PoisonCleared, self._on_cleared)
 
     async def _on_forward(
-        self, _peer: PeerAddress, message: ForwardRequest
+        self, peer: PeerAddress, message: ForwardRequest
     ) -> ForwardAnswer:
         dependencies = self._components.dependencies
         request = message.unpack(dependencies.clock.now_s())
-        result = await self._proxy.admit(message.attempt_id, request)
+        result = await self._proxy.admit(
+            message.attempt_id, request, origin=peer
+        )
         return ForwardAnswer.pack(
             result, self._proxy.load, dependencies.incarnation()
         )
--- a/verbenadeck/proxy/_interface.py
+++ b/verbenadeck/proxy/_interface.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from verbenadeck.model import AnswerResult, AttemptId, Request
+from verbenadeck.peers import PeerAddress
+from verbenadeck.proxy._waiter import LOCAL_ORIGIN
 
 
 class ProxyLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -36,7 +38,11 @@
     """Interface that admits requests to the upstream of a node."""
 
     async def admit(
-        self, attempt_id: AttemptId, request: Request
+        self,
+        attempt_id: AttemptId,
+        request: Request,
+        *,
+        origin: PeerAddress = LOCAL_ORIGIN,
     ) -> AnswerResult:
         """Answer a request; never run the same attempt or request id twice."""
         ...
--- a/verbenadeck/proxy/_pipeline.py
+++ b/verbenadeck/proxy/_pipeline.py
@@ -39,11 +39,11 @@
 
     async def run(self, run: Run) -> AnswerResult:
         """Send a request to the upstream and return its answer or a refusal."""
-        if run.request.is_repeatable and self._slots.try_acquire():
+        if run.request.is_repeatable and self._slots.try_acquire(run.waiter):
             ready = self._upstream_request(run)
             if not _is_moving(ready):
                 return await self._send_or_release(run, ready)
-            self._slots.release()
+            self._slots.release(run.waiter)
         refusal = await self._prepare(run)
         if refusal is None:
             refusal = await self._slots.acquire(run.waiter)
@@ -57,7 +57,7 @@
         refusal = refusal_of(ready)
         if refusal is None:
             return await self._send(run, ready.unwrap())
-        self._slots.release()
+        self._slots.release(run.waiter)
         return self._finish_unsent(run, refusal)
 
     async def _send(
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -18,7 +18,7 @@
     Request,
     Zone,
 )
-from verbenadeck.peers import PeerTransport
+from verbenadeck.peers import PeerAddress, PeerTransport
 from verbenadeck.proxy._admission import Admission
 from verbenadeck.proxy._components import ProxyComponents, ProxyDependencies
 from verbenadeck.proxy._endpoint import Endpoint
@@ -27,8 +27,10 @@
 from verbenadeck.proxy._ledger import Ledger
 from verbenadeck.proxy._limit import LimitOptions
 from verbenadeck.proxy._monitor import UpstreamMonitor
+from verbenadeck.proxy._queue_options import QueueOptions, ignore_count
 from verbenadeck.proxy._refusals import not_run
 from verbenadeck.proxy._shard_rates import ShardRates
+from verbenadeck.proxy._waiter import LOCAL_ORIGIN
 from verbenadeck.records import ReleasedRange
 from verbenadeck.utils import Clock
 
@@ -36,6 +38,7 @@
 _DRAIN_POLL_S = 0.01
 _STOP_DRAIN_TIMEOUT_S = 15.0
 _DEFAULT_LIMITS = LimitOptions()
+_DEFAULT_QUEUE = QueueOptions()
 
 
 class UpstreamProxy:
@@ -65,6 +68,10 @@
         Ledger of non-repeatable requests; None creates one of default size.
     limits : LimitOptions
         Options of the concurrency limit.
+    queue : QueueOptions
+        Options of the queue.
+    count : callable
+        Adds one to the counter with a name.
     """
 
     def __init__(
@@ -81,6 +88,8 @@
         random_source: random.Random,
         ledger: Ledger | None = None,
         limits: LimitOptions = _DEFAULT_LIMITS,
+        queue: QueueOptions = _DEFAULT_QUEUE,
+        count: Callable[[str], None] = ignore_count,
     ) -> None:
         dependencies = ProxyDependencies(
             node_id=node_id,
@@ -96,7 +105,11 @@
         self._clock = clock
         request_ledger = Ledger() if ledger is None else ledger
         self._components = ProxyComponents(
-            dependencies, ledger=request_ledger, limits=limits
+            dependencies,
+            ledger=request_ledger,
+            limits=limits,
+            queue=queue,
+            count=count,
         )
         self._admission = Admission(self._components)
         self._handover = Handover(self._components)
@@ -188,10 +201,14 @@
         _log.info('drained: all admitted requests have ended')
 
     async def admit(
-        self, attempt_id: AttemptId, request: Request
+        self,
+        attempt_id: AttemptId,
+        request: Request,
+        *,
+        origin: PeerAddress = LOCAL_ORIGIN,
     ) -> AnswerResult:
         """Answer a request; never run the same attempt or request id twice."""
-        return await self._admission.admit(attempt_id, request)
+        return await self._admission.admit(attempt_id, request, origin=origin)
 
     async def cancel(self, attempt_id: AttemptId) -> None:
         """Cancel an attempt that no caller waits for."""
--- a/verbenadeck/proxy/_runs.py
+++ b/verbenadeck/proxy/_runs.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from verbenadeck.model import AnswerResult, AttemptId, Request
-from verbenadeck.proxy._slots import Waiter
+from verbenadeck.peers import PeerAddress
+from verbenadeck.proxy._waiter import LOCAL_ORIGIN, NO_SHARD, Waiter
+
+__all__ = ('NO_SHARD', 'Run', 'RunRegistry')
 
-NO_SHARD = -1
 _MAX_TOMBSTONES = 10_000
 
 
@@ -20,6 +22,8 @@
         Request.
     shard : int
         Its shard, or `NO_SHARD`.
+    origin : PeerAddress
+        Address of the node at which the request entered.
 
     Attributes
     ----------
@@ -53,7 +57,12 @@
     )
 
     def __init__(
-        self, attempt_id: AttemptId, request: Request, shard: int
+        self,
+        attempt_id: AttemptId,
+        request: Request,
+        shard: int,
+        *,
+        origin: PeerAddress = LOCAL_ORIGIN,
     ) -> None:
         self.attempt_id = attempt_id
         self.request = request
@@ -65,6 +74,8 @@
             objective_at_s=request.objective_at_s,
             kind=request.kind,
             has_short_grace=request.has_short_grace,
+            is_returning=request.is_returning,
+            origin=origin,
         )
         self.is_sent = False
         self.is_abandoned = False
--- a/verbenadeck/proxy/_sender.py
+++ b/verbenadeck/proxy/_sender.py
@@ -93,7 +93,7 @@
         self._slots = slots
         self._service_times = service_times
         self._on_broken = on_broken
-        self._held_slot_timers: set[asyncio.TimerHandle] = set()
+        self._held_slot_timers: dict[asyncio.TimerHandle, Run] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def send(
@@ -115,7 +115,7 @@
             result = await self._exchange(run, upstream_request)
         finally:
             if result is None:
-                self._hold_slot()
+                self._hold_slot(run)
                 self.cancel(run)
         match result:
             case Success(answer):
@@ -135,11 +135,11 @@
 
     def release_held_slots(self) -> None:
         """Release the held slots of requests that ended with an earlier instance."""
-        held = tuple(self._held_slot_timers)
+        held = tuple(self._held_slot_timers.items())
         self._held_slot_timers.clear()
-        for timer in held:
+        for timer, run in held:
             timer.cancel()
-            self._slots.release()
+            self._slots.release(run.waiter)
 
     async def _exchange(
         self, run: Run, upstream_request: UpstreamRequest
@@ -159,7 +159,7 @@
         service_time_s = now_s - run.sent_at_s
         self._limit.record_answer(service_time_s, now_s=now_s)
         self._service_times.record(run.request.kind, service_time_s)
-        self._slots.release()
+        self._slots.release(run.waiter)
         return Success(answer)
 
     def _on_error(self, run: Run, error: UpstreamError) -> AnswerResult:
@@ -167,11 +167,11 @@
         if error.failure in _OVERLOAD_FAILURES:
             self._on_overload(run, error, now_s)
         if error.failure is UpstreamFailure.BROKEN:
-            self._hold_slot()
+            self._hold_slot(run)
             if now_s < run.request.deadline_s:
                 self._on_broken(run)
         else:
-            self._slots.release()
+            self._slots.release(run.waiter)
         outcome, reason = _FAILURES[error.failure]
         return Failure(
             Refusal(outcome, reason, error.retry_after_s, error.detail)
@@ -192,13 +192,13 @@
                 error.detail,
             )
 
-    def _hold_slot(self) -> None:
+    def _hold_slot(self, run: Run) -> None:
         hold_s = _HOLD_RATIO * self._limit.service_time_s
         hold_s = min(_MAX_HOLD_S, max(_MIN_HOLD_S, hold_s))
 
         def free() -> None:
-            self._held_slot_timers.discard(timer)
-            self._slots.release()
+            self._held_slot_timers.pop(timer, None)
+            self._slots.release(run.waiter)
 
         timer = asyncio.get_running_loop().call_later(hold_s, free)
-        self._held_slot_timers.add(timer)
+        self._held_slot_timers[timer] = run
--- a/verbenadeck/proxy/tests/builders.py
+++ b/verbenadeck/proxy/tests/builders.py
@@ -28,7 +28,12 @@
     Zone,
 )
 from verbenadeck.peers import PeerAddress
-from verbenadeck.proxy import Ledger, LimitOptions, UpstreamProxy
+from verbenadeck.proxy import (
+    Ledger,
+    LimitOptions,
+    QueueOptions,
+    UpstreamProxy,
+)
 from verbenadeck.proxy.tests.fakes import (
     SERVICE,
     SHARDS,
@@ -46,6 +51,7 @@
 ZONES = ('suva', 'nadi', 'lautoka')
 
 _LIMITS = LimitOptions()
+_QUEUE = QueueOptions()
 _numbers = itertools.count(1)
 
 
@@ -114,6 +120,7 @@
         zone: str,
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
+        queue: QueueOptions = _QUEUE,
     ) -> None:
         self.upstream = upstream
         self.incarnation = Incarnation(number)
@@ -137,6 +144,7 @@
             random_source=self.random,
             ledger=ledger,
             limits=limits,
+            queue=queue,
         )
 
     def member(self, witnesses: tuple[Incarnation, ...] = ()) -> Member:
@@ -173,6 +181,7 @@
         zone: str | None = None,
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
+        queue: QueueOptions = _QUEUE,
         witnesses: tuple[Incarnation, ...] = (),
     ) -> Node:
         """Add a started node whose upstream has announced itself."""
@@ -184,6 +193,7 @@
             zone=zone or ZONES[number % len(ZONES)],
             ledger=ledger,
             limits=limits,
+            queue=queue,
         )
         self.nodes.append(node)
         self.fleet.join(node.member(witnesses))
--- /dev/null
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -0,0 +1,272 @@
+"""Loads of upstreams with few slots, where counts and means mislead."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+import pytest
+from returns.result import Success
+
+from verbenadeck.model import AttemptId, Outcome, Refusal, RefusalReason
+from verbenadeck.peers import PeerAddress
+from verbenadeck.proxy import ForwardAnswer, ForwardRequest, QueueOptions
+from verbenadeck.proxy.tests.builders import (
+    ProxyFleet,
+    admit,
+    answered,
+    make_deposit,
+    make_request,
+    refusal,
+)
+from verbenadeck.proxy.tests.fakes import FakeUpstream
+from verbenadeck.proxy.tests.few_slots_load import (
+    Kind,
+    Upstream,
+    simulate_returning_callers,
+)
+from verbenadeck.testing import run_virtual
+
+_LONG = Kind('ledger', 1, 5, 9, priority=2)
+_SHORT = Kind('payout', 0.1, 0.8, 1.6)
+_WORKSHOP = (
+    Kind('payout', 0.071, 0.305, 1.22, weight=130),
+    Kind('ledger', 0.41, 1.207, 5.028, priority=2, weight=75),
+    Kind('check', 0.03, 0.125, 0.416, weight=300),
+)
+_SALDO = (Kind('balance', 0.244, 0.966, 3.293),)
+_STOREFRONT = (
+    Kind('view', 0.1, 0.404, 1.516, priority=2, weight=421),
+    Kind('order', 0.14, 0.61, 2.032, priority=1, weight=162),
+)
+_LOADS = (1.5, 0.7, 1.5, 0.7)
+_HERE = PeerAddress('127.0.0.1', 7001)
+_THERE = PeerAddress('127.0.0.1', 7002)
+
+
+def _start(
+    upstream: Upstream, kind: Kind, *, origin: PeerAddress = _HERE
+) -> 'asyncio.Task[Refusal | None]':
+    waiter = upstream.waiter(kind, origin=origin)
+    return asyncio.create_task(upstream.run(waiter, kind))
+
+
+# Guards against calls lost behind reports that take ten times as long, and
+# against refusals because of a long queue of calls that take a tenth.
+@pytest.mark.parametrize(
+    ('ahead', 'few_slots', 'is_admitted'),
+    (
+        (_SHORT, 0, False),
+        (_SHORT, 5, True),
+        (_LONG, 0, True),
+        (_LONG, 5, False),
+    ),
+)
+def test_mixed_kinds_are_forecast_by_their_own_times(
+    ahead: Kind, few_slots: int, is_admitted: bool
+) -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=few_slots)
+        # The mean over all requests is that of the other kind.
+        other = _LONG if ahead is _SHORT else _SHORT
+        for _ in range(40):
+            upstream.learn(other)
+        upstream.learn(ahead)
+        urgent = ahead._replace(priority=0, objective_s=0.7, timeout_s=9)
+        tasks = [_start(upstream, urgent) for _ in range(4)]
+        await asyncio.sleep(0.01)
+        arriving = upstream.waiter(_SHORT)
+        found = upstream.queue.queue_refusal(arriving, 64)
+        assert (found is None) == is_admitted
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
+def test_overdue_run_is_not_forecast_to_end_at_once() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        overdue = _start(upstream, _LONG._replace(service_s=3))
+        await asyncio.sleep(1.5)
+        hasty = upstream.waiter(_SHORT._replace(objective_s=0.3, timeout_s=0.5))
+        assert upstream.queue.queue_refusal(hasty, 64) is not None
+        await overdue
+
+    run_virtual(scenario())
+
+
+# Guards against requests that wait until their deadlines in vain, so that
+# their callers have no time left to return.
+def test_waiter_is_refused_when_those_ahead_leave_it_no_time() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG, _SHORT)
+        patient = _LONG._replace(timeout_s=3.3, objective_s=3.2)
+        running = _start(upstream, _LONG)
+        await asyncio.sleep(0)
+        waiting = _start(upstream, patient)
+        urgent = [
+            _start(upstream, _LONG._replace(priority=0)) for _ in range(6)
+        ]
+        await asyncio.sleep(0.01)
+        assert waiting.done()
+        found = await waiting
+        assert found is not None
+        assert found.outcome is Outcome.NOT_RUN
+        assert found.reason is RefusalReason.DEADLINE
+        await asyncio.gather(running, *urgent)
+
+    run_virtual(scenario())
+
+
+def test_waiter_behind_a_stuck_run_is_refused_before_its_deadline() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG, _SHORT)
+        stuck = _start(upstream, _LONG._replace(service_s=9))
+        await asyncio.sleep(0.5)
+        started_s = upstream.clock.now_s()
+        found = await _start(upstream, _SHORT)
+        assert found is not None
+        waited_s = upstream.clock.now_s() - started_s
+        assert waited_s <= _SHORT.timeout_s - _SHORT.service_s + 0.01
+        await stuck
+
+    run_virtual(scenario())
+
+
+def _simulate(
+    kinds: tuple[Kind, ...], *, slots: int, few_slots: int
+) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    for seed in range(4):
+        counts.update(
+            simulate_returning_callers(
+                kinds, slots=slots, few_slots=few_slots, loads=_LOADS, seed=seed
+            )
+        )
+    return counts
+
+
+# Guards against callers that are refused in bursts of 1.5 times the capacity,
+# return while it is still taken, and are refused for good.
+@pytest.mark.parametrize(('kinds', 'slots'), ((_SALDO, 5), (_STOREFRONT, 3)))
+def test_callers_refused_in_a_burst_are_refused_again_less_often(
+    kinds: tuple[Kind, ...], slots: int
+) -> None:
+    before = _simulate(kinds, slots=slots, few_slots=0)
+    after = _simulate(kinds, slots=slots, few_slots=5)
+    assert after['second refusal'] < before['second refusal']
+    assert after['answered'] > before['answered']
+
+
+def test_calls_beside_reports_are_never_refused_at_their_deadlines() -> None:
+    counts = _simulate(_WORKSHOP, slots=3, few_slots=5)
+    assert counts['first refusal']
+    assert counts['refusals at the deadline'] == 0
+
+
+def test_upstream_with_more_slots_keeps_the_count_rules() -> None:
+    assert _simulate(_WORKSHOP, slots=3, few_slots=2) == _simulate(
+        _WORKSHOP, slots=3, few_slots=0
+    )
+
+
+def test_requests_refused_together_get_successive_retry_times() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_SHORT)
+        patient = _SHORT._replace(timeout_s=9)
+        tasks = [_start(upstream, patient) for _ in range(40)]
+        await asyncio.sleep(0.01)
+        refusals = [await each for each in tasks if each.done()]
+        hints = [each.retry_after_s for each in refusals if each is not None]
+        assert len(hints) > 20
+        interval_s = _SHORT.service_s / 2
+        for earlier_s, later_s in zip(hints, hints[1:], strict=False):
+            assert later_s - earlier_s == pytest.approx(interval_s)
+        assert hints[0] >= _SHORT.objective_s - _SHORT.service_s
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
+def test_late_returning_requests_wait_while_fewer_than_slots() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_LONG)
+        tasks = [_start(upstream, _LONG) for _ in range(4)]
+        await asyncio.sleep(0.01)
+        began_s = upstream.clock.now_s()
+        hasty = _LONG._replace(objective_s=1.5)
+        returning = [
+            upstream.waiter(hasty, started_s=began_s - 0.1) for _ in range(3)
+        ]
+        found: list[Refusal | None] = []
+        for waiter in returning:
+            found.append(upstream.queue.queue_refusal(waiter, 64))
+            if found[-1] is None:
+                tasks.append(asyncio.create_task(upstream.run(waiter, hasty)))
+            await asyncio.sleep(0)
+        assert [each is None for each in found] == [True, True, False]
+        new = upstream.waiter(hasty)
+        assert upstream.queue.queue_refusal(new, 64) is not None
+        assert not any(await asyncio.gather(*tasks))
+
+    run_virtual(scenario())
+
+
+def test_burst_of_one_origin_does_not_push_out_another() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_SHORT)
+        burst = [_start(upstream, _SHORT, origin=_THERE) for _ in range(60)]
+        await asyncio.sleep(0.01)
+        refused_before = sum(each.done() for each in burst)
+        calm = [_start(upstream, _SHORT, origin=_HERE) for _ in range(3)]
+        assert not any(await asyncio.gather(*calm))
+        refused = sum(map(bool, await asyncio.gather(*burst)))
+        assert refused - refused_before == 3
+        assert upstream.counters['requests_displaced'] == 3
+
+    run_virtual(scenario())
+
+
+# Guards against a displaced deposit that was refused as not run and then runs.
+def test_forwarded_deposit_displaces_a_local_one_that_never_runs() -> None:
+    async def scenario() -> None:
+        fleet = ProxyFleet()
+        upstream = FakeUpstream(slots=1)
+        node = await fleet.add(upstream, queue=QueueOptions(few_slots=5))
+        fleet.own_all(node)
+        entry = await fleet.add()
+        local = [make_deposit() for _ in range(70)]
+        tasks = [asyncio.create_task(admit(node, each)) for each in local]
+        await asyncio.sleep(0)
+        forwarded = make_deposit()
+        reply = await entry.transport.call(
+            node.address,
+            ForwardRequest.pack(AttemptId('forwarded'), forwarded, 5),
+            deadline_s=forwarded.deadline_s,
+        )
+        assert isinstance(reply, Success)
+        answer = reply.unwrap()
+        assert isinstance(answer, ForwardAnswer)
+        assert answer.unpack() == answered(forwarded)
+        results = await asyncio.gather(*tasks)
+        for deposit, result in zip(local, results, strict=True):
+            runs = int(isinstance(result, Success))
+            assert upstream.runs[deposit.request_id] == runs
+        refusals = [
+            refusal(each) for each in results if not isinstance(each, Success)
+        ]
+        assert {each.outcome for each in refusals} == {Outcome.NOT_RUN}
+        assert sum('its share' in each.detail for each in refusals) == 1
+
+    run_virtual(scenario())
+
+
+def test_forwarded_request_is_still_a_returning_one() -> None:
+    request = msgspec.structs.replace(make_request(now_s=0), is_returning=True)
+    message = ForwardRequest.pack(AttemptId('a'), request, 1)
+    assert message.unpack(0).is_returning
