Use the forecast of few slots on the platform

Change: few_slots is 5 on the platform, and the counters of the queue are among the metrics of the node.

--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -270,6 +270,8 @@
             can_join=self._can_join,
             are_earlier_grants_over=self._are_earlier_grants_over,
             limits=_options.LIMIT_OPTIONS,
+            queue=_options.QUEUE_OPTIONS,
+            count=self._metrics.count,
         )
 
     def _can_join(self) -> bool:
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -7,7 +7,7 @@
     ReadOptions,
 )
 from verbenadeck.membership import LeaseTiming
-from verbenadeck.proxy import LimitOptions, fixed_limit
+from verbenadeck.proxy import LimitOptions, QueueOptions, fixed_limit
 
 KEY_SPACE = 65_536
 """Number of keys of a keyed service, as the platform specifies it."""
@@ -28,6 +28,11 @@
 to no less than 0.8 of the slots. The other fifth covers requests that the
 instance still runs after their connections have closed."""
 
+QUEUE_OPTIONS = QueueOptions(few_slots=5)
+"""Queue of the proxy. With up to 5 slots, one slow request takes a fifth or
+more of the capacity, so that a count of requests times their mean service time
+is far from the wait; the errors average out with more slots."""
+
 DIRECT_READERS = 2
 """Number of nodes of the fleet that read the store themselves; the others read
 from them. The platform charges for each call; with two of them in different
