Plan the queue once for each refusal

Cause: a refusal went over the queue for the wait of the request and again for the end of the queue, and computed expected service times twice for the order.

Change: plan_queue returns both.

--- a/verbenadeck/proxy/_forecast_rules.py
+++ b/verbenadeck/proxy/_forecast_rules.py
@@ -6,11 +6,10 @@
 from verbenadeck.model import Refusal, RefusalReason
 from verbenadeck.proxy._origin_shares import origin_to_displace
 from verbenadeck.proxy._queue_plan import (
-    PlannedRun,
+    QueuePlan,
     forecast_slots,
     in_order,
     plan_queue,
-    queue_end_s,
 )
 from verbenadeck.proxy._queue_rules import (
     QueueContext,
@@ -94,17 +93,17 @@
         if waiter.is_returning:
             self._count('requests_returning')
         waiting = [each for each in waiting if not each.has_left_queue]
-        problem = self._find_problem(waiter, waiting, limit)
+        plan = plan_queue(self._context, waiting, joining=waiter)
+        problem = self._find_problem(waiter, plan, limit)
         if problem is None:
             return None
         victim = _find_victim(waiter, waiting)
-        if victim is None:
-            return self._refuse(waiter, problem, waiting)
-        others = [each for each in waiting if each is not victim]
-        if self._find_problem(waiter, others, limit) is not None:
-            return self._refuse(waiter, problem, waiting)
+        if victim is None or self._is_refused_without(
+            victim, waiter, waiting, limit
+        ):
+            return self._make_refusal(waiter, problem, plan.end_wait_s)
         self._count('requests_displaced')
-        self._resolve(victim, _DISPLACED, waiting)
+        self._resolve(victim, _DISPLACED, plan)
         return None
 
     def refuse_overtaken(
@@ -113,15 +112,17 @@
         """Refuse a waiter that is late behind others; return whether it was."""
         if not is_overtaken(self._context, waiter, waiting):
             return False
-        if waiter.is_returning and self._has_room_for_returning(
-            waiter, plan_queue(self._context, waiting)
-        ):
+        plan = plan_queue(self._context, waiting)
+        if waiter.is_returning and self._has_room_for_returning(waiter, plan):
             return False
-        return self._resolve(waiter, _OVERTAKEN, waiting)
+        return self._resolve(waiter, _OVERTAKEN, plan)
 
     def refuse_late(self, waiter: Waiter, waiting: Sequence[Waiter]) -> bool:
         """Refuse a waiter that can't meet its deadline, if it still waits."""
-        return self._resolve(waiter, _UNSERVABLE, waiting)
+        if waiter.is_resolved:
+            return False
+        plan = plan_queue(self._context, waiting)
+        return self._resolve(waiter, _UNSERVABLE, plan)
 
     def refuse_unservable(self, waiting: Sequence[Waiter]) -> None:
         """Refuse the waiters that are forecast to miss their deadlines."""
@@ -129,8 +130,7 @@
         now_s = context.clock.now_s()
         forecast = forecast_slots(context)
         refused: list[Waiter] = []
-        for waiter in in_order(context, waiting):
-            run_s = run_time_s(waiter, now_s, context.service_times)
+        for waiter, run_s in in_order(context, waiting):
             least_wait_s = _RECHECKED_WAIT_SHARE * forecast.next_wait_s
             ends_at_s = now_s + least_wait_s + run_s
             if ends_at_s > waiter.deadline_s and not waiter.is_resolved:
@@ -150,14 +150,24 @@
             waiter, now_s, self._context.service_times
         )
 
+    def _is_refused_without(
+        self,
+        victim: Waiter,
+        waiter: Waiter,
+        waiting: Sequence[Waiter],
+        limit: int,
+    ) -> bool:
+        others = [each for each in waiting if each is not victim]
+        plan = plan_queue(self._context, others, joining=waiter)
+        return self._find_problem(waiter, plan, limit) is not None
+
     def _find_problem(
-        self, waiter: Waiter, waiting: Sequence[Waiter], limit: int
+        self, waiter: Waiter, plan: QueuePlan, limit: int
     ) -> _Problem | None:
-        if len(waiting) >= limit:
+        if len(plan.runs) > limit:
             return _NO_PLACE
         now_s = self._context.clock.now_s()
-        planned = plan_queue(self._context, waiting, joining=waiter)
-        own = next(each for each in planned if each.waiter is waiter)
+        own = next(each for each in plan.runs if each.waiter is waiter)
         wait_s, ends_at_s = own.wait_s, own.ends_at_s
         if ends_at_s > waiter.deadline_s:
             times = describe_times(wait_s, ends_at_s, waiter.deadline_s, now_s)
@@ -165,7 +175,7 @@
                 RefusalReason.DEADLINE,
                 f'the queue is longer than the deadline allows: {times}',
             )
-        if not own.is_late or self._may_be_late(waiter, planned, now_s):
+        if not own.is_late or self._may_be_late(waiter, plan, now_s):
             return None
         times = describe_times(wait_s, ends_at_s, waiter.objective_at_s, now_s)
         return _Problem(
@@ -174,7 +184,7 @@
         )
 
     def _may_be_late(
-        self, waiter: Waiter, planned: Sequence[PlannedRun], now_s: float
+        self, waiter: Waiter, plan: QueuePlan, now_s: float
     ) -> bool:
         """Return whether a request may wait although it misses its objective.
 
@@ -183,42 +193,33 @@
         objective already may while there are fewer such requests.
         """
         if waiter.is_returning:
-            return self._has_room_for_returning(waiter, planned)
+            return self._has_room_for_returning(waiter, plan)
         if waiter.objective_at_s > now_s:
             return False
         late = sum(
             each.waiter.queue_position(now_s)[1]
-            for each in planned
+            for each in plan.runs
             if each.waiter is not waiter
         )
         return late < self._context.limit()
 
-    def _has_room_for_returning(
-        self, waiter: Waiter, planned: Sequence[PlannedRun]
-    ) -> bool:
+    def _has_room_for_returning(self, waiter: Waiter, plan: QueuePlan) -> bool:
         late = sum(
             each.waiter.is_returning and each.is_late
-            for each in planned
+            for each in plan.runs
             if each.waiter is not waiter
         )
         return late < self._context.limit()
 
     def _resolve(
-        self, waiter: Waiter, problem: _Problem, waiting: Sequence[Waiter]
+        self, waiter: Waiter, problem: _Problem, plan: QueuePlan
     ) -> bool:
         if waiter.is_resolved:
             return False
-        waiter.resolve(self._refuse(waiter, problem, waiting))
+        waiter.resolve(self._make_refusal(waiter, problem, plan.end_wait_s))
         self._context.remove(waiter)
         return True
 
-    def _refuse(
-        self, waiter: Waiter, problem: _Problem, waiting: Sequence[Waiter]
-    ) -> Refusal:
-        return self._make_refusal(
-            waiter, problem, queue_end_s(self._context, waiting)
-        )
-
     def _make_refusal(
         self, waiter: Waiter, problem: _Problem, wait_s: float
     ) -> Refusal:
--- a/verbenadeck/proxy/_queue_plan.py
+++ b/verbenadeck/proxy/_queue_plan.py
@@ -9,7 +9,7 @@
     remaining_times_s,
 )
 from verbenadeck.proxy._queue_rules import QueueContext
-from verbenadeck.proxy._waiter import Waiter, position_now, run_time_s
+from verbenadeck.proxy._waiter import Waiter, run_time_s
 
 
 class PlannedRun(NamedTuple):
@@ -35,13 +35,28 @@
         return self.waiter.queue_position(self.ends_at_s)[1]
 
 
+class QueuePlan(NamedTuple):
+    """Forecast of the runs of a queue's requests.
+
+    Parameters
+    ----------
+    runs : list of PlannedRun
+        Runs in the order of the queue.
+    end_wait_s : float
+        Wait at the end of the queue, in seconds.
+    """
+
+    runs: list[PlannedRun]
+    end_wait_s: float
+
+
 def plan_queue(
     context: QueueContext,
     waiting: Sequence[Waiter],
     *,
     joining: Waiter | None = None,
-) -> list[PlannedRun]:
-    """Return the runs of the waiting requests, in their order.
+) -> QueuePlan:
+    """Return the forecast of the waiting requests.
 
     Parameters
     ----------
@@ -50,27 +65,18 @@
     waiting : sequence of Waiter
         Requests in the queue.
     joining : Waiter or None
-        Request that arrives and is planned with them.
+        Request that arrives. Its own run is planned, but does not delay others.
     """
     now_s = context.clock.now_s()
     forecast = forecast_slots(context)
-    planned: list[PlannedRun] = []
+    runs: list[PlannedRun] = []
     everyone = waiting if joining is None else [*waiting, joining]
-    for waiter in in_order(context, everyone):
-        run_s = run_time_s(waiter, now_s, context.service_times)
+    for waiter, run_s in in_order(context, everyone):
         wait_s = forecast.next_wait_s
-        planned.append(PlannedRun(waiter, wait_s, now_s + wait_s + run_s))
-        forecast.add(run_s)
-    return planned
-
-
-def queue_end_s(context: QueueContext, waiting: Sequence[Waiter]) -> float:
-    """Return the wait at the end of the queue, in seconds."""
-    now_s = context.clock.now_s()
-    forecast = forecast_slots(context)
-    for waiter in in_order(context, waiting):
-        forecast.add(run_time_s(waiter, now_s, context.service_times))
-    return forecast.next_wait_s
+        runs.append(PlannedRun(waiter, wait_s, now_s + wait_s + run_s))
+        if waiter is not joining:
+            forecast.add(run_s)
+    return QueuePlan(runs, forecast.next_wait_s)
 
 
 def forecast_slots(context: QueueContext) -> SlotForecast:
@@ -88,10 +94,19 @@
     )
 
 
-def in_order(context: QueueContext, waiting: Sequence[Waiter]) -> list[Waiter]:
-    """Return the requests that still wait, the next one to be served first."""
+def in_order(
+    context: QueueContext, waiting: Sequence[Waiter]
+) -> list[tuple[Waiter, float]]:
+    """Return the requests that still wait with their expected service times.
+
+    The next one to be served comes first.
+    """
     now_s = context.clock.now_s()
-    return sorted(
-        (each for each in waiting if not each.has_left_queue),
-        key=lambda each: position_now(each, now_s, context.service_times),
-    )
+    times = context.service_times
+    pairs = [
+        (waiter, run_time_s(waiter, now_s, times))
+        for waiter in waiting
+        if not waiter.has_left_queue
+    ]
+    pairs.sort(key=lambda pair: pair[0].queue_position(now_s + pair[1]))
+    return pairs
