Stop long messages whose calls are cancelled or late

A message of several parts that was cancelled while the connection was full left its parts in the memory of the peer until the connection ended, and a call waited for a saturated connection beyond its deadline. The sender now ends such a message with an empty part, so that the peer discards it, and the deadline of a call covers the time in which it is sent.

Result: verbenadeck/peers passes, with two new tests in virtual time.

--- a/verbenadeck/peers/_connection.py
+++ b/verbenadeck/peers/_connection.py
@@ -85,10 +85,7 @@
         if len(body) <= PART_BYTES:
             self.write(Frame(kind, call_id, True, body))
             return True
-        for frame in split_message(kind, call_id, body):
-            self.write(frame)
-            self._flush()
-            await self._drain()
+        await self._send_parts(kind, call_id, body)
         return True
 
     def close(self) -> None:
@@ -106,6 +103,23 @@
             self._writer.close()
             await self._wait_closed()
 
+    async def _send_parts(
+        self, kind: FrameKind, call_id: int, body: bytes
+    ) -> None:
+        """Send a message in parts; stop when the calling task is cancelled."""
+        is_complete = False
+        try:
+            for frame in split_message(kind, call_id, body):
+                self.write(frame)
+                self._flush()
+                is_complete = frame.is_last
+                await self._drain()
+        finally:
+            if not is_complete:
+                # The peer discards a truncated message, and with it the
+                # parts that it would keep until the connection ends.
+                self.write(Frame(kind, call_id))
+
     async def _wait_closed(self) -> None:
         try:
             await asyncio.wait_for(
--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -167,19 +167,13 @@
         deadline_s: float,
     ) -> CallResult:
         waiter = session.waiting[call_id]
-        sent = await session.connection.send(FrameKind.CALL, call_id, body)
-        if not sent:
-            return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
-        timer = asyncio.get_running_loop().call_later(
-            self._clock.remaining_s(deadline_s),
-            session.resolve_call,
-            call_id,
-            _TIMED_OUT,
-        )
         try:
-            return await waiter
-        finally:
-            timer.cancel()
+            async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
+                if await session.connection.send(FrameKind.CALL, call_id, body):
+                    return await waiter
+        except TimeoutError:
+            return _TIMED_OUT
+        return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
 
     async def _get_session(self, deadline_s: float) -> _Session | None:
         session = self._session
--- a/verbenadeck/peers/tests/builders.py
+++ b/verbenadeck/peers/tests/builders.py
@@ -1,7 +1,9 @@
 """Builders of transports for tests."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import cast
 
 from verbenadeck.peers import (
     Message,
@@ -9,6 +11,7 @@
     PeerOptions,
     StreamTransport,
 )
+from verbenadeck.peers._connection import Connection
 from verbenadeck.utils import Clock
 
 
@@ -53,3 +56,46 @@
 def distant_deadline_s() -> float:
     """Return a deadline in seconds that a passing test never reaches."""
     return Clock().now_s() + 30
+
+
+class StalledWriter:
+    """Writer of a connection whose peer reads nothing.
+
+    Attributes
+    ----------
+    written : bytearray
+        Bytes that were written.
+    transport : StalledWriter
+        The writer itself, which has no backlog and can be aborted.
+    """
+
+    def __init__(self) -> None:
+        self.written = bytearray()
+        self.transport = self
+
+    def write(self, part: bytes) -> None:
+        """Keep the bytes."""
+        self.written += part
+
+    def get_write_buffer_size(self) -> int:
+        """Return no backlog."""
+        return 0
+
+    async def drain(self) -> None:
+        """Wait without end."""
+        await asyncio.Event().wait()
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+
+def make_stalled_connection(clock: Clock) -> tuple[Connection, StalledWriter]:
+    """Return a connection whose peer reads nothing, and its writer."""
+    writer = StalledWriter()
+    connection = Connection(
+        asyncio.StreamReader(),
+        cast(asyncio.StreamWriter, writer),
+        options=PeerOptions(),
+        now_s=clock.now_s,
+    )
+    return connection, writer
--- /dev/null
+++ b/verbenadeck/peers/tests/test_stopped_transfers.py
@@ -0,0 +1,70 @@
+"""Load: long messages on saturated links that nobody waits for any more."""
+
+import asyncio
+
+import pytest
+
+from verbenadeck.peers import PeerAddress, PeerFailure, PeerOptions
+from verbenadeck.peers._codec import MessageCodec
+from verbenadeck.peers._frames import (
+    PART_BYTES,
+    FrameDecoder,
+    FrameKind,
+    MessageAssembler,
+)
+from verbenadeck.peers._link import Link, _Session
+from verbenadeck.peers.tests.builders import Request, make_stalled_connection
+from verbenadeck.testing import run_virtual, virtual_clock
+
+_LIMIT_BYTES = 400_000
+
+
+def _make_assembler() -> MessageAssembler:
+    return MessageAssembler(
+        max_message_bytes=_LIMIT_BYTES, max_kept_bytes=_LIMIT_BYTES
+    )
+
+
+# Guards against bodies for callers that have gone, and against parts of them
+# that the peer keeps in memory until the connection ends.
+def test_cancelled_message_stops_and_is_discarded_by_the_peer() -> None:
+    async def scenario() -> None:
+        codec = MessageCodec([Request])
+        connection, writer = make_stalled_connection(virtual_clock())
+        body = codec.encode(Request(1, bytes(300_000)))
+        task = asyncio.create_task(connection.send(FrameKind.CALL, 7, body))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.1)
+        assembler = _make_assembler()
+        frames = list(FrameDecoder().feed(bytes(writer.written)))
+        truncated = [assembler.add(frame) for frame in frames][-1]
+        assert truncated == body[:PART_BYTES]
+        assert isinstance(codec.decode(truncated).failure(), str)
+        assert not assembler._incomplete_bytes
+
+    run_virtual(scenario())
+
+
+# Guards against calls that wait for a saturated link beyond their deadlines.
+def test_message_that_is_not_sent_by_its_deadline_stops() -> None:
+    async def scenario() -> None:
+        clock = virtual_clock()
+        connection, writer = make_stalled_connection(clock)
+        address = PeerAddress('127.0.0.1', 7000)
+        link = Link(
+            address,
+            own_address=lambda: address,
+            clock=clock,
+            options=PeerOptions(),
+        )
+        link._session = _Session(connection, _make_assembler())
+        deadline_s = clock.now_s() + 0.5
+        reply = await link.call(bytes(300_000), deadline_s=deadline_s)
+        assert reply.failure().failure is PeerFailure.NO_REPLY
+        assert clock.now_s() == pytest.approx(deadline_s)
+        assert len(writer.written) < 2 * PART_BYTES
+
+    run_virtual(scenario())
