Reserve transfers of large bodies at the proxy

A proxy refused an upload for lack of capacity only after its whole body had arrived, so that bodies saturated links of 5 Mbit/s. `ReserveTransfer` asks for permission to send a body.

Request id and key are part of the message, so that the repeat of an answered request is not refused as not run, and a proxy that does not own the shard refuses before the body is sent.

--- a/verbenadeck/proxy/__init__.py
+++ b/verbenadeck/proxy/__init__.py
@@ -25,6 +25,10 @@
 from verbenadeck.proxy._proxy import UpstreamProxy
 from verbenadeck.proxy._refusals import not_run, refusal_of, refuse, unknown
 from verbenadeck.proxy._shard_rates import ShardRates
+from verbenadeck.proxy._transfer_messages import (
+    ReserveTransfer,
+    TransferReply,
+)
 
 __all__ = (
     'MESSAGE_TYPES',
@@ -40,7 +44,9 @@
     'LoadQuery',
     'LoadReply',
     'PolicyCache',
+    'ReserveTransfer',
     'ShardRates',
+    'TransferReply',
     'UpstreamProxy',
     'fixed_limit',
     'gradient_limit',
--- a/verbenadeck/proxy/_admission.py
+++ b/verbenadeck/proxy/_admission.py
@@ -53,6 +53,7 @@
         request : Request
             Request; its deadline is on the clock of this VM.
         """
+        self._components.transfers.remove(attempt_id)
         if self._runs.has_tombstone(attempt_id):
             return refuse(_cancelled_refusal())
         result = await self._find_or_run(attempt_id, request)
@@ -70,6 +71,7 @@
             Attempt; if it has not arrived yet, a tombstone keeps a late copy
             from running.
         """
+        self._components.transfers.remove(attempt_id)
         run = self._runs.find(attempt_id)
         if run is None:
             self._runs.add_tombstone(attempt_id)
--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -24,6 +24,7 @@
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.proxy._slots import SlotQueue
 from verbenadeck.proxy._takeovers import Takeovers
+from verbenadeck.proxy._transfers import Transfers
 from verbenadeck.utils import Clock
 
 DEFAULT_KEEP_S = 600.0
@@ -76,6 +77,11 @@
         Ledger of non-repeatable requests.
     limits : LimitOptions
         Options of the concurrency limit.
+    link_bytes_per_s : float or None
+        Rate at which large bodies may arrive, in bytes per second; None for
+        no limit.
+    count : callable
+        Adds one to the counter with the given name.
     """
 
     def __init__(
@@ -84,6 +90,8 @@
         *,
         ledger: Ledger,
         limits: LimitOptions,
+        link_bytes_per_s: float | None,
+        count: Callable[[str], None],
     ) -> None:
         clock = dependencies.clock
         self.dependencies = dependencies
@@ -117,6 +125,13 @@
             service_time_s=lambda: self.limit.service_time_s,
             service_times=self.service_times,
         )
+        self.transfers = Transfers(
+            clock=clock,
+            slots=self.slots,
+            service_times=self.service_times,
+            link_bytes_per_s=link_bytes_per_s,
+            count=count,
+        )
         self.crash_tracker = CrashTracker(
             node_id=dependencies.node_id,
             fleet=dependencies.fleet,
--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -18,6 +18,11 @@
     PoisonCleared,
     PoisonNotice,
 )
+from verbenadeck.proxy._transfer_admission import TransferAdmission
+from verbenadeck.proxy._transfer_messages import (
+    ReserveTransfer,
+    TransferReply,
+)
 
 
 class Endpoint:
@@ -39,9 +44,11 @@
         self._components = components
         self._proxy = proxy
         self._admission = admission
+        self._transfer_admission = TransferAdmission(components)
 
     def register(self, peers: PeerTransport) -> None:
         """Register all message handlers with a transport."""
+        peers.register_handler(ReserveTransfer, self._on_reserve)
         peers.register_handler(ForwardRequest, self._on_forward)
         peers.register_handler(CancelAttempt, self._on_cancel)
         peers.register_handler(LoadQuery, self._on_load_query)
@@ -51,6 +58,12 @@
         peers.register_handler(PoisonNotice, self._on_poison)
         peers.register_handler(PoisonCleared, self._on_cleared)
 
+    async def _on_reserve(
+        self, _peer: PeerAddress, message: ReserveTransfer
+    ) -> TransferReply:
+        refusal = self._transfer_admission.reserve(message)
+        return TransferReply(refusal, self._proxy.load)
+
     async def _on_forward(
         self, _peer: PeerAddress, message: ForwardRequest
     ) -> ForwardAnswer:
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -17,6 +17,10 @@
 )
 from verbenadeck.peers import Message
 from verbenadeck.proxy._interface import ProxyLoad
+from verbenadeck.proxy._transfer_messages import (
+    ReserveTransfer,
+    TransferReply,
+)
 
 
 class ForwardRequest(Message, frozen=True, array_like=True, tag='forward'):
@@ -289,5 +293,7 @@
     LedgerFound,
     PoisonNotice,
     PoisonCleared,
+    ReserveTransfer,
+    TransferReply,
 )
 """Message types that the proxy registers with the peer transport."""
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -30,7 +30,7 @@
 from verbenadeck.proxy._refusals import not_run
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.records import ReleasedRange
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 _log = logger.bind(part='door')
 _DRAIN_POLL_S = 0.01
@@ -65,6 +65,11 @@
         Ledger of non-repeatable requests; None creates one of default size.
     limits : LimitOptions
         Options of the concurrency limit.
+    link_bytes_per_s : float or None
+        Rate at which large bodies may arrive, in bytes per second; None for
+        no limit.
+    count : callable
+        Adds one to the counter with the given name.
     """
 
     def __init__(
@@ -81,6 +86,8 @@
         random_source: random.Random,
         ledger: Ledger | None = None,
         limits: LimitOptions = _DEFAULT_LIMITS,
+        link_bytes_per_s: float | None = None,
+        count: Callable[[str], None] = ignore_name,
     ) -> None:
         dependencies = ProxyDependencies(
             node_id=node_id,
@@ -96,7 +103,11 @@
         self._clock = clock
         request_ledger = Ledger() if ledger is None else ledger
         self._components = ProxyComponents(
-            dependencies, ledger=request_ledger, limits=limits
+            dependencies,
+            ledger=request_ledger,
+            limits=limits,
+            link_bytes_per_s=link_bytes_per_s,
+            count=count,
         )
         self._admission = Admission(self._components)
         self._handover = Handover(self._components)
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -101,7 +101,22 @@
         return True
 
 
-class SlotQueue:
+class ReservedRequests:
+    """Requests that count as queued although their bodies have not arrived."""
+
+    def __init__(self) -> None:
+        self._reserved: list[Waiter] = []
+
+    def add_reservation(self, waiter: Waiter) -> None:
+        """Add a request whose body is about to be sent."""
+        self._reserved.append(waiter)
+
+    def remove_reservation(self, waiter: Waiter) -> None:
+        """Remove a request that `add_reservation` added."""
+        self._reserved.remove(waiter)
+
+
+class SlotQueue(ReservedRequests):
     """Slots in use and the queue for them, ordered by priority and deadline.
 
     Parameters
@@ -136,6 +151,7 @@
             clock=clock
         )
         self._cold_start_rate.on_token = self.assign_free_slots
+        super().__init__()
         self.in_use = 0
         self._clock = clock
         self._limit = limit
@@ -147,19 +163,19 @@
 
     @property
     def queued(self) -> int:
-        """Number of requests in the queue."""
-        return len(self._waiting)
+        """Number of requests in the queue or with a reservation."""
+        return len(self._waiting) + len(self._reserved)
 
     def expected_wait_s(self, waiter: Waiter) -> float:
         """Return the expected wait of a request that arrives now, in seconds."""
         limit = self._limit()
-        if self.in_use < limit and not self._waiting:
+        if self.in_use + len(self._reserved) < limit and not self._waiting:
             return 0
         now_s = self._clock.now_s()
         own = _position(waiter, now_s, self._service_times)
         positions = (
             _position(each, now_s, self._service_times)
-            for each in self._waiting
+            for each in (*self._waiting, *self._reserved)
         )
         ahead = sum(position <= own for position in positions) + 1
         slot_wait_s = ahead / max(1, limit) * self._service_time_s()
--- a/verbenadeck/proxy/tests/builders.py
+++ b/verbenadeck/proxy/tests/builders.py
@@ -114,6 +114,7 @@
         zone: str,
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
+        link_bytes_per_s: float | None = None,
     ) -> None:
         self.upstream = upstream
         self.incarnation = Incarnation(number)
@@ -137,6 +138,7 @@
             random_source=self.random,
             ledger=ledger,
             limits=limits,
+            link_bytes_per_s=link_bytes_per_s,
         )
 
     def member(self, witnesses: tuple[Incarnation, ...] = ()) -> Member:
@@ -173,6 +175,7 @@
         zone: str | None = None,
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
+        link_bytes_per_s: float | None = None,
         witnesses: tuple[Incarnation, ...] = (),
     ) -> Node:
         """Add a started node whose upstream has announced itself."""
@@ -184,6 +187,7 @@
             zone=zone or ZONES[number % len(ZONES)],
             ledger=ledger,
             limits=limits,
+            link_bytes_per_s=link_bytes_per_s,
         )
         self.nodes.append(node)
         self.fleet.join(node.member(witnesses))
--- /dev/null
+++ b/verbenadeck/proxy/tests/transfer_builders.py
@@ -0,0 +1,70 @@
+"""Builders of uploads and reservations for tests of transfers."""
+
+import asyncio
+
+import msgspec
+
+from verbenadeck.model import AttemptId, Request, ServiceName
+from verbenadeck.proxy import ReserveTransfer, TransferReply
+from verbenadeck.proxy.tests.builders import Node, ProxyFleet, make_deposit
+from verbenadeck.proxy.tests.fakes import SERVICE, make_policy
+
+LINK_BYTES_PER_S = 375_000.0
+"""Rate for bodies on a link of 5 Mbit/s."""
+
+BODY_BYTES = 60_000
+"""Mean size of a document-upload."""
+
+_OBJECTIVE_S = 2.816
+_TIMEOUT_S = 4.341
+
+
+def publish_uploads(site: ProxyFleet, *, is_owned: bool = False) -> None:
+    """Publish whether each upload has an owner, as none on the platform has."""
+    services = dict(site.fleet.config.services)
+    services[SERVICE] = make_policy(
+        has_ledger_shards=is_owned, has_ledger_copies=False
+    )
+    site.fleet.publish(services=services)
+
+
+def make_upload(
+    body_bytes: int = BODY_BYTES,
+    *,
+    request_id: str | None = None,
+    service: ServiceName = SERVICE,
+    key: str | None = None,
+    timeout_s: float = _TIMEOUT_S,
+) -> Request:
+    """Build a document-upload, a non-repeatable request with a large body."""
+    request = make_deposit(
+        request_id,
+        service=service,
+        key=key,
+        path='/documents',
+        body=bytes(body_bytes),
+        timeout_s=timeout_s,
+    )
+    return msgspec.structs.replace(
+        request,
+        priority=2,
+        kind='document-upload',
+        objective_at_s=request.deadline_s - _TIMEOUT_S + _OBJECTIVE_S,
+    )
+
+
+async def reserve(
+    entry: Node, node: Node, request: Request, attempt: str = 'a1'
+) -> TransferReply:
+    """Ask a node for a transfer from another one."""
+    now_s = asyncio.get_running_loop().time()
+    result = await entry.transport.call(
+        node.address,
+        ReserveTransfer.pack(
+            AttemptId(attempt), request, request.deadline_s - now_s
+        ),
+        deadline_s=now_s + 1,
+    )
+    reply = result.unwrap()
+    assert isinstance(reply, TransferReply)
+    return reply
--- a/verbenadeck/utils/_defaults.py
+++ b/verbenadeck/utils/_defaults.py
@@ -16,5 +16,9 @@
     return True
 
 
+def ignore_name(_name: str) -> None:
+    """Do nothing, as the default of an optional counter."""
+
+
 def do_nothing() -> None:
     """Do nothing, as the default of an optional callback."""
