Ask for a transfer before a large body is sent to another node

The router sent the body of a refused upload to the next proxy, up to all of them. With a link rate, it now asks before it sends a body of at least 16 KiB, and tries another proxy when the transfer is refused or there is no reply within 0.25 s. It sends a body at most twice and stops after refusals by four proxies with their earliest retry time. A proxy that rejects the message, as one of an earlier release, gets the body as before.

--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -31,7 +31,7 @@
 from verbenadeck.placement import LoadReporter, LoadTable, Planner
 from verbenadeck.proxy import LimitOptions, UpstreamProxy
 from verbenadeck.router import ProxyRouter
-from verbenadeck.utils import Clock, always_true
+from verbenadeck.utils import Clock, always_true, ignore_name
 
 MESSAGE_TYPES = (
     *proxy_package.MESSAGE_TYPES,
@@ -109,6 +109,12 @@
         ended; with None, they have one lease duration after the start.
     limits : LimitOptions
         Options of the concurrency limit of the proxy.
+    link_bytes_per_s : float or None
+        Rate in bytes per second at which large bodies may arrive from other
+        nodes. With a rate, this node reserves transfers of large bodies to
+        other nodes; None for neither.
+    count : callable
+        Adds one to the counter with the given name.
     """
 
     timing: LeaseTiming | None = None
@@ -118,6 +124,8 @@
     can_join: Callable[[], bool] = always_true
     are_earlier_grants_over: Callable[[], bool] | None = None
     limits: LimitOptions = LimitOptions()
+    link_bytes_per_s: float | None = None
+    count: Callable[[str], None] = ignore_name
 
 
 _DEFAULT_CORE_OPTIONS = CoreOptions()
@@ -172,7 +180,7 @@
     )
     kernel.register(
         'router',
-        _make_router(kernel, location, dependencies),
+        _make_router(kernel, location, dependencies, options),
         depends_on=('door',),
     )
     load_table = LoadTable(clock=dependencies.clock)
@@ -253,6 +261,8 @@
         clock=dependencies.clock,
         random_source=dependencies.random_source,
         limits=options.limits,
+        link_bytes_per_s=options.link_bytes_per_s,
+        count=options.count,
     )
 
 
@@ -315,7 +325,10 @@
 
 
 def _make_router(
-    kernel: Kernel, location: NodeLocation, dependencies: NodeDependencies
+    kernel: Kernel,
+    location: NodeLocation,
+    dependencies: NodeDependencies,
+    options: CoreOptions,
 ) -> ProxyRouter:
     return ProxyRouter(
         node_id=location.node_id,
@@ -325,4 +338,5 @@
         peers=dependencies.peers,
         clock=dependencies.clock,
         random_source=dependencies.random_source,
+        reserves_transfers=options.link_bytes_per_s is not None,
     )
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -29,6 +29,11 @@
 )
 from verbenadeck.router._outcomes import merge_outcome
 from verbenadeck.router._stats import ProxyStats
+from verbenadeck.router._transfers import (
+    MIN_BODY_BYTES,
+    BodyTransfers,
+    TransferClient,
+)
 from verbenadeck.utils import Clock, reply_margin_s
 
 _MIN_RESEND_PAUSE_S = 0.01
@@ -63,6 +68,8 @@
         Generator of the prefix that makes attempt ids unique.
     is_member : callable
         Returns whether the node of a proxy is still a member.
+    reserves_transfers : bool
+        Whether transfers of large bodies to other nodes are reserved.
     """
 
     def __init__(
@@ -73,16 +80,24 @@
         clock: Clock,
         random_source: random.Random,
         is_member: Callable[[ProxyStats], bool],
+        reserves_transfers: bool = False,
     ) -> None:
         self._proxy = proxy
         self._peers = peers
         self._clock = clock
         self._is_member = is_member
+        self._reserves_transfers = reserves_transfers
+        self._transfer_client = TransferClient(peers=peers, clock=clock)
         self._id_prefix = f'{random_source.getrandbits(_ID_PREFIX_BITS):x}'
         self._attempt_numbers = itertools.count(1)
 
     async def send(
-        self, target: ProxyStats, request: Request, *, is_owner: bool
+        self,
+        target: ProxyStats,
+        request: Request,
+        *,
+        transfers: BodyTransfers,
+        is_owner: bool,
     ) -> AnswerResult:
         """Send a request to a proxy and return its answer or refusal.
 
@@ -92,6 +107,8 @@
             Proxy to send to.
         request : Request
             Request to send.
+        transfers : BodyTransfers
+            Transfers of the request's body so far, updated by this call.
         is_owner : bool
             Whether the target owns the request's shard. No other proxy may
             answer then, so the attempt is sent again when its reply is lost.
@@ -102,7 +119,9 @@
         started_s = self._clock.now_s()
         attempt_number = target.add_attempt(started_s)
         try:
-            result = await self._send(target, attempt_id, request, is_owner)
+            result = await self._send(
+                target, attempt_id, request, transfers, is_owner
+            )
         except asyncio.CancelledError:
             self._cancel(target, attempt_id)
             now_s = self._clock.now_s()
@@ -118,6 +137,7 @@
         target: ProxyStats,
         attempt_id: AttemptId,
         request: Request,
+        transfers: BodyTransfers,
         is_owner: bool,
     ) -> AnswerResult:
         if target.is_local:
@@ -125,7 +145,7 @@
             target.record_load(self._proxy.load, self._clock.now_s())
             return result
         return await self._forward_until_answered(
-            target, attempt_id, request, is_owner
+            target, attempt_id, request, transfers, is_owner
         )
 
     async def _forward_until_answered(
@@ -133,12 +153,23 @@
         target: ProxyStats,
         attempt_id: AttemptId,
         request: Request,
+        transfers: BodyTransfers,
         is_owner: bool,
     ) -> AnswerResult:
         pause_s = _MIN_RESEND_PAUSE_S
         lost: Refusal | None = None
         while True:
-            reply = await self._forward(target, attempt_id, request)
+            refusal = await self._reserve(
+                target,
+                attempt_id,
+                request,
+                transfers,
+                is_owner=is_owner,
+                is_resend=lost is not None,
+            )
+            reply = refusal or await self._forward(
+                target, attempt_id, request, transfers
+            )
             if isinstance(reply, ForwardAnswer):
                 target.record_load(reply.load, self._clock.now_s())
                 is_same = reply.incarnation == target.member.incarnation
@@ -146,7 +177,10 @@
             lost = _prefer_unknown(lost, reply)
             if lost.outcome is Outcome.UNKNOWN:
                 request = as_resent(request)
-            is_over = self._clock.now_s() + pause_s >= request.deadline_s
+            is_over = (
+                transfers.are_used_up
+                or self._clock.now_s() + pause_s >= request.deadline_s
+            )
             if is_over or not self._may_resend(target, lost, is_owner):
                 return refuse(lost)
             await asyncio.sleep(pause_s)
@@ -159,9 +193,49 @@
             return False
         return self._is_member(target)
 
+    async def _reserve(
+        self,
+        target: ProxyStats,
+        attempt_id: AttemptId,
+        request: Request,
+        transfers: BodyTransfers,
+        *,
+        is_owner: bool,
+        is_resend: bool,
+    ) -> Refusal | None:
+        """Return why a request must not be sent to a proxy, or None."""
+        if not self._needs_reservation(request):
+            return None
+        refusal = await self._transfer_client.reserve(
+            target,
+            attempt_id,
+            request,
+            is_owner=is_owner,
+            is_resend=is_resend,
+        )
+        if refusal is not None:
+            return transfers.record_refusal(
+                target, refusal, self._clock.now_s()
+            )
+        if transfers.are_used_up:
+            # Hedged attempts have sent the body as often as allowed.
+            self._cancel(target, attempt_id)
+            return _used_up_refusal()
+        return None
+
+    def _needs_reservation(self, request: Request) -> bool:
+        return self._reserves_transfers and len(request.body) >= MIN_BODY_BYTES
+
     async def _forward(
-        self, target: ProxyStats, attempt_id: AttemptId, request: Request
+        self,
+        target: ProxyStats,
+        attempt_id: AttemptId,
+        request: Request,
+        transfers: BodyTransfers,
     ) -> ForwardAnswer | Refusal:
+        is_counted = self._needs_reservation(request)
+        if is_counted:
+            transfers.add_send()
         left_s = self._clock.remaining_s(request.deadline_s)
         message = ForwardRequest.pack(
             attempt_id, request, left_s - reply_margin_s(left_s)
@@ -175,6 +249,8 @@
             case Success(ForwardAnswer() as answer):
                 return answer
             case Failure(PeerError(failure=PeerFailure.NOT_SENT)):
+                if is_counted:
+                    transfers.remove_send()
                 return not_run(RefusalReason.PEER_LOST, 'proxy not reachable')
         return unknown(RefusalReason.PEER_LOST, 'no reply from proxy')
 
@@ -220,6 +296,12 @@
     )
 
 
+def _used_up_refusal() -> Refusal:
+    return not_run(
+        RefusalReason.QUEUE_FULL, 'the body was sent as often as allowed'
+    )
+
+
 def _prefer_unknown(earlier: Refusal | None, now: Refusal) -> Refusal:
     if earlier is not None and earlier.outcome is Outcome.UNKNOWN:
         return earlier
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -46,6 +46,7 @@
 from verbenadeck.router._proxy_directory import ProxyDirectory
 from verbenadeck.router._quantile import LatencyQuantile
 from verbenadeck.router._stats import ProxyStats
+from verbenadeck.router._transfers import BodyTransfers
 from verbenadeck.utils import Clock
 
 _log_decision = make_decision_logger('router')
@@ -91,6 +92,8 @@
         Generator for load balancing, jitter and attempt ids.
     choose : ChooseProxy
         Load-balancing policy among proxies that may all serve a request.
+    reserves_transfers : bool
+        Whether transfers of large bodies to other nodes are reserved.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         clock: Clock,
         random_source: random.Random,
         choose: ChooseProxy = choose_by_expected_wait,
+        reserves_transfers: bool = False,
     ) -> None:
         self._clock = clock
         self._random = random_source
@@ -120,6 +124,7 @@
             clock=clock,
             random_source=random_source,
             is_member=self._proxy_directory.is_member,
+            reserves_transfers=reserves_transfers,
         )
         self._load_queries = LoadQueries(proxy=proxy, peers=peers, clock=clock)
         self._services: dict[ServiceName, _ServiceState] = {}
@@ -237,7 +242,10 @@
         _log_choice(route.request, choice)
         if not self._may_hedge(route):
             return await self._attempt_sender.send(
-                choice.proxy, route.request, is_owner=False
+                choice.proxy,
+                route.request,
+                transfers=route.transfers,
+                is_owner=False,
             )
         return await self._send_hedged(route, choice.proxy)
 
@@ -258,7 +266,7 @@
             route.request, ProxyChoice(owner, f'owner of shard {shard}')
         )
         return await self._attempt_sender.send(
-            owner, route.request, is_owner=True
+            owner, route.request, transfers=route.transfers, is_owner=True
         )
 
     async def _query_and_choose(
@@ -334,7 +342,11 @@
         started_s = self._clock.now_s()
         result = await send_hedged(
             partial(
-                self._attempt_sender.send, proxy, route.request, is_owner=False
+                self._attempt_sender.send,
+                proxy,
+                route.request,
+                transfers=route.transfers,
+                is_owner=False,
             ),
             partial(self._next_attempt, route, proxy),
             delay_s=route.service_state.latency.estimate_s,
@@ -357,6 +369,7 @@
             self._attempt_sender.send,
             choice.proxy,
             route.request,
+            transfers=route.transfers,
             is_owner=False,
         )
 
@@ -372,6 +385,8 @@
         Proxies that got an attempt.
     upstream_sends : int
         Attempts that may have reached an upstream.
+    transfers : BodyTransfers
+        Transfers of the body to other nodes.
     wait_until_s : float
         Time after which the router no longer waits for an owner.
     """
@@ -382,6 +397,7 @@
         'upstream_sends',
         'shard',
         'service_state',
+        'transfers',
         'tried_proxies',
         'wait_until_s',
     )
@@ -400,6 +416,7 @@
         self.tried_proxies: list[ProxyStats] = []
         self.shard: Shard | None = request_shard(request, policy)
         self.upstream_sends = 0
+        self.transfers = BodyTransfers()
         # A caller whose latency objective has passed is refused with a retry
         # hint, which serves it better than a longer wait here.
         objective_at_s = request.objective_at_s or request.deadline_s
@@ -407,9 +424,10 @@
 
     @property
     def has_used_all_sends(self) -> bool:
-        """Whether the request was sent to upstreams as often as allowed."""
+        """Whether the request or its body was sent as often as allowed."""
         max_sends = self.request.max_sends
-        return 0 < max_sends <= self.upstream_sends
+        is_sent = 0 < max_sends <= self.upstream_sends
+        return is_sent or self.transfers.are_used_up
 
 
 def _log_choice(request: Request, choice: ProxyChoice) -> None:
--- a/verbenadeck/router/tests/builders.py
+++ b/verbenadeck/router/tests/builders.py
@@ -15,6 +15,7 @@
     node: Node,
     *,
     choose: ChooseProxy = choose_by_expected_wait,
+    reserves_transfers: bool = False,
 ) -> ProxyRouter:
     return ProxyRouter(
         node_id=node.node_id,
@@ -25,6 +26,7 @@
         clock=proxy_fleet.clock,
         random_source=node.random,
         choose=choose,
+        reserves_transfers=reserves_transfers,
     )
 
 
