Read the rate of the link from the platform's settings

Reservations of transfers need the rate of the VM's link. `limits.linkMbps` of the settings file gives it; bodies may use 0.6 of it. Without it nothing is reserved. A rate that is not positive, or above any link, is refused with the name of the field.

--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -262,6 +262,7 @@
             self._upstream.hold_handler = grants.holds_for
             return grants
 
+        link_bytes_per_s = self._settings.link_bytes_per_s
         return CoreOptions(
             timing=_options.LEASE_TIMING,
             journal=_options.JOURNAL_OPTIONS,
@@ -270,6 +271,10 @@
             can_join=self._can_join,
             are_earlier_grants_over=self._are_earlier_grants_over,
             limits=_options.LIMIT_OPTIONS,
+            link_bytes_per_s=None
+            if link_bytes_per_s is None
+            else link_bytes_per_s * _options.LINK_SHARE_FOR_BODIES,
+            count=self._metrics.count,
         )
 
     def _can_join(self) -> bool:
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -28,6 +28,11 @@
 to no less than 0.8 of the slots. The other fifth covers requests that the
 instance still runs after their connections have closed."""
 
+LINK_SHARE_FOR_BODIES = 0.6
+"""Share of the link that large bodies from other nodes may use. The rest is for
+calls, leases, heartbeats and reads, which must not wait behind bodies, and for
+uploads that callers send to the node itself."""
+
 DIRECT_READERS = 2
 """Number of nodes of the fleet that read the store themselves; the others read
 from them. The platform charges for each call; with two of them in different
--- a/verbenadeck/platform/_settings.py
+++ b/verbenadeck/platform/_settings.py
@@ -20,6 +20,9 @@
 """Environment variable with the path of the settings file."""
 
 _MAX_NODE_NAME_BYTES = 200
+_BYTES_PER_S_PER_MBPS = 125_000
+_MAX_LINK_MBPS = 1e9
+"""Rate above that of any link, so that calculations with it stay finite."""
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -57,6 +60,8 @@
         new requests.
     stop_timeout_s : float
         Time in seconds from SIGTERM to SIGKILL.
+    link_bytes_per_s : float or None
+        Rate of the link of the VM, in bytes per second; None for no bound.
     """
 
     node_id: NodeId
@@ -73,6 +78,7 @@
     max_hold_s: float
     drain_timeout_s: float
     stop_timeout_s: float
+    link_bytes_per_s: float | None = None
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -120,6 +126,7 @@
         max_hold_s=_read_positive_s(bounds['holdMax']),
         drain_timeout_s=_read_positive_s(bounds['drain']),
         stop_timeout_s=_read_positive_s(bounds['grace']),
+        link_bytes_per_s=_read_link_bytes_per_s(fields.get('limits')),
     )
 
 
@@ -136,3 +143,14 @@
     if time_s <= 0:
         raise ValueError('expected a positive time')
     return time_s
+
+
+def _read_link_bytes_per_s(limits: dict[str, Any] | None) -> float | None:
+    """Return the rate of the link, or None if the limits don't bound it."""
+    if limits is None or limits.get('linkMbps') is None:
+        return None
+    mbps = limits['linkMbps']
+    is_number = isinstance(mbps, (int, float)) and not isinstance(mbps, bool)
+    if not is_number or not 0 < mbps <= _MAX_LINK_MBPS:
+        raise ValueError('limits.linkMbps: expected a positive finite number')
+    return float(mbps) * _BYTES_PER_S_PER_MBPS
--- a/verbenadeck/platform/tests/test_settings.py
+++ b/verbenadeck/platform/tests/test_settings.py
@@ -49,6 +49,7 @@
     {'internalPorts': [70_000, 70_001]},
     {'internalPorts': []},
     {'bounds': {'drain': '2s', 'grace': '-6s', 'holdMax': '1s'}},
+    {'limits': [5]},
 )
 
 
@@ -77,3 +78,40 @@
     log_changed_settings(settings, path)
     logger.remove(sink)
     assert line in ''.join(lines)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'link_bytes_per_s'),
+    (
+        ({}, None),
+        ({'limits': {'memoryMb': 200}}, None),
+        ({'limits': {'linkMbps': 5}}, 625_000),
+        ({'limits': {'linkMbps': 0.5}}, 62_500),
+    ),
+)
+def test_link_without_a_rate_has_no_bound(
+    changes: dict[str, Any], link_bytes_per_s: float | None, tmp_path: Path
+) -> None:
+    """Guards against reservations in deployments that state no rate."""
+    path = tmp_path / 'local.json'
+    path.write_bytes(_encode(**changes))
+    assert load_settings(path).unwrap().link_bytes_per_s == link_bytes_per_s
+
+
+@pytest.mark.parametrize(
+    'mbps', ('0', '-5', '1e308', str(10**400), '"5"', 'true', '[]')
+)
+def test_unusable_rate_of_the_link_is_named(mbps: str, tmp_path: Path) -> None:
+    """Guards against a node that refuses all bodies, or none, by a typo."""
+    path = tmp_path / 'local.json'
+    content = _encode(limits={'linkMbps': 0.123})
+    path.write_bytes(content.replace(b'0.123', mbps.encode()))
+    assert 'limits.linkMbps' in load_settings(path).failure().detail
+
+
+def test_rate_that_no_number_can_hold_is_refused(tmp_path: Path) -> None:
+    """Guards against an infinite rate; the decoder names only the position."""
+    path = tmp_path / 'local.json'
+    content = _encode(limits={'linkMbps': 0.123})
+    path.write_bytes(content.replace(b'0.123', b'1e400'))
+    assert 'out of range' in load_settings(path).failure().detail
