Encode the messages in the tests of transfers

The fake transport passes messages as objects, so that a message type that is missing among MESSAGE_TYPES or can't be encoded went unnoticed. The builder now encodes and decodes both messages with the codec of the nodes.

--- a/verbenadeck/proxy/tests/transfer_builders.py
+++ b/verbenadeck/proxy/tests/transfer_builders.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from verbenadeck.model import AttemptId, Request, ServiceName
-from verbenadeck.proxy import ReserveTransfer, TransferReply
+from verbenadeck.peers._codec import MessageCodec
+from verbenadeck.proxy import MESSAGE_TYPES, ReserveTransfer, TransferReply
 from verbenadeck.proxy.tests.builders import Node, ProxyFleet, make_deposit
 from verbenadeck.proxy.tests.fakes import SERVICE, make_policy
 
@@ -56,15 +57,17 @@
 async def reserve(
     entry: Node, node: Node, request: Request, attempt: str = 'a1'
 ) -> TransferReply:
-    """Ask a node for a transfer from another one."""
+    """Ask a node for a transfer from another one, by encoded messages."""
+    codec = MessageCodec(MESSAGE_TYPES)
     now_s = asyncio.get_running_loop().time()
+    message = ReserveTransfer.pack(
+        AttemptId(attempt), request, request.deadline_s - now_s
+    )
     result = await entry.transport.call(
         node.address,
-        ReserveTransfer.pack(
-            AttemptId(attempt), request, request.deadline_s - now_s
-        ),
+        codec.decode(codec.encode(message)).unwrap(),
         deadline_s=now_s + 1,
     )
-    reply = result.unwrap()
+    reply = codec.decode(codec.encode(result.unwrap())).unwrap()
     assert isinstance(reply, TransferReply)
     return reply
