Report calls that stopped before their last part as not sent

A long message whose call reached its deadline or lost its connection before the last part was written failed as NO_REPLY, so that the caller got an unknown outcome although the peer discards a truncated message.

The encoding of a message has a fixed number of fields, so that no prefix of it decodes. Such a call now fails as NOT_SENT. Nothing is awaited after the last part, which makes the two cases distinct.

--- a/verbenadeck/peers/_connection.py
+++ b/verbenadeck/peers/_connection.py
@@ -79,14 +79,16 @@
         self._unsent.append(encode_frame(frame))
 
     async def send(self, kind: FrameKind, call_id: int, body: bytes) -> bool:
-        """Write a message; return False if no part of it was written."""
+        """Write a message; return False if the peer never gets all of it.
+
+        When the calling task is cancelled, the peer never gets all of it.
+        """
         if not self.is_open or self._is_backlogged():
             return False
         if len(body) <= PART_BYTES:
             self.write(Frame(kind, call_id, True, body))
             return True
-        await self._send_parts(kind, call_id, body)
-        return True
+        return await self._send_parts(kind, call_id, body)
 
     def close(self) -> None:
         """Abort the connection and discard unsent frames."""
@@ -105,20 +107,29 @@
 
     async def _send_parts(
         self, kind: FrameKind, call_id: int, body: bytes
-    ) -> None:
-        """Send a message in parts; stop when the calling task is cancelled."""
+    ) -> bool:
+        """Send a message in parts; return False if the connection ends.
+
+        Nothing is awaited after the last part, so that a cancelled message is
+        always incomplete.
+        """
         is_complete = False
         try:
             for frame in split_message(kind, call_id, body):
+                if not self.is_open:
+                    break
                 self.write(frame)
                 self._flush()
-                is_complete = frame.is_last
-                await self._drain()
+                if frame.is_last:
+                    is_complete = True
+                else:
+                    await self._drain()
         finally:
             if not is_complete:
                 # The peer discards a truncated message, and with it the
                 # parts that it would keep until the connection ends.
                 self.write(Frame(kind, call_id))
+        return is_complete
 
     async def _wait_closed(self) -> None:
         try:
--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -30,6 +30,7 @@
 
 
 _TIMED_OUT = _failed(PeerFailure.NO_REPLY, 'timeout')
+_STOPPED = _failed(PeerFailure.NOT_SENT, 'timeout before the last frame')
 
 
 def _rejected(reason: bytes) -> CallResult:
@@ -167,12 +168,16 @@
         deadline_s: float,
     ) -> CallResult:
         waiter = session.waiting[call_id]
+        is_sent = False
         try:
             async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
-                if await session.connection.send(FrameKind.CALL, call_id, body):
+                is_sent = await session.connection.send(
+                    FrameKind.CALL, call_id, body
+                )
+                if is_sent:
                     return await waiter
         except TimeoutError:
-            return _TIMED_OUT
+            return _TIMED_OUT if is_sent else _STOPPED
         return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
 
     async def _get_session(self, deadline_s: float) -> _Session | None:
--- a/verbenadeck/peers/tests/builders.py
+++ b/verbenadeck/peers/tests/builders.py
@@ -67,11 +67,17 @@
         Bytes that were written.
     transport : StalledWriter
         The writer itself, which has no backlog and can be aborted.
+    is_open : asyncio.Event
+        Set to let the peer read.
+    is_lost : bool
+        Whether the connection is lost.
     """
 
     def __init__(self) -> None:
         self.written = bytearray()
         self.transport = self
+        self.is_open = asyncio.Event()
+        self.is_lost = False
 
     def write(self, part: bytes) -> None:
         """Keep the bytes."""
@@ -82,8 +88,10 @@
         return 0
 
     async def drain(self) -> None:
-        """Wait without end."""
-        await asyncio.Event().wait()
+        """Wait until the peer reads or the connection is lost."""
+        await self.is_open.wait()
+        if self.is_lost:
+            raise ConnectionResetError
 
     def abort(self) -> None:
         """Do nothing."""
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -251,7 +251,9 @@
             case Failure(PeerError(failure=PeerFailure.NOT_SENT)):
                 if is_counted:
                     transfers.remove_send()
-                return not_run(RefusalReason.PEER_LOST, 'proxy not reachable')
+                return not_run(
+                    RefusalReason.PEER_LOST, 'the proxy did not get the request'
+                )
         return unknown(RefusalReason.PEER_LOST, 'no reply from proxy')
 
     def _cancel(self, target: ProxyStats, attempt_id: AttemptId) -> None:
