Let transfers of large bodies start later

A proxy refused a transfer as soon as reserved bodies occupied the link for 0.25 s, although an upload has 2.8 s until its latency objective.

The proxy now grants a backlog of up to 1 s and tells the router how long to wait, so that the bodies under way take at most 0.25 s of the link. Each body has a span on the link; spans don't overlap, and one that is cancelled before its body is to be sent is free for others. The forecast arrival, the expiry and the refusals for the queue, the deadline and the objective use the span.

--- a/verbenadeck/proxy/_admission.py
+++ b/verbenadeck/proxy/_admission.py
@@ -53,7 +53,7 @@
         request : Request
             Request; its deadline is on the clock of this VM.
         """
-        self._components.transfers.remove(attempt_id)
+        self._components.transfers.record_arrival(attempt_id)
         if self._runs.has_tombstone(attempt_id):
             return refuse(_cancelled_refusal())
         result = await self._find_or_run(attempt_id, request)
--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -18,6 +18,7 @@
     PoisonCleared,
     PoisonNotice,
 )
+from verbenadeck.proxy._refusals import refusal_of
 from verbenadeck.proxy._transfer_admission import TransferAdmission
 from verbenadeck.proxy._transfer_messages import (
     ReserveTransfer,
@@ -61,8 +62,10 @@
     async def _on_reserve(
         self, _peer: PeerAddress, message: ReserveTransfer
     ) -> TransferReply:
-        refusal = self._transfer_admission.reserve(message)
-        return TransferReply(refusal, self._proxy.load)
+        decided = self._transfer_admission.reserve(message)
+        return TransferReply(
+            refusal_of(decided), self._proxy.load, decided.value_or(0.0)
+        )
 
     async def _on_forward(
         self, _peer: PeerAddress, message: ForwardRequest
--- a/verbenadeck/proxy/_transfer_admission.py
+++ b/verbenadeck/proxy/_transfer_admission.py
@@ -1,5 +1,7 @@
 """Decision whether a router may send the body of an attempt."""
 
+from returns.result import Failure, Result, Success
+
 from verbenadeck.fleet import request_shard
 from verbenadeck.logs import make_decision_logger
 from verbenadeck.model import Refusal, RefusalReason, Request, Shard
@@ -26,8 +28,10 @@
         self._clock = components.dependencies.clock
         self._gate = components.gate
 
-    def reserve(self, message: ReserveTransfer) -> Refusal | None:
-        """Reserve a transfer; return why its body must not be sent, or None.
+    def reserve(self, message: ReserveTransfer) -> Result[float, Refusal]:
+        """Reserve a transfer; return after how many seconds it may start.
+
+        The result is a refusal if the body must not be sent.
 
         Parameters
         ----------
@@ -37,8 +41,9 @@
         request = message.unpack(self._clock.now_s())
         if self._is_known(message, request):
             # It is answered from its run or the ledger and takes no slot.
-            return None
-        refusal = self._decide(message, request)
+            return Success(0.0)
+        decided = self._decide(message, request)
+        refusal = refusal_of(decided)
         if refusal is not None:
             _log_decision(
                 'refused transfer of {} bytes for {} {}: {}, {}',
@@ -48,7 +53,7 @@
                 refusal.reason.value,
                 refusal.detail,
             )
-        return refusal
+        return decided
 
     def _is_known(self, message: ReserveTransfer, request: Request) -> bool:
         if self._components.runs.find(message.attempt_id) is not None:
@@ -62,14 +67,14 @@
 
     def _decide(
         self, message: ReserveTransfer, request: Request
-    ) -> Refusal | None:
+    ) -> Result[float, Refusal]:
         policy = self._gate.policy
         owned = None if policy is None else request_shard(request, policy)
         shard = NO_SHARD if owned is None else int(owned)
         refusal = self._admission_refusal(message, request, shard)
         if refusal is not None:
             self._components.transfers.record(TransferVerdict.NOT_ADMITTED)
-            return refusal
+            return Failure(refusal)
         return self._components.transfers.reserve(
             message.attempt_id,
             Run(message.attempt_id, request, shard).waiter,
--- a/verbenadeck/proxy/_transfer_messages.py
+++ b/verbenadeck/proxy/_transfer_messages.py
@@ -97,7 +97,10 @@
         Why the body must not be sent; None if it may be.
     load : ProxyLoad
         Load of the proxy.
+    start_after_s : float
+        Time to wait before the body is sent, in seconds.
     """
 
     refusal: Refusal | None
     load: ProxyLoad
+    start_after_s: float = 0
--- a/verbenadeck/proxy/_transfers.py
+++ b/verbenadeck/proxy/_transfers.py
@@ -5,16 +5,19 @@
 import math
 from collections.abc import Callable
 
+from returns.result import Failure, Result, Success
+
 from verbenadeck.model import AttemptId, Refusal, RefusalReason
+from verbenadeck.proxy._link_schedule import LinkSchedule, LinkSpan
 from verbenadeck.proxy._refusals import not_run
 from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._slots import SlotQueue, Waiter
 from verbenadeck.utils import Clock
 
-MAX_BACKLOG_S = 0.25
-"""Longest time for which reserved bodies may occupy the link, in seconds. Calls
-and leases share the link; it is a quarter of the time without a byte after
-which a peer counts as lost."""
+MAX_DELAYED_BACKLOG_S = 1.0
+"""Longest time for which reserved bodies may occupy the link, in seconds, with
+those that are sent later. It is a third of the latency objective of an upload
+(2.8 s), so that time for the queue and the run is left."""
 
 ARRIVAL_GRACE_S = 0.5
 """Time after the forecast arrival of a body, in seconds, until its reservation
@@ -33,13 +36,13 @@
 class _Reservation:
     """Transfer whose body has not arrived yet."""
 
-    __slots__ = ('body_bytes', 'timer', 'waiter')
+    __slots__ = ('span', 'timer', 'waiter')
 
     def __init__(
-        self, waiter: Waiter, body_bytes: int, timer: asyncio.TimerHandle
+        self, waiter: Waiter, span: LinkSpan, timer: asyncio.TimerHandle
     ) -> None:
         self.waiter = waiter
-        self.body_bytes = body_bytes
+        self.span = span
         self.timer = timer
 
 
@@ -72,9 +75,8 @@
         self._clock = clock
         self._slots = slots
         self._service_times = service_times
-        self._link_bytes_per_s = link_bytes_per_s or math.inf
+        self._link = LinkSchedule(link_bytes_per_s or math.inf)
         self._count = count
-        self._link_free_at_s = -math.inf
         self._reservations: dict[AttemptId, _Reservation] = {}
 
     def reserve(
@@ -84,8 +86,10 @@
         body_bytes: int,
         *,
         queue_limit: int,
-    ) -> Refusal | None:
-        """Reserve a transfer; return why its body must not be sent, or None.
+    ) -> Result[float, Refusal]:
+        """Reserve a transfer; return after how many seconds it may start.
+
+        The result is a refusal if the body must not be sent.
 
         Parameters
         ----------
@@ -98,30 +102,35 @@
         queue_limit : int
             Maximum length of the queue.
         """
-        if attempt_id in self._reservations:
-            return None
         now_s = self._clock.now_s()
-        backlog_s = self._backlog_s(now_s)
-        body_s = body_bytes / self._link_bytes_per_s
-        refusal = link_refusal(body_s, backlog_s=backlog_s)
+        reserved = self._reservations.get(attempt_id)
+        if reserved is not None:
+            return Success(max(0.0, reserved.span.send_at_s - now_s))
+        span = self._link.find_span(body_bytes, now_s)
+        refusal = link_refusal(span.body_s, backlog_s=span.starts_at_s - now_s)
         if refusal is not None:
             self.record(TransferVerdict.LINK_BUSY)
-            return refusal
-        arrives_at_s = now_s + backlog_s + body_s
-        refusal = self._queue_refusal(waiter, arrives_at_s, queue_limit)
+            return Failure(refusal)
+        refusal = self._queue_refusal(waiter, span, queue_limit)
         if refusal is not None:
             self.record(TransferVerdict.QUEUE_FULL)
-            return refusal
-        self._link_free_at_s = max(now_s, self._link_free_at_s) + body_s
+            return Failure(refusal)
+        self._link.add(span)
         timer = asyncio.get_running_loop().call_later(
-            self._clock.remaining_s(arrives_at_s + ARRIVAL_GRACE_S),
+            self._clock.remaining_s(span.ends_at_s + ARRIVAL_GRACE_S),
             self.remove,
             attempt_id,
         )
-        self._reservations[attempt_id] = _Reservation(waiter, body_bytes, timer)
+        self._reservations[attempt_id] = _Reservation(waiter, span, timer)
         self._slots.add_reservation(waiter)
         self.record(TransferVerdict.RESERVED)
-        return None
+        return Success(max(0.0, span.send_at_s - now_s))
+
+    def record_arrival(self, attempt_id: AttemptId) -> None:
+        """End the reservation of an attempt whose body has arrived, if any."""
+        reservation = self._pop(attempt_id)
+        if reservation is not None:
+            self._link.record_arrival(reservation.span)
 
     def remove(self, attempt_id: AttemptId) -> None:
         """Remove the reservation of an attempt, if there is one.
@@ -129,48 +138,40 @@
         Parameters
         ----------
         attempt_id : AttemptId
-            Attempt whose body has arrived or will not be sent.
+            Attempt whose body will not be sent.
         """
+        reservation = self._pop(attempt_id)
+        if reservation is not None:
+            self._link.cancel(reservation.span, self._clock.now_s())
+
+    def _pop(self, attempt_id: AttemptId) -> _Reservation | None:
         reservation = self._reservations.pop(attempt_id, None)
         if reservation is not None:
             reservation.timer.cancel()
             self._slots.remove_reservation(reservation.waiter)
+        return reservation
 
     def record(self, verdict: TransferVerdict) -> None:
         """Count the result of a request for a transfer."""
         self._count(verdict.value)
 
-    def _backlog_s(self, now_s: float) -> float:
-        """Return for how long the reserved bodies occupy the link, in seconds.
-
-        A body that arrives early leaves the link to other traffic for the
-        rest of its time, so that bodies keep to their rate. One that is late
-        occupies the link until it has arrived.
-        """
-        missing_bytes = sum(
-            each.body_bytes for each in self._reservations.values()
-        )
-        return max(
-            0.0,
-            self._link_free_at_s - now_s,
-            missing_bytes / self._link_bytes_per_s,
-        )
-
     def _queue_refusal(
-        self, waiter: Waiter, arrives_at_s: float, queue_limit: int
+        self, waiter: Waiter, span: LinkSpan, queue_limit: int
     ) -> Refusal | None:
         free_places = queue_limit - len(self._reservations)
         refusal = self._slots.queue_refusal(waiter, free_places)
         if refusal is not None:
             return refusal
+        now_s = self._clock.now_s()
+        objective_left_s = waiter.objective_at_s - span.ends_at_s
         run_s = self._service_times.expected_s(
-            waiter.kind, objective_left_s=waiter.objective_at_s - arrives_at_s
+            waiter.kind, objective_left_s=objective_left_s
         )
-        if arrives_at_s + run_s <= waiter.deadline_s:
-            return None
-        return not_run(
-            RefusalReason.DEADLINE,
-            'the transfer of the body is longer than the deadline allows',
+        return transfer_refusal(
+            waiter,
+            span.ends_at_s + run_s,
+            backlog_s=span.starts_at_s - now_s,
+            now_s=now_s,
         )
 
 
@@ -185,7 +186,7 @@
         Time for which the bodies reserved before occupy it, in seconds. When
         it is 0, a body of any size may be sent.
     """
-    retry_after_s = backlog_s - max(0, MAX_BACKLOG_S - body_s)
+    retry_after_s = backlog_s - max(0, MAX_DELAYED_BACKLOG_S - body_s)
     if backlog_s <= 0 or retry_after_s <= 0:
         return None
     return not_run(
@@ -194,3 +195,39 @@
         f'the body takes {body_s:.3f} s',
         retry_after_s=retry_after_s,
     )
+
+
+def transfer_refusal(
+    waiter: Waiter, ends_at_s: float, *, backlog_s: float, now_s: float
+) -> Refusal | None:
+    """Return why the transfer of a request would take too long, or None.
+
+    A request that would miss its objective since other bodies are sent first
+    is refused, as another proxy may have time for it. One that would miss it
+    alone, or has missed it already, is not.
+
+    Parameters
+    ----------
+    waiter : Waiter
+        Request whose body is to be sent.
+    ends_at_s : float
+        Forecast end of its run, in seconds.
+    backlog_s : float
+        Time for which the bodies reserved before occupy the link, in seconds.
+    now_s : float
+        Time now, in seconds.
+    """
+    if ends_at_s > waiter.deadline_s:
+        return not_run(
+            RefusalReason.DEADLINE,
+            'the transfer of the body is longer than the deadline allows',
+            retry_after_s=backlog_s,
+        )
+    is_late = waiter.queue_position(ends_at_s)[1]
+    if not is_late or backlog_s <= 0 or waiter.objective_at_s <= now_s:
+        return None
+    return not_run(
+        RefusalReason.QUEUE_FULL,
+        'the transfer of the body is longer than the objective allows',
+        retry_after_s=backlog_s,
+    )
--- a/verbenadeck/proxy/tests/transfer_builders.py
+++ b/verbenadeck/proxy/tests/transfer_builders.py
@@ -1,6 +1,7 @@
 """Builders of uploads and reservations for tests of transfers."""
 
 import asyncio
+import random
 
 import msgspec
 
@@ -16,6 +17,9 @@
 BODY_BYTES = 60_000
 """Mean size of a document-upload."""
 
+MAX_BODY_BYTES = 360_000
+"""Maximum size of a document-upload."""
+
 _OBJECTIVE_S = 2.816
 _TIMEOUT_S = 4.341
 
@@ -36,8 +40,13 @@
     service: ServiceName = SERVICE,
     key: str | None = None,
     timeout_s: float = _TIMEOUT_S,
+    objective_left_s: float | None = None,
 ) -> Request:
-    """Build a document-upload, a non-repeatable request with a large body."""
+    """Build a document-upload, a non-repeatable request with a large body.
+
+    The time to its objective, in seconds, is that of the objective of uploads
+    if it is None.
+    """
     request = make_deposit(
         request_id,
         service=service,
@@ -46,14 +55,23 @@
         body=bytes(body_bytes),
         timeout_s=timeout_s,
     )
+    objective_at_s = request.deadline_s - _TIMEOUT_S + _OBJECTIVE_S
+    if objective_left_s is not None:
+        objective_at_s = request.deadline_s - timeout_s + objective_left_s
     return msgspec.structs.replace(
         request,
         priority=2,
         kind='document-upload',
-        objective_at_s=request.deadline_s - _TIMEOUT_S + _OBJECTIVE_S,
+        objective_at_s=objective_at_s,
     )
 
 
+def draw_body_bytes(source: random.Random) -> int:
+    """Draw the size of an upload: 60 KB in the mean, at most 360 KB."""
+    drawn_bytes = int(source.expovariate(1 / BODY_BYTES))
+    return max(1, min(MAX_BODY_BYTES, drawn_bytes))
+
+
 async def reserve(
     entry: Node, node: Node, request: Request, attempt: str = 'a1'
 ) -> TransferReply:
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -24,6 +24,7 @@
     ForwardRequest,
     Proxy,
     not_run,
+    refusal_of,
     refuse,
     unknown,
 )
@@ -203,20 +204,25 @@
         is_owner: bool,
         is_resend: bool,
     ) -> Refusal | None:
-        """Return why a request must not be sent to a proxy, or None."""
+        """Return why a request must not be sent to a proxy, or None.
+
+        It waits until the body may be sent.
+        """
         if not self._needs_reservation(request):
             return None
-        refusal = await self._transfer_client.reserve(
+        reserved = await self._transfer_client.reserve(
             target,
             attempt_id,
             request,
             is_owner=is_owner,
             is_resend=is_resend,
         )
+        refusal = refusal_of(reserved)
         if refusal is not None:
             return transfers.record_refusal(
                 target, refusal, self._clock.now_s()
             )
+        await self._clock.sleep_until(reserved.unwrap())
         if transfers.are_used_up:
             # Hedged attempts have sent the body as often as allowed.
             self._cancel(target, attempt_id)
--- a/verbenadeck/router/_transfers.py
+++ b/verbenadeck/router/_transfers.py
@@ -3,7 +3,7 @@
 import math
 
 import msgspec
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from verbenadeck.model import (
     AttemptId,
@@ -114,10 +114,10 @@
         *,
         is_owner: bool,
         is_resend: bool,
-    ) -> Refusal | None:
-        """Return why the body must not be sent to a proxy, or None.
+    ) -> Result[float, Refusal]:
+        """Return the time from which the body may be sent, in seconds.
 
-        A proxy that rejects the message is of an earlier release or not
+        The result is a refusal if the body must not be sent. A proxy that rejects the message is of an earlier release or not
         connected. The body is then sent without a reservation, which fails
         at once without a connection.
 
@@ -145,16 +145,19 @@
         )
         match reply:
             case Success(TransferReply() as decided):
-                target.record_load(decided.load, self._clock.now_s())
-                return decided.refusal
+                replied_s = self._clock.now_s()
+                target.record_load(decided.load, replied_s)
+                if decided.refusal is not None:
+                    return Failure(decided.refusal)
+                return Success(replied_s + decided.start_after_s)
             case Failure(PeerError(failure=PeerFailure.NOT_SENT)):
-                return None
+                return Success(now_s)
         if not is_resend:
             # Ends a reservation whose reply was lost.
             self._peers.send_datagram(
                 target.member.address, CancelAttempt(attempt_id)
             )
-        return _no_reply_refusal(is_owner=is_owner)
+        return Failure(_no_reply_refusal(is_owner=is_owner))
 
 
 def _no_reply_refusal(*, is_owner: bool) -> Refusal:
--- a/verbenadeck/router/tests/test_transfers.py
+++ b/verbenadeck/router/tests/test_transfers.py
@@ -45,6 +45,9 @@
 _WINDOW_S = 0.25
 _MAX_BACKLOG_S = 0.25
 _MAX_BODY_BYTES = 360_000
+_DELAYING_BYTES = 90_000
+"""Size of a body after which another one of the size has to wait."""
+
 _EARLIEST_S = 0.8
 
 
@@ -235,6 +238,45 @@
     run_virtual(scenario())
 
 
+# Guards against bodies that are sent at once although the link is occupied,
+# and against their refusal although there is time.
+def test_delayed_upload_is_sent_after_its_delay() -> None:
+    async def scenario() -> None:
+        uploads = await make_upload_fleet(proxies=1)
+        requests = [make_upload(_DELAYING_BYTES) for _ in range(2)]
+        results = await asyncio.gather(
+            *(uploads.routers[0].route(upload) for upload in requests)
+        )
+        assert results == [answered(upload) for upload in requests]
+        first, second = uploads.links[0].bodies
+        delay_s = 2 * _DELAYING_BYTES / LINK_BYTES_PER_S - _MAX_BACKLOG_S
+        assert second.at_s - first.at_s == pytest.approx(delay_s, abs=0.03)
+
+    run_virtual(scenario())
+
+
+# Guards against bodies and reservations of callers that go during the delay.
+def test_upload_that_is_cancelled_during_its_delay_is_not_sent() -> None:
+    async def scenario() -> None:
+        uploads = await make_upload_fleet(proxies=1)
+        link = uploads.links[0]
+        first, second = (
+            asyncio.create_task(
+                uploads.routers[0].route(make_upload(_DELAYING_BYTES))
+            )
+            for _ in range(2)
+        )
+        await asyncio.sleep(0.1)
+        assert link.node.proxy.load.queued == 2
+        second.cancel()
+        await asyncio.sleep(0.03)
+        assert link.node.proxy.load.queued == 1
+        await first
+        assert len(link.bodies) == 1
+
+    run_virtual(scenario())
+
+
 # Guards against a longer way for small requests and other deployments.
 @pytest.mark.parametrize(
     ('body_bytes', 'reserves_transfers'),
