End the reservation of a body that was not sent

A router whose send failed as NOT_SENT after the transfer was granted tried again with another attempt, and the reservation stayed until it expired, half a second after the forecast arrival. An upload to one such proxy held three places after 0.3 s.

The router now cancels the attempt, unless an earlier send of it may run.

Measured: the test finds three requests queued on the earlier code, none now.

--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -178,6 +178,9 @@
             lost = _prefer_unknown(lost, reply)
             if lost.outcome is Outcome.UNKNOWN:
                 request = as_resent(request)
+            elif refusal is None and self._needs_reservation(request):
+                # No send of the attempt can run, so its place is free.
+                self._cancel(target, attempt_id)
             is_over = (
                 transfers.are_used_up
                 or self._clock.now_s() + pause_s >= request.deadline_s
--- a/verbenadeck/router/tests/test_transfers.py
+++ b/verbenadeck/router/tests/test_transfers.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterable, Iterator
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from verbenadeck.model import NO_MEMBER, Outcome, RefusalReason
-from verbenadeck.peers import PeerAddress
+from verbenadeck.peers import Message, PeerAddress, PeerError, PeerFailure
 from verbenadeck.proxy import (
     ForwardAnswer,
     ForwardRequest,
@@ -40,7 +40,7 @@
     NarrowLink,
     make_upload_fleet,
 )
-from verbenadeck.testing import run_virtual
+from verbenadeck.testing import FakeTransport, run_virtual
 
 _WINDOW_S = 0.25
 _MAX_BACKLOG_S = 0.25
@@ -78,6 +78,29 @@
     link.node.transport.register_handler(ForwardRequest, on_forward)
 
 
+def _fail_bodies(
+    monkeypatch: pytest.MonkeyPatch, error: PeerError
+) -> list[str]:
+    """Let all calls with bodies fail; return the ids of their requests."""
+    request_ids: list[str] = []
+    call = FakeTransport.call
+
+    async def call_or_fail(
+        transport: FakeTransport,
+        peer: PeerAddress,
+        message: Message,
+        *,
+        deadline_s: float,
+    ) -> Result[Message, PeerError]:
+        if not isinstance(message, ForwardRequest):
+            return await call(transport, peer, message, deadline_s=deadline_s)
+        request_ids.append(message.request_id)
+        return Failure(error)
+
+    monkeypatch.setattr(FakeTransport, 'call', call_or_fail)
+    return request_ids
+
+
 def _exceeds_bound(bodies: Iterable[Body]) -> bool:
     """Return whether bodies of some window exceed the rate and the backlog.
 
@@ -170,6 +193,25 @@
     run_virtual(scenario())
 
 
+# Guards against places that stay reserved for a body that could not be sent.
+def test_body_that_is_not_sent_ends_its_reservation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        uploads = await make_upload_fleet(proxies=1)
+        _fail_bodies(monkeypatch, PeerError(PeerFailure.NOT_SENT, 'full'))
+        task = asyncio.create_task(uploads.routers[0].route(make_upload()))
+        await asyncio.sleep(0.3)
+        assert uploads.asked
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.02)
+        assert uploads.links[0].node.proxy.load.queued == 0
+
+    run_virtual(scenario())
+
+
 # Guards against an upload that waits for a proxy whose link is cut, and
 # against its reservation staying behind.
 def test_lost_reply_to_a_reservation_leads_to_another_proxy() -> None:
