Count bodies that a proxy rejected after their transfer

A proxy with too many calls rejects a body after it has arrived.

A peer error now tells whether the message has used the link, and only a body of which nothing was sent does not count.

--- a/verbenadeck/peers/_interface.py
+++ b/verbenadeck/peers/_interface.py
@@ -48,10 +48,14 @@
         `NOT_SENT` only if the peer certainly did not handle the message.
     detail : str
         Short description of the cause.
+    has_used_link : bool
+        Whether the message was sent to the peer, or parts of it, when the peer
+        did not handle it.
     """
 
     failure: PeerFailure
     detail: str
+    has_used_link: bool = False
 
 
 _Sent = TypeVar('_Sent', bound=Message)
--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -25,16 +25,20 @@
 CallResult = Result[bytes, PeerError]
 
 
-def _failed(failure: PeerFailure, detail: str) -> CallResult:
-    return Failure(PeerError(failure, detail))
+def _failed(
+    failure: PeerFailure, detail: str, *, has_used_link: bool = False
+) -> CallResult:
+    return Failure(PeerError(failure, detail, has_used_link))
 
 
 _TIMED_OUT = _failed(PeerFailure.NO_REPLY, 'timeout')
-_STOPPED = _failed(PeerFailure.NOT_SENT, 'timeout before the last frame')
+_STOPPED = _failed(
+    PeerFailure.NOT_SENT, 'timeout before the last frame', has_used_link=True
+)
 
 
 def _rejected(reason: bytes) -> CallResult:
-    return _failed(PeerFailure.NOT_SENT, reason.decode())
+    return _failed(PeerFailure.NOT_SENT, reason.decode(), has_used_link=True)
 
 
 def _handler_failed(reason: bytes) -> CallResult:
--- a/verbenadeck/peers/tests/test_stopped_transfers.py
+++ b/verbenadeck/peers/tests/test_stopped_transfers.py
@@ -16,7 +16,10 @@
 from verbenadeck.peers.tests.builders import (
     Request,
     StalledWriter,
+    distant_deadline_s,
     make_stalled_connection,
+    make_transport,
+    running_transports,
 )
 from verbenadeck.testing import run_virtual, virtual_clock
 from verbenadeck.utils import Clock
@@ -75,6 +78,7 @@
         deadline_s = clock.now_s() + 0.5
         reply = await link.call(bytes(300_000), deadline_s=deadline_s)
         assert reply.failure().failure is PeerFailure.NOT_SENT
+        assert reply.failure().has_used_link
         assert clock.now_s() == pytest.approx(deadline_s)
         assert len(writer.written) < 2 * PART_BYTES
 
@@ -138,3 +142,22 @@
         assert [assembler.add(frame) for frame in frames][-1] != body
 
     run_virtual(scenario())
+
+
+# Guards against a rejected message that does not count as load of the link, as
+# opposed to one that finds no connection.
+@pytest.mark.parametrize('is_up', (True, False))
+def test_rejected_message_has_used_the_link(is_up: bool) -> None:
+    async def scenario() -> None:
+        client_node = make_transport()
+        server_node = make_transport(options=PeerOptions(max_running=0))
+        async with running_transports(client_node, server_node):
+            if not is_up:
+                await server_node.stop()
+            reply = await client_node.call(
+                server_node.address, Request(1), deadline_s=distant_deadline_s()
+            )
+        assert reply.failure().failure is PeerFailure.NOT_SENT
+        assert reply.failure().has_used_link is is_up
+
+    asyncio.run(scenario())
--- a/verbenadeck/router/_attempt_sender.py
+++ b/verbenadeck/router/_attempt_sender.py
@@ -257,8 +257,10 @@
         match reply:
             case Success(ForwardAnswer() as answer):
                 return answer
-            case Failure(PeerError(failure=PeerFailure.NOT_SENT)):
-                if is_counted:
+            case Failure(
+                PeerError(failure=PeerFailure.NOT_SENT, has_used_link=used_link)
+            ):
+                if is_counted and not used_link:
                     transfers.remove_send()
                 return not_run(
                     RefusalReason.PEER_LOST, 'the proxy did not get the request'
--- a/verbenadeck/router/_transfers.py
+++ b/verbenadeck/router/_transfers.py
@@ -61,7 +61,7 @@
         self._send_count += 1
 
     def remove_send(self) -> None:
-        """Uncount a transfer whose body the proxy did not get."""
+        """Uncount a transfer of which nothing was sent."""
         self._send_count -= 1
 
     def record_refusal(
--- a/verbenadeck/router/tests/test_transfers.py
+++ b/verbenadeck/router/tests/test_transfers.py
@@ -212,6 +212,23 @@
     run_virtual(scenario())
 
 
+# Guards against a body that is sent to every proxy that has too many calls, and
+# against an upload that fails at two proxies to which nothing was sent.
+@pytest.mark.parametrize('has_used_link', (True, False))
+def test_rejected_bodies_count_as_sent(
+    has_used_link: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        uploads = await make_upload_fleet(proxies=5)
+        error = PeerError(PeerFailure.NOT_SENT, 'too many calls', has_used_link)
+        sent = _fail_bodies(monkeypatch, error)
+        found = refusal(await uploads.routers[0].route(make_upload()))
+        assert found.outcome is Outcome.NOT_RUN
+        assert (len(sent) > 2) is not has_used_link
+
+    run_virtual(scenario())
+
+
 # Guards against an upload that waits for a proxy whose link is cut, and
 # against its reservation staying behind.
 def test_lost_reply_to_a_reservation_leads_to_another_proxy() -> None:
