--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -33,10 +33,9 @@
     LimitOptions,
     QueueOptions,
     UpstreamProxy,
-    ignore_count,
 )
 from verbenadeck.router import ProxyRouter
-from verbenadeck.utils import Clock, always_true
+from verbenadeck.utils import Clock, always_true, ignore_name
 
 MESSAGE_TYPES = (
     *proxy_package.MESSAGE_TYPES,
@@ -116,8 +115,12 @@
         Options of the concurrency limit of the proxy.
     queue : QueueOptions
         Options of the queue of the proxy.
+    link_bytes_per_s : float or None
+        Rate in bytes per second at which large bodies may arrive from other
+        nodes. With a rate, this node reserves transfers of large bodies to
+        other nodes; None for neither.
     count : callable
-        Adds one to the counter with a name.
+        Adds one to the counter with the given name.
     """
 
     timing: LeaseTiming | None = None
@@ -128,7 +131,8 @@
     are_earlier_grants_over: Callable[[], bool] | None = None
     limits: LimitOptions = LimitOptions()
     queue: QueueOptions = QueueOptions()
-    count: Callable[[str], None] = ignore_count
+    link_bytes_per_s: float | None = None
+    count: Callable[[str], None] = ignore_name
 
 
 _DEFAULT_CORE_OPTIONS = CoreOptions()
@@ -183,7 +187,7 @@
     )
     kernel.register(
         'router',
-        _make_router(kernel, location, dependencies),
+        _make_router(kernel, location, dependencies, options),
         depends_on=('door',),
     )
     load_table = LoadTable(clock=dependencies.clock)
@@ -265,6 +269,7 @@
         random_source=dependencies.random_source,
         limits=options.limits,
         queue=options.queue,
+        link_bytes_per_s=options.link_bytes_per_s,
         count=options.count,
     )
 
@@ -328,7 +333,10 @@
 
 
 def _make_router(
-    kernel: Kernel, location: NodeLocation, dependencies: NodeDependencies
+    kernel: Kernel,
+    location: NodeLocation,
+    dependencies: NodeDependencies,
+    options: CoreOptions,
 ) -> ProxyRouter:
     return ProxyRouter(
         node_id=location.node_id,
@@ -338,4 +346,5 @@
         peers=dependencies.peers,
         clock=dependencies.clock,
         random_source=dependencies.random_source,
+        reserves_transfers=options.link_bytes_per_s is not None,
     )
--- a/verbenadeck/peers/_connection.py
+++ b/verbenadeck/peers/_connection.py
@@ -79,17 +79,16 @@
         self._unsent.append(encode_frame(frame))
 
     async def send(self, kind: FrameKind, call_id: int, body: bytes) -> bool:
-        """Write a message; return False if no part of it was written."""
+        """Write a message; return False if the peer never gets all of it.
+
+        When the calling task is cancelled, the peer never gets all of it.
+        """
         if not self.is_open or self._is_backlogged():
             return False
         if len(body) <= PART_BYTES:
             self.write(Frame(kind, call_id, True, body))
             return True
-        for frame in split_message(kind, call_id, body):
-            self.write(frame)
-            self._flush()
-            await self._drain()
-        return True
+        return await self._send_parts(kind, call_id, body)
 
     def close(self) -> None:
         """Abort the connection and discard unsent frames."""
@@ -106,6 +105,32 @@
             self._writer.close()
             await self._wait_closed()
 
+    async def _send_parts(
+        self, kind: FrameKind, call_id: int, body: bytes
+    ) -> bool:
+        """Send a message in parts; return False if the connection ends.
+
+        Nothing is awaited after the last part, so that a cancelled message is
+        always incomplete.
+        """
+        is_complete = False
+        try:
+            for frame in split_message(kind, call_id, body):
+                if not self.is_open:
+                    break
+                self.write(frame)
+                self._flush()
+                if frame.is_last:
+                    is_complete = True
+                else:
+                    await self._drain()
+        finally:
+            if not is_complete:
+                # The peer discards a truncated message, and with it the
+                # parts that it would keep until the connection ends.
+                self.write(Frame(kind, call_id))
+        return is_complete
+
     async def _wait_closed(self) -> None:
         try:
             await asyncio.wait_for(
--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -25,15 +25,20 @@
 CallResult = Result[bytes, PeerError]
 
 
-def _failed(failure: PeerFailure, detail: str) -> CallResult:
-    return Failure(PeerError(failure, detail))
+def _failed(
+    failure: PeerFailure, detail: str, *, has_used_link: bool = False
+) -> CallResult:
+    return Failure(PeerError(failure, detail, has_used_link))
 
 
 _TIMED_OUT = _failed(PeerFailure.NO_REPLY, 'timeout')
+_STOPPED = _failed(
+    PeerFailure.NOT_SENT, 'timeout before the last frame', has_used_link=True
+)
 
 
 def _rejected(reason: bytes) -> CallResult:
-    return _failed(PeerFailure.NOT_SENT, reason.decode())
+    return _failed(PeerFailure.NOT_SENT, reason.decode(), has_used_link=True)
 
 
 def _handler_failed(reason: bytes) -> CallResult:
@@ -167,19 +172,17 @@
         deadline_s: float,
     ) -> CallResult:
         waiter = session.waiting[call_id]
-        sent = await session.connection.send(FrameKind.CALL, call_id, body)
-        if not sent:
-            return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
-        timer = asyncio.get_running_loop().call_later(
-            self._clock.remaining_s(deadline_s),
-            session.resolve_call,
-            call_id,
-            _TIMED_OUT,
-        )
+        is_sent = False
         try:
-            return await waiter
-        finally:
-            timer.cancel()
+            async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
+                is_sent = await session.connection.send(
+                    FrameKind.CALL, call_id, body
+                )
+                if is_sent:
+                    return await waiter
+        except TimeoutError:
+            return _TIMED_OUT if is_sent else _STOPPED
+        return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
 
     async def _get_session(self, deadline_s: float) -> _Session | None:
         session = self._session
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -32,6 +32,10 @@
 """Queue of the proxy. With up to 5 slots, one slow request takes a fifth or
 more of the capacity, so that a count of requests times their mean service time
 is far from the wait; the errors average out with more slots."""
+LINK_SHARE_FOR_BODIES = 0.6
+"""Share of the link that large bodies from other nodes may use. The rest is for
+calls, leases, heartbeats and reads, which must not wait behind bodies, and for
+uploads that callers send to the node itself."""
 
 DIRECT_READERS = 2
 """Number of nodes of the fleet that read the store themselves; the others read
--- a/verbenadeck/proxy/__init__.py
+++ b/verbenadeck/proxy/__init__.py
@@ -23,9 +23,13 @@
 )
 from verbenadeck.proxy._policy import PolicyCache
 from verbenadeck.proxy._proxy import UpstreamProxy
-from verbenadeck.proxy._queue_options import QueueOptions, ignore_count
+from verbenadeck.proxy._queue_options import QueueOptions
 from verbenadeck.proxy._refusals import not_run, refusal_of, refuse, unknown
 from verbenadeck.proxy._shard_rates import ShardRates
+from verbenadeck.proxy._transfer_messages import (
+    ReserveTransfer,
+    TransferReply,
+)
 
 __all__ = (
     'MESSAGE_TYPES',
@@ -42,11 +46,12 @@
     'LoadQuery',
     'LoadReply',
     'PolicyCache',
+    'ReserveTransfer',
     'ShardRates',
+    'TransferReply',
     'UpstreamProxy',
     'fixed_limit',
     'gradient_limit',
-    'ignore_count',
     'not_run',
     'refusal_of',
     'refuse',
--- a/verbenadeck/proxy/_admission.py
+++ b/verbenadeck/proxy/_admission.py
@@ -60,6 +60,7 @@
         origin : PeerAddress
             Address of the node at which the request entered.
         """
+        self._components.transfers.record_arrival(attempt_id)
         if self._runs.has_tombstone(attempt_id):
             return refuse(_cancelled_refusal())
         result = await self._find_or_run(attempt_id, request, origin)
@@ -77,6 +78,7 @@
             Attempt; if it has not arrived yet, a tombstone keeps a late copy
             from running.
         """
+        self._components.transfers.remove(attempt_id)
         run = self._runs.find(attempt_id)
         if run is None:
             self._runs.add_tombstone(attempt_id)
--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -25,6 +25,7 @@
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.proxy._slots import SlotQueue
 from verbenadeck.proxy._takeovers import Takeovers
+from verbenadeck.proxy._transfers import Transfers
 from verbenadeck.utils import Clock
 
 DEFAULT_KEEP_S = 600.0
@@ -79,8 +80,11 @@
         Options of the concurrency limit.
     queue : QueueOptions
         Options of the queue.
+    link_bytes_per_s : float or None
+        Rate at which large bodies may arrive, in bytes per second; None for
+        no limit.
     count : callable
-        Adds one to the counter with a name.
+        Adds one to the counter with the given name.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         ledger: Ledger,
         limits: LimitOptions,
         queue: QueueOptions,
+        link_bytes_per_s: float | None,
         count: Callable[[str], None],
     ) -> None:
         clock = dependencies.clock
@@ -127,6 +132,13 @@
             options=queue,
             count=count,
         )
+        self.transfers = Transfers(
+            clock=clock,
+            slots=self.slots,
+            service_times=self.service_times,
+            link_bytes_per_s=link_bytes_per_s,
+            count=count,
+        )
         self.crash_tracker = CrashTracker(
             node_id=dependencies.node_id,
             fleet=dependencies.fleet,
--- a/verbenadeck/proxy/_messages.py
+++ b/verbenadeck/proxy/_messages.py
@@ -21,6 +21,10 @@
 from verbenadeck.peers import Message
 from verbenadeck.proxy._interface import ProxyLoad
 from verbenadeck.proxy._refusals import refuse, unknown
+from verbenadeck.proxy._transfer_messages import (
+    ReserveTransfer,
+    TransferReply,
+)
 
 _log_decision = make_decision_logger('door')
 
@@ -309,5 +313,7 @@
     LedgerFound,
     PoisonNotice,
     PoisonCleared,
+    ReserveTransfer,
+    TransferReply,
 )
 """Message types that the proxy registers with the peer transport."""
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -27,12 +27,12 @@
 from verbenadeck.proxy._ledger import Ledger
 from verbenadeck.proxy._limit import LimitOptions
 from verbenadeck.proxy._monitor import UpstreamMonitor
-from verbenadeck.proxy._queue_options import QueueOptions, ignore_count
+from verbenadeck.proxy._queue_options import QueueOptions
 from verbenadeck.proxy._refusals import not_run
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.proxy._waiter import LOCAL_ORIGIN
 from verbenadeck.records import ReleasedRange
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 _log = logger.bind(part='door')
 _DRAIN_POLL_S = 0.01
@@ -70,8 +70,11 @@
         Options of the concurrency limit.
     queue : QueueOptions
         Options of the queue.
+    link_bytes_per_s : float or None
+        Rate at which large bodies may arrive, in bytes per second; None for
+        no limit.
     count : callable
-        Adds one to the counter with a name.
+        Adds one to the counter with the given name.
     """
 
     def __init__(
@@ -89,7 +92,8 @@
         ledger: Ledger | None = None,
         limits: LimitOptions = _DEFAULT_LIMITS,
         queue: QueueOptions = _DEFAULT_QUEUE,
-        count: Callable[[str], None] = ignore_count,
+        link_bytes_per_s: float | None = None,
+        count: Callable[[str], None] = ignore_name,
     ) -> None:
         dependencies = ProxyDependencies(
             node_id=node_id,
@@ -109,6 +113,7 @@
             ledger=request_ledger,
             limits=limits,
             queue=queue,
+            link_bytes_per_s=link_bytes_per_s,
             count=count,
         )
         self._admission = Admission(self._components)
--- a/verbenadeck/proxy/_queue_options.py
+++ b/verbenadeck/proxy/_queue_options.py
@@ -16,7 +16,3 @@
     """
 
     few_slots: int = 0
-
-
-def ignore_count(_name: str) -> None:
-    """Ignore a counter, as the default of a function that counts."""
--- a/verbenadeck/proxy/_slot_reserve.py
+++ b/verbenadeck/proxy/_slot_reserve.py
@@ -1,8 +1,13 @@
 """Slots that long requests leave to short, more urgent ones."""
 
 import math
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
+from verbenadeck.proxy._service_times import ServiceTimes
+from verbenadeck.proxy._waiter import Waiter, run_time_s
+from verbenadeck.utils import Clock
+
 _DECAY_TIME_CONSTANT_S = 2.0
 """Time constant of the measured load, in seconds: long compared with the
 intervals between urgent requests, short compared with a burst."""
@@ -122,3 +127,67 @@
     if not is_long or urgent.load < _MIN_URGENT_LOAD:
         return 0
     return min(slots - 1, max(1, int(urgent.load)))
+
+
+class SlotReserve:
+    """Limit of the slots that long requests of one upstream occupy.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of this VM.
+    limit : callable returning int
+        Returns the number of slots that may be in use.
+    service_times : ServiceTimes
+        Expected run times by kind of request.
+    running : collection of Waiter
+        Requests that hold a slot.
+    is_active : callable returning bool
+        Returns whether the limit applies to the upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        limit: Callable[[], int],
+        service_times: ServiceTimes,
+        running: Collection[Waiter],
+        is_active: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._service_times = service_times
+        self._running = running
+        self._is_active = is_active
+        self._offered = OfferedLoad()
+
+    def record_start(self, waiter: Waiter) -> None:
+        """Count a request that gets a slot."""
+        now_s = self._clock.now_s()
+        run_s = run_time_s(waiter, now_s, self._service_times)
+        self._offered.record(waiter.priority, run_s, now_s=now_s)
+
+    def is_exhausted(self, waiter: Waiter) -> bool:
+        """Return whether a request must leave a free slot to urgent ones.
+
+        Parameters
+        ----------
+        waiter : Waiter
+            Request that could start.
+        """
+        if not self._is_active():
+            return False
+        now_s = self._clock.now_s()
+        slots = self._limit()
+        reserved = reserved_slots(
+            self._offered.above(waiter.priority, now_s=now_s),
+            run_s=run_time_s(waiter, now_s, self._service_times),
+            slots=slots,
+        )
+        if reserved <= 0:
+            return False
+        occupied = sum(
+            each.priority >= waiter.priority for each in self._running
+        )
+        return occupied >= slots - reserved
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -8,16 +8,17 @@
 from verbenadeck.proxy._cold_start_rate import ColdStartRateLimiter
 from verbenadeck.proxy._count_rules import CountRules
 from verbenadeck.proxy._forecast_rules import ForecastRules
-from verbenadeck.proxy._queue_options import QueueOptions, ignore_count
+from verbenadeck.proxy._queue_options import QueueOptions
 from verbenadeck.proxy._queue_rules import QueueContext, QueueRules
 from verbenadeck.proxy._service_times import ServiceTimes
+from verbenadeck.proxy._slot_reserve import SlotReserve
 from verbenadeck.proxy._waiter import (
     NO_SHARD,
     Waiter,
     first_waiter,
     run_time_s,
 )
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 __all__ = ('SlotQueue', 'Waiter')
 
@@ -25,7 +26,22 @@
 _TIMER_RESOLUTION_S = 0.001
 
 
-class SlotQueue:
+class ReservedRequests:
+    """Requests that count as queued although their bodies have not arrived."""
+
+    def __init__(self) -> None:
+        self._reserved: list[Waiter] = []
+
+    def add_reservation(self, waiter: Waiter) -> None:
+        """Add a request whose body is about to be sent."""
+        self._reserved.append(waiter)
+
+    def remove_reservation(self, waiter: Waiter) -> None:
+        """Remove a request that `add_reservation` added."""
+        self._reserved.remove(waiter)
+
+
+class SlotQueue(ReservedRequests):
     """Slots in use and the queue for them, ordered by priority and deadline.
 
     Parameters
@@ -63,12 +79,13 @@
         cold_start_rate: ColdStartRateLimiter | None = None,
         slots: Callable[[], int] = int,
         options: QueueOptions = _DEFAULT_OPTIONS,
-        count: Callable[[str], None] = ignore_count,
+        count: Callable[[str], None] = ignore_name,
     ) -> None:
         self._cold_start_rate = cold_start_rate or ColdStartRateLimiter(
             clock=clock
         )
         self._cold_start_rate.on_token = self.assign_free_slots
+        super().__init__()
         self.in_use = 0
         self._clock = clock
         self._limit = limit
@@ -79,6 +96,13 @@
         )
         self._waiting: list[Waiter] = []
         self._started_at_s: dict[Waiter, float] = {}
+        self._reserve = SlotReserve(
+            clock=clock,
+            limit=limit,
+            service_times=self._service_times,
+            running=self._started_at_s.keys(),
+            is_active=self._has_few_slots,
+        )
         context = QueueContext(
             clock=clock,
             limit=limit,
@@ -95,14 +119,14 @@
     @property
     def _rules(self) -> QueueRules:
         """Rules for the number of slots that the upstream announced."""
-        if 0 < self._slots() <= self._options.few_slots:
+        if self._has_few_slots():
             return self._forecast_rules
         return self._count_rules
 
     @property
     def queued(self) -> int:
-        """Number of requests in the queue."""
-        return len(self._waiting)
+        """Number of requests in the queue or with a reservation."""
+        return len(self._waiting) + len(self._reserved)
 
     def queue_refusal(self, waiter: Waiter, limit: int) -> Refusal | None:
         """Return why a request that arrives now must not wait, or None.
@@ -116,7 +140,11 @@
         limit : int
             Maximum length of the queue.
         """
-        return self._rules.refusal(waiter, self._waiting, limit)
+        is_free = self.in_use + len(self._reserved) < self._limit()
+        if is_free and not self._waiting:
+            return None
+        waiting = (*self._waiting, *self._reserved)
+        return self._rules.refusal(waiter, waiting, limit)
 
     def try_acquire(self, waiter: Waiter | None = None) -> bool:
         """Take a slot if one is free and the queue is empty.
@@ -128,11 +156,12 @@
         """
         if self._waiting or self.in_use >= self._limit():
             return False
+        holder = waiter or Waiter(math.inf, NO_SHARD)
+        if self._reserve.is_exhausted(holder):
+            return False
         if not self._cold_start_rate.try_take_token():
             return False
-        holder = waiter or Waiter(math.inf, NO_SHARD)
-        self._started_at_s[holder] = self._clock.now_s()
-        self.in_use += 1
+        self._occupy_slot(holder)
         return True
 
     async def acquire(self, waiter: Waiter) -> Refusal | None:
@@ -142,7 +171,9 @@
         loop = asyncio.get_running_loop()
         waiter.future = loop.create_future()
         self._waiting.append(waiter)
-        self._rules.refuse_unservable(self._waiting)
+        if self._has_few_slots():
+            # Requests that must leave a free slot to others may be waiting.
+            self.assign_free_slots()
         left_s = self._clock.remaining_s(self._rules.expires_at_s(waiter))
         timer = loop.call_later(left_s, self._expire, waiter)
         self._recheck_later(waiter)
@@ -170,9 +201,16 @@
     def assign_free_slots(self) -> None:
         """Assign free slots to waiters that can still meet their deadlines."""
         self._rules.refuse_unservable(self._waiting)
-        while self._waiting and self.in_use < self._limit():
+        while self.in_use < self._limit():
+            startable = [
+                each
+                for each in self._waiting
+                if not self._reserve.is_exhausted(each)
+            ]
+            if not startable:
+                return
             now_s = self._clock.now_s()
-            waiter = first_waiter(self._waiting, now_s, self._service_times)
+            waiter = first_waiter(startable, now_s, self._service_times)
             ends_at_s = now_s + run_time_s(waiter, now_s, self._service_times)
             if waiter.is_resolved or ends_at_s > waiter.deadline_s:
                 self._waiting.remove(waiter)
@@ -182,8 +220,7 @@
                 return
             self._waiting.remove(waiter)
             waiter.resolve(None)
-            self._started_at_s[waiter] = now_s
-            self.in_use += 1
+            self._occupy_slot(waiter)
 
     def refuse(
         self, refusal: Refusal, *, shards: frozenset[int] | None
@@ -205,6 +242,14 @@
                 remaining.append(waiter)
         self._waiting = remaining
 
+    def _occupy_slot(self, waiter: Waiter) -> None:
+        self._started_at_s[waiter] = self._clock.now_s()
+        self._reserve.record_start(waiter)
+        self.in_use += 1
+
+    def _has_few_slots(self) -> bool:
+        return 0 < self._slots() <= self._options.few_slots
+
     def _recheck_later(self, waiter: Waiter) -> None:
         """Schedule a check for the time from which a waiter is late.
 
--- a/verbenadeck/proxy/tests/builders.py
+++ b/verbenadeck/proxy/tests/builders.py
@@ -121,6 +121,7 @@
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
         queue: QueueOptions = _QUEUE,
+        link_bytes_per_s: float | None = None,
     ) -> None:
         self.upstream = upstream
         self.incarnation = Incarnation(number)
@@ -145,6 +146,7 @@
             ledger=ledger,
             limits=limits,
             queue=queue,
+            link_bytes_per_s=link_bytes_per_s,
         )
 
     def member(self, witnesses: tuple[Incarnation, ...] = ()) -> Member:
@@ -182,6 +184,7 @@
         ledger: Ledger | None = None,
         limits: LimitOptions = _LIMITS,
         queue: QueueOptions = _QUEUE,
+        link_bytes_per_s: float | None = None,
         witnesses: tuple[Incarnation, ...] = (),
     ) -> Node:
         """Add a started node whose upstream has announced itself."""
@@ -194,6 +197,7 @@
             ledger=ledger,
             limits=limits,
             queue=queue,
+            link_bytes_per_s=link_bytes_per_s,
         )
         self.nodes.append(node)
         self.fleet.join(node.member(witnesses))
