--- a/verbenadeck/peers/_link.py
+++ b/verbenadeck/peers/_link.py
@@ -10,6 +10,7 @@
 
 from verbenadeck.peers._connection import Connection
 from verbenadeck.peers._frames import (
+    PART_BYTES,
     PROTOCOL_VERSION,
     Frame,
     FrameKind,
@@ -32,6 +33,7 @@
 
 
 _TIMED_OUT = _failed(PeerFailure.NO_REPLY, 'timeout')
+_UNSENT = _failed(PeerFailure.NOT_SENT, 'connection lost or full')
 _STOPPED = _failed(
     PeerFailure.NOT_SENT, 'timeout before the last frame', has_used_link=True
 )
@@ -172,17 +174,37 @@
         deadline_s: float,
     ) -> CallResult:
         waiter = session.waiting[call_id]
-        is_sent = False
+        failure = await self._send(session, call_id, body, deadline_s)
+        if failure is not None:
+            return failure
+        timer = asyncio.get_running_loop().call_later(
+            self._clock.remaining_s(deadline_s),
+            session.resolve_call,
+            call_id,
+            _TIMED_OUT,
+        )
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
+
+    async def _send(
+        self,
+        session: _Session,
+        call_id: int,
+        body: bytes,
+        deadline_s: float,
+    ) -> CallResult | None:
+        """Send a message; return the failure if the peer never gets it."""
+        sending = session.connection.send(FrameKind.CALL, call_id, body)
+        if len(body) <= PART_BYTES:
+            # It is written without a wait, so that it needs no timeout.
+            return None if await sending else _UNSENT
         try:
             async with asyncio.timeout(self._clock.remaining_s(deadline_s)):
-                is_sent = await session.connection.send(
-                    FrameKind.CALL, call_id, body
-                )
-                if is_sent:
-                    return await waiter
+                return None if await sending else _UNSENT
         except TimeoutError:
-            return _TIMED_OUT if is_sent else _STOPPED
-        return _failed(PeerFailure.NOT_SENT, 'connection lost or full')
+            return _STOPPED
 
     async def _get_session(self, deadline_s: float) -> _Session | None:
         session = self._session
