Count reserved requests once and carry whether callers return

Cause: queue_refusal counts reserved requests since the queue and the reservations were merged, and the reservation subtracted them again; a returning upload was judged like a new one. Change: the limit is passed as it is, and ReserveTransfer ends with is_returning.

--- a/verbenadeck/proxy/_transfer_messages.py
+++ b/verbenadeck/proxy/_transfer_messages.py
@@ -24,7 +24,8 @@
         Size of the body, in bytes.
     remaining_s : float
         Time until the request's deadline, in seconds.
-    request_id, service, key, is_repeatable, priority, kind, has_short_grace
+    request_id, service, key, is_repeatable, priority, kind, has_short_grace,
+    is_returning
         Fields of `Request`. With id and key, the proxy recognizes a request
         that it has run already and one whose shard it does not own.
     objective_remaining_s : float or None
@@ -42,6 +43,7 @@
     kind: str
     has_short_grace: bool
     objective_remaining_s: float | None = None
+    is_returning: bool = False
 
     @classmethod
     def pack(
@@ -64,6 +66,7 @@
             request.kind,
             request.has_short_grace,
             objective_remaining_s,
+            request.is_returning,
         )
 
     def unpack(self, now_s: float) -> Request:
@@ -85,6 +88,7 @@
             objective_at_s=objective_at_s,
             kind=self.kind,
             has_short_grace=self.has_short_grace,
+            is_returning=self.is_returning,
         )
 
 
--- a/verbenadeck/proxy/_transfers.py
+++ b/verbenadeck/proxy/_transfers.py
@@ -158,8 +158,7 @@
     def _queue_refusal(
         self, waiter: Waiter, span: LinkSpan, queue_limit: int
     ) -> Refusal | None:
-        free_places = queue_limit - len(self._reservations)
-        refusal = self._slots.queue_refusal(waiter, free_places)
+        refusal = self._slots.queue_refusal(waiter, queue_limit)
         if refusal is not None:
             return refusal
         now_s = self._clock.now_s()
--- a/verbenadeck/router/tests/test_transfers.py
+++ b/verbenadeck/router/tests/test_transfers.py
@@ -32,7 +32,7 @@
     LINK_BYTES_PER_S,
     make_upload,
 )
-from verbenadeck.router._outcomes import _MAX_JITTER
+from verbenadeck.router._outcomes import _JITTER
 from verbenadeck.router._transfers import MIN_BODY_BYTES
 from verbenadeck.router.tests.builders import Callers
 from verbenadeck.router.tests.transfer_builders import (
@@ -172,7 +172,7 @@
         found = refusal(await uploads.routers[0].route(make_upload()))
         assert found.outcome is Outcome.NOT_RUN
         assert found.reason is RefusalReason.QUEUE_FULL
-        assert found.retry_after_s <= _EARLIEST_S * _MAX_JITTER
+        assert found.retry_after_s <= _EARLIEST_S * (1 + _JITTER)
         assert found.retry_after_s >= _EARLIEST_S / 2
         assert len(uploads.asked) == 4
         assert not uploads.bodies
