Report the share of successful sends in the load of a proxy

Routers choose upstreams that fail or refuse as often as healthy ones, as long as their service time is good. ProxyLoad.success_share tells them how many of the sends of the last second or so were answered with a status below 500. Cancelled runs and fenced requests do not count; a restart resets it.

--- a/verbenadeck/proxy/_components.py
+++ b/verbenadeck/proxy/_components.py
@@ -23,6 +23,7 @@
 from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._shard_rates import ShardRates
 from verbenadeck.proxy._slots import SlotQueue
+from verbenadeck.proxy._success_share import SuccessShare
 from verbenadeck.proxy._takeovers import Takeovers
 from verbenadeck.utils import Clock
 
@@ -124,12 +125,14 @@
             clock=clock,
             quarantine=self.quarantine,
         )
+        self.success_share = SuccessShare()
         self.sender = Sender(
             upstream=dependencies.upstream,
             clock=clock,
             limit=self.limit,
             slots=self.slots,
             service_times=self.service_times,
+            success_share=self.success_share,
             on_broken=self.crash_tracker.on_broken,
         )
         self.duplicate_guard = DuplicateRunGuard(
--- a/verbenadeck/proxy/_interface.py
+++ b/verbenadeck/proxy/_interface.py
@@ -22,6 +22,9 @@
         Whether the proxy admits new requests.
     is_measured : bool
         Whether the service time was measured; otherwise it is a guess.
+    success_share : float
+        Share of recent sends to the upstream that ended with an answer of a
+        status below 500, from 0 to 1.
     """
 
     running: int
@@ -30,6 +33,7 @@
     service_time_s: float
     is_admitting: bool
     is_measured: bool = True
+    success_share: float = 1.0
 
 
 class Proxy(Protocol):
--- a/verbenadeck/proxy/_monitor.py
+++ b/verbenadeck/proxy/_monitor.py
@@ -35,6 +35,7 @@
         self._slots = components.slots
         self._cold_start_rate = components.cold_start_rate
         self._sender = components.sender
+        self._success_share = components.success_share
         self._runs = components.runs
         self._crash_tracker = components.crash_tracker
         self._instance: str | None = None
@@ -74,9 +75,9 @@
             bearable,
             slots,
         )
-        self._limit.reset_for_instance(
-            slots, bearable, now_s=self._clock.now_s()
-        )
+        now_s = self._clock.now_s()
+        self._limit.reset_for_instance(slots, bearable, now_s=now_s)
+        self._success_share.reset(now_s)
         if earlier is not None:
             self._crash_tracker.on_crash(earlier, self._runs.all())
         self._sender.release_held_slots()
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -118,6 +118,7 @@
             components.limit.service_time_s,
             components.gate.is_admitting,
             components.limit.is_measured,
+            components.success_share.share(self._clock.now_s()),
         )
 
     @property
--- a/verbenadeck/proxy/_runs.py
+++ b/verbenadeck/proxy/_runs.py
@@ -29,6 +29,8 @@
         Whether the request was sent to the upstream.
     is_abandoned : bool
         Whether no caller waits for it, so that it must not be sent.
+    is_cancelled : bool
+        Whether it was cancelled at the upstream after it was sent.
     task : asyncio.Task or None
         Task of a non-repeatable request, which outlives its caller.
     waiter_count : int
@@ -43,6 +45,7 @@
         'attempt_id',
         'done',
         'is_abandoned',
+        'is_cancelled',
         'is_sent',
         'request',
         'sent_at_s',
@@ -68,6 +71,7 @@
         )
         self.is_sent = False
         self.is_abandoned = False
+        self.is_cancelled = False
         self.task: asyncio.Task[None] | None = None
         self.waiter_count = 1
         self.sent_at_s = 0.0
--- a/verbenadeck/proxy/_sender.py
+++ b/verbenadeck/proxy/_sender.py
@@ -24,6 +24,7 @@
 from verbenadeck.proxy._runs import Run
 from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._slots import SlotQueue
+from verbenadeck.proxy._success_share import SuccessShare
 from verbenadeck.utils import Clock
 
 _log_decision = make_decision_logger('door')
@@ -32,6 +33,7 @@
 _MAX_HOLD_S = 5.0
 _HOLD_RATIO = 2.0
 _LATE_ANSWER_GRACE_S = 5.0
+_MIN_ERROR_STATUS = 500
 
 _FAILURES = MappingProxyType(
     {
@@ -73,6 +75,8 @@
         Queue whose slots are released.
     service_times : ServiceTimes
         Service times by kind of request, to update.
+    success_share : SuccessShare
+        Share of sends that succeeded, to update.
     on_broken : callable
         Called with a run that ended without an answer before its deadline.
     """
@@ -85,6 +89,7 @@
         limit: ConcurrencyLimit,
         slots: SlotQueue,
         service_times: ServiceTimes,
+        success_share: SuccessShare,
         on_broken: Callable[[Run], None],
     ) -> None:
         self._upstream = upstream
@@ -92,6 +97,7 @@
         self._limit = limit
         self._slots = slots
         self._service_times = service_times
+        self._success_share = success_share
         self._on_broken = on_broken
         self._held_slot_timers: set[asyncio.TimerHandle] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -128,6 +134,10 @@
         """Cancel the request of a run at the upstream, if it is repeatable."""
         if not run.request.is_repeatable:
             return
+        run.is_cancelled = True
+        self._cancel_upstream(run)
+
+    def _cancel_upstream(self, run: Run) -> None:
         request_id = run.request.request_id
         task = asyncio.create_task(self._upstream.cancel(request_id))
         self._tasks.add(task)
@@ -151,7 +161,8 @@
             async with asyncio.timeout(left_s):
                 return await self._upstream.send(upstream_request)
         except TimeoutError:
-            self.cancel(run)
+            if run.request.is_repeatable:
+                self._cancel_upstream(run)
             return Failure(_TIMED_OUT)
 
     def _on_answer(self, run: Run, answer: Answer) -> AnswerResult:
@@ -159,11 +170,14 @@
         service_time_s = now_s - run.sent_at_s
         self._limit.record_answer(service_time_s, now_s=now_s)
         self._service_times.record(run.request.kind, service_time_s)
+        self._record_end(run, is_success=answer.status < _MIN_ERROR_STATUS)
         self._slots.release()
         return Success(answer)
 
     def _on_error(self, run: Run, error: UpstreamError) -> AnswerResult:
         now_s = self._clock.now_s()
+        if error.failure is not UpstreamFailure.FENCED:
+            self._record_end(run, is_success=False)
         if error.failure in _OVERLOAD_FAILURES:
             self._on_overload(run, error, now_s)
         if error.failure is UpstreamFailure.BROKEN:
@@ -177,6 +191,14 @@
             Refusal(outcome, reason, error.retry_after_s, error.detail)
         )
 
+    def _record_end(self, run: Run, *, is_success: bool) -> None:
+        if not run.is_cancelled:
+            self._success_share.record(
+                is_success=is_success,
+                sent_at_s=run.sent_at_s,
+                now_s=self._clock.now_s(),
+            )
+
     def _on_overload(
         self, run: Run, error: UpstreamError, now_s: float
     ) -> None:
