Avoid failing upstreams and share a retry budget at few slots

An upstream that refused or lost half of its requests was chosen as often as a healthy one, each node had a burst of 10 retries of its own, and a request without capacity anywhere was sent to each proxy of its service in turn.

RouterOptions applies to services whose upstreams have at most few_slots slots. The expected wait is divided by the share of successful sends, unless it is within 0.25 of the best candidate's. The burst of the fleet is divided by its members, half of the tokens are reserved for priority 0, and three proxies without capacity end a request with the earliest retry time.

--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -30,7 +30,7 @@
 from verbenadeck.peers import PeerTransport
 from verbenadeck.placement import LoadReporter, LoadTable, Planner
 from verbenadeck.proxy import LimitOptions, UpstreamProxy
-from verbenadeck.router import ProxyRouter
+from verbenadeck.router import ProxyRouter, RouterOptions
 from verbenadeck.utils import Clock, always_true
 
 MESSAGE_TYPES = (
@@ -109,6 +109,8 @@
         ended; with None, they have one lease duration after the start.
     limits : LimitOptions
         Options of the concurrency limit of the proxy.
+    router : RouterOptions
+        Options of the router.
     """
 
     timing: LeaseTiming | None = None
@@ -118,6 +120,7 @@
     can_join: Callable[[], bool] = always_true
     are_earlier_grants_over: Callable[[], bool] | None = None
     limits: LimitOptions = LimitOptions()
+    router: RouterOptions = RouterOptions()
 
 
 _DEFAULT_CORE_OPTIONS = CoreOptions()
@@ -172,7 +175,7 @@
     )
     kernel.register(
         'router',
-        _make_router(kernel, location, dependencies),
+        _make_router(kernel, location, dependencies, options),
         depends_on=('door',),
     )
     load_table = LoadTable(clock=dependencies.clock)
@@ -315,7 +318,10 @@
 
 
 def _make_router(
-    kernel: Kernel, location: NodeLocation, dependencies: NodeDependencies
+    kernel: Kernel,
+    location: NodeLocation,
+    dependencies: NodeDependencies,
+    options: CoreOptions,
 ) -> ProxyRouter:
     return ProxyRouter(
         node_id=location.node_id,
@@ -325,4 +331,5 @@
         peers=dependencies.peers,
         clock=dependencies.clock,
         random_source=dependencies.random_source,
+        options=options.router,
     )
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -270,6 +270,7 @@
             can_join=self._can_join,
             are_earlier_grants_over=self._are_earlier_grants_over,
             limits=_options.LIMIT_OPTIONS,
+            router=_options.make_router_options(self._settings),
         )
 
     def _can_join(self) -> bool:
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -7,7 +7,9 @@
     ReadOptions,
 )
 from verbenadeck.membership import LeaseTiming
+from verbenadeck.platform._settings import PlatformSettings
 from verbenadeck.proxy import LimitOptions, fixed_limit
+from verbenadeck.router import RetryOptions, RouterOptions
 
 KEY_SPACE = 65_536
 """Number of keys of a keyed service, as the platform specifies it."""
@@ -28,6 +30,15 @@
 to no less than 0.8 of the slots. The other fifth covers requests that the
 instance still runs after their connections have closed."""
 
+FEW_SLOTS = 5
+"""Largest number of slots of an upstream to which the rules for few slots
+apply. One slow or failed request then changes its capacity by a fifth or more,
+so that means over all requests and counts of requests mislead."""
+
+RETRY_BOUND_SHARE = 0.8
+"""Share of the platform's bounds of retries that the nodes use. The rest is
+for sends that they cannot count, such as those of a node that was lost."""
+
 DIRECT_READERS = 2
 """Number of nodes of the fleet that read the store themselves; the others read
 from them. The platform charges for each call; with two of them in different
@@ -93,3 +104,21 @@
 LAST_ANSWER_MARGIN_S = 0.5
 """Time in seconds before SIGKILL by which a stopping node ends all requests: a
 few round trips, so that callers get the answers."""
+
+
+def make_router_options(settings: PlatformSettings) -> RouterOptions:
+    """Return the options of the router.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings of the node, with the platform's bounds of retries.
+    """
+    ratio = settings.retry_budget_ratio
+    slack = settings.retry_budget_slack
+    retries = None
+    if ratio is not None and slack is not None:
+        retries = RetryOptions(
+            ratio=RETRY_BOUND_SHARE * ratio, burst=RETRY_BOUND_SHARE * slack
+        )
+    return RouterOptions(few_slots=FEW_SLOTS, retries=retries)
--- a/verbenadeck/platform/_settings.py
+++ b/verbenadeck/platform/_settings.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.model import NodeId, Region, ServiceName, Zone
-from verbenadeck.platform._fields import read_int, read_name
+from verbenadeck.platform._fields import read_int, read_name, read_number
 from verbenadeck.platform._units import (
     DECODE_ERRORS,
     MAX_PORT,
@@ -57,6 +57,9 @@
         new requests.
     stop_timeout_s : float
         Time in seconds from SIGTERM to SIGKILL.
+    retry_budget_ratio, retry_budget_slack : float or None
+        Retries that the platform allows all nodes: per request of a service,
+        and in addition; None when the file states no limit.
     """
 
     node_id: NodeId
@@ -73,6 +76,8 @@
     max_hold_s: float
     drain_timeout_s: float
     stop_timeout_s: float
+    retry_budget_ratio: float | None = None
+    retry_budget_slack: float | None = None
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -120,6 +125,8 @@
         max_hold_s=_read_positive_s(bounds['holdMax']),
         drain_timeout_s=_read_positive_s(bounds['drain']),
         stop_timeout_s=_read_positive_s(bounds['grace']),
+        retry_budget_ratio=_read_bound(bounds, 'retryBudgetRatio'),
+        retry_budget_slack=_read_bound(bounds, 'retryBudgetSlack'),
     )
 
 
@@ -131,6 +138,16 @@
     return name
 
 
+def _read_bound(bounds: dict[str, object], name: str) -> float | None:
+    """Return a bound that is a number, or None if it is missing."""
+    if name not in bounds:
+        return None
+    try:
+        return read_number(bounds[name])
+    except (ArithmeticError, TypeError, ValueError) as error:
+        raise ValueError(f'bounds.{name}: {error}') from error
+
+
 def _read_positive_s(text: object) -> float:
     time_s = read_time_s(text)
     if time_s <= 0:
--- a/verbenadeck/platform/tests/test_settings.py
+++ b/verbenadeck/platform/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings file of the platform, also when it changes at run time."""
 
+import json
 from pathlib import Path
 from typing import Any
 
@@ -8,6 +9,7 @@
 from loguru import logger
 
 from verbenadeck.platform._daemon import log_changed_settings
+from verbenadeck.platform._options import make_router_options
 from verbenadeck.platform._settings import load_settings
 
 
@@ -52,6 +54,33 @@
 )
 
 
+@pytest.mark.parametrize(
+    'bound',
+    [-1, 'much', True, None, pytest.param(10**400, id='too large')],
+)
+def test_odd_bound_of_retries_is_refused_by_name(
+    bound: object, tmp_path: Path
+) -> None:
+    """Guards against a fleet whose retries have no or an infinite bound."""
+    path = tmp_path / 'local.json'
+    bounds = _make_fields()['bounds'] | {'retryBudgetSlack': bound}
+    path.write_bytes(json.dumps(_make_fields(bounds=bounds)).encode())
+    assert 'bounds.retryBudgetSlack' in load_settings(path).failure().detail
+
+
+def test_retries_follow_the_bounds_of_the_platform(tmp_path: Path) -> None:
+    """Guards against a burst of each node that is meant for all of them."""
+    path = tmp_path / 'local.json'
+    path.write_bytes(_encode())
+    assert make_router_options(load_settings(path).unwrap()).retries is None
+    limits = {'retryBudgetRatio': 0.2, 'retryBudgetSlack': 210}
+    bounds = _make_fields()['bounds'] | limits
+    path.write_bytes(_encode(bounds=bounds))
+    retries = make_router_options(load_settings(path).unwrap()).retries
+    assert retries is not None
+    assert (retries.ratio, retries.burst) == pytest.approx((0.16, 168))
+
+
 @pytest.mark.parametrize(
     ('content', 'line'),
     [
--- a/verbenadeck/proxy/_success_share.py
+++ b/verbenadeck/proxy/_success_share.py
@@ -6,9 +6,10 @@
 """Time constant of the decay: a few service times, so that a fault of some
 seconds shows soon and is forgotten soon."""
 
-_PRIOR_SUCCESSES = 1.0
+_PRIOR_SUCCESSES = 0.5
 """Assumed successes, so that a single failure does not give a share of 0 and
-an upstream without recent sends gets back to a share of 1."""
+an upstream without recent sends gets back to a share of 1. With more of them,
+an upstream that is avoided is trusted again while it still fails."""
 
 
 class SuccessShare:
@@ -18,8 +19,8 @@
     --------
     >>> share = SuccessShare()
     >>> share.record(is_success=False, sent_at_s=0, now_s=1)
-    >>> share.share(1), share.share(60) > 0.99
-    (0.5, True)
+    >>> round(share.share(1), 2), share.share(60) > 0.99
+    (0.33, True)
     """
 
     def __init__(self) -> None:
--- a/verbenadeck/router/__init__.py
+++ b/verbenadeck/router/__init__.py
@@ -6,6 +6,7 @@
     choose_by_expected_wait,
 )
 from verbenadeck.router._interface import Router
+from verbenadeck.router._options import RetryOptions, RouterOptions
 from verbenadeck.router._router import ProxyRouter
 from verbenadeck.router._stats import ProxyStats
 
@@ -14,6 +15,8 @@
     'ChooseProxy',
     'ProxyRouter',
     'ProxyStats',
+    'RetryOptions',
     'Router',
+    'RouterOptions',
     'choose_by_expected_wait',
 )
--- a/verbenadeck/router/_choice.py
+++ b/verbenadeck/router/_choice.py
@@ -10,6 +10,12 @@
 SAMPLE_SIZE = 4
 """Maximum number of proxies whose load is compared at a time."""
 
+_SIMILAR_SHARE_GAP = 0.25
+"""Difference to the best share of successful sends up to which a share counts
+as equal. At 20 sends a second that fail half of the time, a share deviates by
+0.08, so that the best and the worst of a sample differ by 0.2 by chance."""
+
+_MIN_SUCCESS_SHARE = 0.1
 _REMOTE_SAMPLE_SIZE = 1
 _SAME_ZONE_FACTOR = 0.8
 _PROBE_SHARE = 1 / 32
@@ -39,7 +45,11 @@
 
 
 def choose_by_expected_wait(
-    proxies: Sequence[ProxyStats], now_s: float, source: random.Random
+    proxies: Sequence[ProxyStats],
+    now_s: float,
+    source: random.Random,
+    *,
+    compares_success: bool = False,
 ) -> ProxyChoice:
     """Choose the proxy with the lowest expected wait.
 
@@ -55,6 +65,9 @@
         Time now, in seconds.
     source : random.Random
         Decides which requests probe.
+    compares_success : bool
+        Whether a proxy counts as slower the fewer of its sends succeed,
+        compared with the best one.
 
     Returns
     -------
@@ -65,11 +78,12 @@
         for proxy in proxies:
             if _needs_probe(proxy, now_s):
                 return ProxyChoice(proxy, 'probe')
-    typical_s = _typical_service_time_s(proxies, now_s)
     best = proxies[0]
     best_s = math.inf
-    for proxy in proxies:
-        wait_s = proxy.expected_wait_s(now_s, typical_s=typical_s)
+    waits_s = expected_waits_s(
+        proxies, now_s, compares_success=compares_success
+    )
+    for proxy, wait_s in zip(proxies, waits_s, strict=True):
         if proxy.is_same_zone:
             wait_s *= _SAME_ZONE_FACTOR
         if wait_s < best_s:
@@ -80,6 +94,64 @@
     return ProxyChoice(best, 'lowest expected wait')
 
 
+def expected_waits_s(
+    proxies: Sequence[ProxyStats], now_s: float, *, compares_success: bool
+) -> list[float]:
+    """Return the expected wait at each of some proxies, in seconds.
+
+    Parameters
+    ----------
+    proxies : sequence of ProxyStats
+        Proxies to compare.
+    now_s : float
+        Time now, in seconds.
+    compares_success : bool
+        Whether the waits are divided by the shares of successful sends.
+    """
+    typical_s = _typical_service_time_s(proxies, now_s)
+    waits_s = [
+        proxy.expected_wait_s(now_s, typical_s=typical_s) for proxy in proxies
+    ]
+    if not compares_success:
+        return waits_s
+    shares = [proxy.success_share(now_s) for proxy in proxies]
+    best = max((share for share in shares if share is not None), default=1.0)
+    return [
+        wait_s / relative_success(share, best)
+        for wait_s, share in zip(waits_s, shares, strict=True)
+    ]
+
+
+def relative_success(share: float | None, best: float) -> float:
+    """Return a share of successful sends in relation to the best one.
+
+    Failures of a service that all upstreams call lower the shares of all of
+    them, which is no reason to prefer one.
+
+    Parameters
+    ----------
+    share : float or None
+        Share of successful sends; None when it is not known.
+    best : float
+        Best share among the candidates.
+
+    Returns
+    -------
+    float
+        1 for a share that is not known or similar to the best one.
+
+    Examples
+    --------
+    >>> relative_success(0.45, 1.0), relative_success(0.45, 0.5)
+    (0.45, 1.0)
+    >>> relative_success(0.01, 1.0), relative_success(None, 1.0)
+    (0.1, 1.0)
+    """
+    if share is None or share >= best - _SIMILAR_SHARE_GAP:
+        return 1.0
+    return max(_MIN_SUCCESS_SHARE, share / best)
+
+
 def sample_proxies(
     proxies: Sequence[ProxyStats], source: random.Random
 ) -> list[ProxyStats]:
--- a/verbenadeck/router/_proxy_directory.py
+++ b/verbenadeck/router/_proxy_directory.py
@@ -35,6 +35,7 @@
         self._zone = zone
         self._proxies: dict[Incarnation, ProxyStats] = {}
         self._available: dict[ServiceName, list[ProxyStats]] = {}
+        self._max_slots: dict[ServiceName, int] = {}
         self._is_stale = True
         self._version: ConfigVersion | None = None
         fleet.subscribe(self._on_record)
@@ -50,6 +51,17 @@
         self._refresh()
         return self._available.get(service, [])
 
+    def max_slots(self, service: ServiceName) -> int:
+        """Return the largest number of slots of an upstream of a service.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service of the upstreams; 0 is returned when it has none.
+        """
+        self._refresh()
+        return self._max_slots.get(service, 0)
+
     def owners(self, service: ServiceName, shard: Shard) -> list[ProxyStats]:
         """Return the proxies that may serve a shard, the likeliest first.
 
@@ -88,11 +100,14 @@
             for incarnation, member in self._fleet.members.items()
         }
         self._available = {}
+        self._max_slots = {}
         for proxy in self._proxies.values():
+            service = proxy.member.service
+            self._max_slots[service] = max(
+                proxy.member.slots, self._max_slots.get(service, 0)
+            )
             if self._is_available(proxy.member):
-                self._available.setdefault(proxy.member.service, []).append(
-                    proxy
-                )
+                self._available.setdefault(service, []).append(proxy)
 
     def _get_or_create_stats(self, member: Member) -> ProxyStats:
         proxy = self._proxies.get(member.incarnation)
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -10,6 +10,7 @@
     AnswerResult,
     NodeId,
     Outcome,
+    Refusal,
     RefusalReason,
     Request,
     ServiceName,
@@ -26,7 +27,6 @@
     refuse,
 )
 from verbenadeck.router._attempt_sender import AttemptSender, as_resent
-from verbenadeck.router._budget import TokenBudget
 from verbenadeck.router._choice import (
     ChooseProxy,
     ProxyChoice,
@@ -35,6 +35,7 @@
 )
 from verbenadeck.router._hedges import SendAttempt, send_hedged
 from verbenadeck.router._load_queries import LoadQueries
+from verbenadeck.router._options import RouterOptions
 from verbenadeck.router._outcomes import (
     TYPICAL_MOVE_S,
     NextStep,
@@ -44,7 +45,8 @@
     with_retry_hint,
 )
 from verbenadeck.router._proxy_directory import ProxyDirectory
-from verbenadeck.router._quantile import LatencyQuantile
+from verbenadeck.router._refused_tries import RefusedTries
+from verbenadeck.router._service_state import RouteRules, ServiceState
 from verbenadeck.router._stats import ProxyStats
 from verbenadeck.utils import Clock
 
@@ -56,20 +58,10 @@
 """Share of the requests that ask for loads although that is not needed, so
 that proxies which are not chosen stay known."""
 
+_DEFAULT_OPTIONS = RouterOptions()
 _HEDGED_METHODS = frozenset(('GET', 'HEAD'))
 
 
-class _ServiceState:
-    """Retry budget, hedge budget and latency estimate of one service."""
-
-    __slots__ = ('hedge_budget', 'latency', 'retry_budget')
-
-    def __init__(self) -> None:
-        self.retry_budget = TokenBudget()
-        self.hedge_budget = TokenBudget()
-        self.latency = LatencyQuantile()
-
-
 class ProxyRouter:
     """Router that sends requests to proxies, with retries, hedges and waits.
 
@@ -90,7 +82,10 @@
     random_source : random.Random
         Generator for load balancing, jitter and attempt ids.
     choose : ChooseProxy
-        Load-balancing policy among proxies that may all serve a request.
+        Load-balancing policy among proxies that may all serve a request, for
+        services to which `options` do not apply.
+    options : RouterOptions
+        Options for services whose upstreams have few slots.
     """
 
     def __init__(
@@ -104,8 +99,11 @@
         clock: Clock,
         random_source: random.Random,
         choose: ChooseProxy = choose_by_expected_wait,
+        options: RouterOptions = _DEFAULT_OPTIONS,
     ) -> None:
         self._clock = clock
+        self._fleet = fleet
+        self._options = options
         self._random = random_source
         self._choose = choose
         self._proxy_directory = ProxyDirectory(
@@ -122,7 +120,7 @@
             is_member=self._proxy_directory.is_member,
         )
         self._load_queries = LoadQueries(proxy=proxy, peers=peers, clock=clock)
-        self._services: dict[ServiceName, _ServiceState] = {}
+        self._services: dict[ServiceName, ServiceState] = {}
 
     async def route(self, request: Request) -> AnswerResult:
         """Route a request and return the whole answer or a refusal.
@@ -151,13 +149,16 @@
                 not_run(RefusalReason.BAD_REQUEST, 'the service requires a key')
             )
         service_state = self._services.setdefault(
-            request.service, _ServiceState()
+            request.service, ServiceState(self._options.retries)
         )
-        service_state.retry_budget.refill(policy.retry_ratio)
         service_state.hedge_budget.refill(policy.hedge_ratio)
         result = await self._route_with_retries(
             _RouteState(
-                request, policy, service_state, now_s=self._clock.now_s()
+                request,
+                policy,
+                service_state,
+                self._make_rules(request, policy, service_state),
+                now_s=self._clock.now_s(),
             )
         )
         refusal = refusal_of(result)
@@ -166,6 +167,28 @@
         left_s = self._clock.remaining_s(request.deadline_s)
         return refuse(with_retry_hint(refusal, left_s, self._random))
 
+    def _make_rules(
+        self,
+        request: Request,
+        policy: ServicePolicy,
+        service_state: ServiceState,
+    ) -> RouteRules:
+        """Return the rules for a request and refill its retry budget."""
+        max_slots = self._proxy_directory.max_slots(request.service)
+        has_few_slots = 0 < max_slots <= self._options.few_slots
+        retry_budget = service_state.refill_retries(
+            policy,
+            has_few_slots=has_few_slots,
+            member_count=len(self._fleet.members),
+        )
+        if not has_few_slots:
+            return RouteRules(self._choose, retry_budget, 0)
+        return RouteRules(
+            partial(choose_by_expected_wait, compares_success=True),
+            retry_budget,
+            self._options.max_refused_tries,
+        )
+
     async def _route_with_retries(self, route: '_RouteState') -> AnswerResult:
         pause_s = _MIN_RETRY_PAUSE_S
         request = route.request
@@ -179,7 +202,12 @@
                 is_uncertain = True
                 route.request = as_resent(route.request)
             route.upstream_sends += has_reached_upstream(refusal)
-            final = refuse(merge_outcome(refusal, is_uncertain=is_uncertain))
+            final = refuse(
+                merge_outcome(
+                    route.record_refusal(refusal, self._clock.now_s()),
+                    is_uncertain=is_uncertain,
+                )
+            )
             if self._clock.now_s() + pause_s >= route.request.deadline_s:
                 return final
             step = choose_next_step(
@@ -187,7 +215,7 @@
                 is_repeatable=route.request.is_repeatable,
                 is_owned=route.shard is not None,
             )
-            if step is NextStep.STOP or route.has_used_all_sends:
+            if step is NextStep.STOP or route.has_used_all_tries:
                 return final
             if step is NextStep.ELSEWHERE and not self._has_untried_proxy(
                 route
@@ -210,7 +238,7 @@
             )
             if (
                 step is NextStep.RETRY
-                and not route.service_state.retry_budget.try_spend()
+                and not route.rules.retry_budget.try_spend(request.priority)
             ):
                 return final
             await asyncio.sleep(self._retry_pause_s(route, step, pause_s))
@@ -271,14 +299,14 @@
         sample = sample_proxies(candidates, self._random)
         known = self._find_known(sample)
         if known and self._random.random() >= _QUERY_SHARE:
-            return self._choose(known, self._clock.now_s(), self._random)
+            return route.rules.choose(known, self._clock.now_s(), self._random)
         await self._load_queries.refresh(sample)
         if not any(proxy.has_free_slot for proxy in sample):
             others = [proxy for proxy in candidates if proxy not in sample]
             more = sample_proxies(others, self._random)
             await self._load_queries.refresh(more)
             sample.extend(more)
-        return self._choose(sample, self._clock.now_s(), self._random)
+        return route.rules.choose(sample, self._clock.now_s(), self._random)
 
     def _find_known(self, sample: list[ProxyStats]) -> list[ProxyStats]:
         """Return the proxies of known load if no query is needed, else none.
@@ -313,7 +341,7 @@
         if not candidates:
             return None
         sample = sample_proxies(candidates, self._random)
-        return self._choose(sample, self._clock.now_s(), self._random)
+        return route.rules.choose(sample, self._clock.now_s(), self._random)
 
     def _has_untried_proxy(self, route: '_RouteState') -> bool:
         """Return whether a proxy that was not tried yet may answer."""
@@ -370,6 +398,8 @@
         Shard whose owner must serve the request; None when any proxy may.
     tried_proxies : list of ProxyStats
         Proxies that got an attempt.
+    refused_tries : RefusedTries
+        Refusals by proxies without capacity.
     upstream_sends : int
         Attempts that may have reached an upstream.
     wait_until_s : float
@@ -378,7 +408,9 @@
 
     __slots__ = (
         'policy',
+        'refused_tries',
         'request',
+        'rules',
         'upstream_sends',
         'shard',
         'service_state',
@@ -390,13 +422,16 @@
         self,
         request: Request,
         policy: ServicePolicy,
-        service_state: _ServiceState,
+        service_state: ServiceState,
+        rules: RouteRules,
         *,
         now_s: float,
     ) -> None:
         self.request = request
         self.policy = policy
         self.service_state = service_state
+        self.rules = rules
+        self.refused_tries = RefusedTries(rules.max_refused_tries)
         self.tried_proxies: list[ProxyStats] = []
         self.shard: Shard | None = request_shard(request, policy)
         self.upstream_sends = 0
@@ -406,10 +441,20 @@
         self.wait_until_s = max(objective_at_s, now_s + TYPICAL_MOVE_S)
 
     @property
-    def has_used_all_sends(self) -> bool:
-        """Whether the request was sent to upstreams as often as allowed."""
+    def has_used_all_tries(self) -> bool:
+        """Whether no further send or try is allowed."""
         max_sends = self.request.max_sends
-        return 0 < max_sends <= self.upstream_sends
+        return (
+            0 < max_sends <= self.upstream_sends
+            or self.refused_tries.is_used_up
+        )
+
+    def record_refusal(self, refusal: Refusal, now_s: float) -> Refusal:
+        """Record a refusal and return the one to give the caller."""
+        if not self.tried_proxies:
+            return refusal
+        proxy = self.tried_proxies[-1].member.incarnation
+        return self.refused_tries.record(proxy, refusal, now_s)
 
 
 def _log_choice(request: Request, choice: ProxyChoice) -> None:
--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -215,6 +215,18 @@
             self.load_at_s + _MAX_LOAD_AGE_S
         )
 
+    def success_share(self, now_s: float) -> float | None:
+        """Return the share of successful sends, None when it is not known.
+
+        Parameters
+        ----------
+        now_s : float
+            Time now, in seconds.
+        """
+        if self.load is None or not self.has_recent_load(now_s):
+            return None
+        return self.load.success_share
+
     def expected_wait_s(
         self, now_s: float, *, typical_s: float | None = None
     ) -> float:
--- a/verbenadeck/router/tests/builders.py
+++ b/verbenadeck/router/tests/builders.py
@@ -2,12 +2,33 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from verbenadeck.model import AnswerResult, Request
+from returns.result import Failure, Result
+
+from verbenadeck.adapters import (
+    UpstreamError,
+    UpstreamFailure,
+    UpstreamRequest,
+)
+from verbenadeck.model import Answer, AnswerResult, Request
+from verbenadeck.proxy import LimitOptions, fixed_limit
 from verbenadeck.proxy.tests.builders import Node, ProxyFleet, make_request
-from verbenadeck.proxy.tests.fakes import FakeUpstream
-from verbenadeck.router import ChooseProxy, ProxyRouter, choose_by_expected_wait
+from verbenadeck.proxy.tests.fakes import (
+    KEYED,
+    SERVICE,
+    FakeUpstream,
+    make_config,
+    make_policy,
+)
+from verbenadeck.router import (
+    ChooseProxy,
+    ProxyRouter,
+    RouterOptions,
+    choose_by_expected_wait,
+)
+
+_DEFAULT_OPTIONS = RouterOptions()
 
 
 def make_router(
@@ -15,6 +36,7 @@
     node: Node,
     *,
     choose: ChooseProxy = choose_by_expected_wait,
+    options: RouterOptions = _DEFAULT_OPTIONS,
 ) -> ProxyRouter:
     return ProxyRouter(
         node_id=node.node_id,
@@ -25,9 +47,79 @@
         clock=proxy_fleet.clock,
         random_source=node.random,
         choose=choose,
+        options=options,
     )
 
 
+class FaultyUpstream(FakeUpstream):
+    """Upstream with 3 slots that refuses or loses a random share of the requests.
+
+    Attributes
+    ----------
+    refused_share : float
+        Share of the requests that it refuses at once, with good health.
+    lost_share : float
+        Share of the requests whose connection breaks after they ran.
+    sends : int
+        Number of requests that it received.
+    """
+
+    def __init__(self, *, service_time_s: float, seed: int) -> None:
+        super().__init__(slots=3, service_time_s=service_time_s, seed=seed)
+        self.refused_share = 0.0
+        self.lost_share = 0.0
+        self.sends = 0
+
+    async def send(
+        self, upstream_request: UpstreamRequest
+    ) -> Result[Answer, UpstreamError]:
+        self.sends += 1
+        if self.random.random() < self.refused_share:
+            return Failure(UpstreamError(UpstreamFailure.SHED, 'refused'))
+        result = await super().send(upstream_request)
+        if self.random.random() < self.lost_share:
+            return Failure(UpstreamError(UpstreamFailure.BROKEN, 'lost'))
+        return result
+
+
+async def few_slots_fleet(
+    zones: Sequence[str],
+    options: RouterOptions,
+    *,
+    entries: int = 24,
+    service_time_s: float = 0.1,
+) -> tuple[list[FaultyUpstream], list[ProxyRouter]]:
+    """Make upstreams with 3 slots in the given zones, and entries elsewhere.
+
+    The entries are beside another service, evenly in the zones.
+    """
+    proxy_fleet = ProxyFleet()
+    proxy_fleet.fleet.config = make_config(
+        services={
+            SERVICE: make_policy(
+                hedge_ratio=0, has_ledger_shards=False, has_ledger_copies=False
+            )
+        }
+    )
+    upstreams = [
+        FaultyUpstream(service_time_s=service_time_s, seed=number)
+        for number in range(len(zones))
+    ]
+    limits = LimitOptions(algorithm=fixed_limit, min_share=0.8)
+    for upstream, zone in zip(upstreams, zones, strict=True):
+        await proxy_fleet.add(upstream, zone=zone, limits=limits)
+    names = sorted(set(zones))
+    nodes = [
+        await proxy_fleet.add(
+            FakeUpstream(service=KEYED), zone=names[number % len(names)]
+        )
+        for number in range(entries)
+    ]
+    return upstreams, [
+        make_router(proxy_fleet, node, options=options) for node in nodes
+    ]
+
+
 async def three_zones(
     make: Callable[[], FakeUpstream] = FakeUpstream,
 ) -> tuple[ProxyFleet, list[ProxyRouter]]:
