Let requests leave a zone as far as it is short of capacity

Services without keys preferred their own zone by a fixed factor of 0.8. With short requests this sent half of them to other zones when all were short, and a large body left as readily as a small one.

For services with few slots, another zone now costs the extra round trip, measured from load replies, and a price of the bytes. A request leaves when that is still cheaper by a fifth. The share that may leave follows the shortage of the own zone less that of the others, in steps of 0.1 each 0.25 s.

--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -35,6 +35,11 @@
 apply. One slow or failed request then changes its capacity by a fifth or more,
 so that means over all requests and counts of requests mislead."""
 
+ZONE_COST_S_PER_MB = 1.0
+"""Waiting time in seconds that a megabyte between zones is worth, since the
+platform charges for it. A small answer of 2 KB counts as 2 ms, and an upload of
+60 KB as 60 ms, a fifth of its service time."""
+
 RETRY_BOUND_SHARE = 0.8
 """Share of the platform's bounds of retries that the nodes use. The rest is
 for sends that they cannot count, such as those of a node that was lost."""
@@ -121,4 +126,8 @@
         retries = RetryOptions(
             ratio=RETRY_BOUND_SHARE * ratio, burst=RETRY_BOUND_SHARE * slack
         )
-    return RouterOptions(few_slots=FEW_SLOTS, retries=retries)
+    return RouterOptions(
+        few_slots=FEW_SLOTS,
+        retries=retries,
+        zone_cost_s_per_mb=ZONE_COST_S_PER_MB,
+    )
--- a/verbenadeck/router/_choice.py
+++ b/verbenadeck/router/_choice.py
@@ -48,8 +48,6 @@
     proxies: Sequence[ProxyStats],
     now_s: float,
     source: random.Random,
-    *,
-    compares_success: bool = False,
 ) -> ProxyChoice:
     """Choose the proxy with the lowest expected wait.
 
@@ -65,24 +63,18 @@
         Time now, in seconds.
     source : random.Random
         Decides which requests probe.
-    compares_success : bool
-        Whether a proxy counts as slower the fewer of its sends succeed,
-        compared with the best one.
 
     Returns
     -------
     ProxyChoice
         Chosen proxy with the reason.
     """
-    if source.random() < _PROBE_SHARE:
-        for proxy in proxies:
-            if _needs_probe(proxy, now_s):
-                return ProxyChoice(proxy, 'probe')
+    probe = choose_probe(proxies, now_s, source)
+    if probe is not None:
+        return probe
     best = proxies[0]
     best_s = math.inf
-    waits_s = expected_waits_s(
-        proxies, now_s, compares_success=compares_success
-    )
+    waits_s = expected_waits_s(proxies, now_s, compares_success=False)
     for proxy, wait_s in zip(proxies, waits_s, strict=True):
         if proxy.is_same_zone:
             wait_s *= _SAME_ZONE_FACTOR
@@ -94,6 +86,27 @@
     return ProxyChoice(best, 'lowest expected wait')
 
 
+def choose_probe(
+    proxies: Sequence[ProxyStats], now_s: float, source: random.Random
+) -> ProxyChoice | None:
+    """Choose a proxy that needs a probe, for a small share of the requests.
+
+    Parameters
+    ----------
+    proxies : sequence of ProxyStats
+        Candidates.
+    now_s : float
+        Time now, in seconds.
+    source : random.Random
+        Decides which requests probe.
+    """
+    if source.random() < _PROBE_SHARE:
+        for proxy in proxies:
+            if _needs_probe(proxy, now_s):
+                return ProxyChoice(proxy, 'probe')
+    return None
+
+
 def expected_waits_s(
     proxies: Sequence[ProxyStats], now_s: float, *, compares_success: bool
 ) -> list[float]:
@@ -106,7 +119,8 @@
     now_s : float
         Time now, in seconds.
     compares_success : bool
-        Whether the waits are divided by the shares of successful sends.
+        Whether a proxy counts as slower the fewer of its sends succeed,
+        compared with the best one.
     """
     typical_s = _typical_service_time_s(proxies, now_s)
     waits_s = [
@@ -153,7 +167,10 @@
 
 
 def sample_proxies(
-    proxies: Sequence[ProxyStats], source: random.Random
+    proxies: Sequence[ProxyStats],
+    source: random.Random,
+    *,
+    remote_count: int = _REMOTE_SAMPLE_SIZE,
 ) -> list[ProxyStats]:
     """Return a few random proxies, most of them in the same zone.
 
@@ -163,6 +180,9 @@
         Proxies that may serve a request.
     source : random.Random
         Generator that draws the sample.
+    remote_count : int
+        Number of proxies of other zones in the sample, if there are enough
+        in this zone for the rest.
 
     Returns
     -------
@@ -173,7 +193,7 @@
         return list(proxies)
     near = [proxy for proxy in proxies if proxy.is_same_zone]
     far = [proxy for proxy in proxies if not proxy.is_same_zone]
-    far_count = max(_REMOTE_SAMPLE_SIZE, SAMPLE_SIZE - len(near))
+    far_count = max(remote_count, SAMPLE_SIZE - len(near))
     chosen = source.sample(far, min(len(far), far_count))
     left_count = SAMPLE_SIZE - len(chosen)
     chosen += source.sample(near, min(len(near), left_count))
--- a/verbenadeck/router/_load_queries.py
+++ b/verbenadeck/router/_load_queries.py
@@ -4,9 +4,11 @@
 import itertools
 from collections.abc import Iterable
 
+from verbenadeck.model import Zone
 from verbenadeck.peers import PeerAddress, PeerTransport
 from verbenadeck.proxy import LoadQuery, LoadReply, Proxy
 from verbenadeck.router._stats import ProxyStats
+from verbenadeck.router._zones import RoundTrips
 from verbenadeck.utils import Clock
 
 MAX_LOAD_AGE_S = 0.05
@@ -25,21 +27,23 @@
         Set once enough replies have arrived.
     """
 
-    def __init__(self, proxies: Iterable[ProxyStats]) -> None:
+    def __init__(self, proxies: Iterable[ProxyStats], sent_at_s: float) -> None:
+        self.sent_at_s = sent_at_s
         self.waiting = {proxy.member.address: proxy for proxy in proxies}
         self.answered = asyncio.Event()
 
     def settle(
         self, address: PeerAddress, reply: LoadReply, now_s: float
-    ) -> None:
-        """Record the reply of a proxy."""
+    ) -> Zone | None:
+        """Record the reply of a proxy and return its zone if it was asked."""
         proxy = self.waiting.pop(address, None)
         if proxy is None:
-            return
+            return None
         proxy.record_load(reply.load, now_s)
         is_good = proxy.is_same_zone and proxy.has_free_slot
         if is_good or not self.waiting:
             self.answered.set()
+        return proxy.member.zone
 
 
 class LoadQueries:
@@ -57,14 +61,22 @@
         Transport to the other proxies.
     clock : Clock
         Clock of this VM.
+    round_trips : RoundTrips
+        Round-trip times to other zones, which replies update.
     """
 
     def __init__(
-        self, *, proxy: Proxy, peers: PeerTransport, clock: Clock
+        self,
+        *,
+        proxy: Proxy,
+        peers: PeerTransport,
+        clock: Clock,
+        round_trips: RoundTrips,
     ) -> None:
         self._proxy = proxy
         self._peers = peers
         self._clock = clock
+        self._round_trips = round_trips
         self._numbers = itertools.count(1)
         self._queries: dict[int, _Query] = {}
         peers.register_handler(LoadReply, self._on_reply)
@@ -93,7 +105,7 @@
 
     async def _ask(self, proxies: list[ProxyStats]) -> None:
         number = next(self._numbers)
-        query = _Query(proxies)
+        query = _Query(proxies, self._clock.now_s())
         self._queries[number] = query
         for proxy in proxies:
             self._peers.send_datagram(proxy.member.address, LoadQuery(number))
@@ -113,5 +125,9 @@
 
     async def _on_reply(self, peer: PeerAddress, reply: LoadReply) -> None:
         query = self._queries.get(reply.number)
-        if query is not None:
-            query.settle(peer, reply, self._clock.now_s())
+        if query is None:
+            return
+        now_s = self._clock.now_s()
+        zone = query.settle(peer, reply, now_s)
+        if zone is not None:
+            self._round_trips.record(zone, now_s - query.sent_at_s)
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -4,6 +4,8 @@
 import random
 from functools import partial
 
+from returns.result import Success
+
 from verbenadeck.fleet import FleetView, request_shard
 from verbenadeck.logs import make_decision_logger
 from verbenadeck.model import (
@@ -48,6 +50,11 @@
 from verbenadeck.router._refused_tries import RefusedTries
 from verbenadeck.router._service_state import RouteRules, ServiceState
 from verbenadeck.router._stats import ProxyStats
+from verbenadeck.router._zones import (
+    RoundTrips,
+    choose_by_cost,
+    transfer_cost_s,
+)
 from verbenadeck.utils import Clock
 
 _log_decision = make_decision_logger('router')
@@ -119,7 +126,13 @@
             random_source=random_source,
             is_member=self._proxy_directory.is_member,
         )
-        self._load_queries = LoadQueries(proxy=proxy, peers=peers, clock=clock)
+        self._round_trips = RoundTrips(zone)
+        self._load_queries = LoadQueries(
+            proxy=proxy,
+            peers=peers,
+            clock=clock,
+            round_trips=self._round_trips,
+        )
         self._services: dict[ServiceName, ServiceState] = {}
 
     async def route(self, request: Request) -> AnswerResult:
@@ -149,7 +162,8 @@
                 not_run(RefusalReason.BAD_REQUEST, 'the service requires a key')
             )
         service_state = self._services.setdefault(
-            request.service, ServiceState(self._options.retries)
+            request.service,
+            ServiceState(request.service, self._options.retries),
         )
         service_state.hedge_budget.refill(policy.hedge_ratio)
         result = await self._route_with_retries(
@@ -161,6 +175,9 @@
                 now_s=self._clock.now_s(),
             )
         )
+        if isinstance(result, Success):
+            size_bytes = len(result.unwrap().body)
+            service_state.zones.record_answer(request.kind, size_bytes)
         refusal = refusal_of(result)
         if refusal is None or refusal.outcome is Outcome.UNKNOWN:
             return result
@@ -182,11 +199,27 @@
             member_count=len(self._fleet.members),
         )
         if not has_few_slots:
-            return RouteRules(self._choose, retry_budget, 0)
+            return RouteRules(self._choose, retry_budget)
+        zones = service_state.zones
+        if not policy.is_keyed:
+            zones.add_request(
+                self._proxy_directory.available_proxies(request.service),
+                self._clock.now_s(),
+            )
+        choose = partial(
+            choose_by_cost,
+            remote_cost_s=lambda zone: transfer_cost_s(
+                zones.transfer_bytes(request),
+                extra_s=self._round_trips.extra_s(zone),
+                cost_s_per_mb=self._options.zone_cost_s_per_mb,
+            ),
+            try_leave=zones.try_leave,
+        )
         return RouteRules(
-            partial(choose_by_expected_wait, compares_success=True),
+            choose,
             retry_budget,
             self._options.max_refused_tries,
+            zones.remote_sample_size,
         )
 
     async def _route_with_retries(self, route: '_RouteState') -> AnswerResult:
@@ -296,14 +329,14 @@
         candidates = self._find_candidates(route, ())
         if not candidates:
             return None
-        sample = sample_proxies(candidates, self._random)
+        sample = route.sample(candidates, self._random)
         known = self._find_known(sample)
         if known and self._random.random() >= _QUERY_SHARE:
             return route.rules.choose(known, self._clock.now_s(), self._random)
         await self._load_queries.refresh(sample)
         if not any(proxy.has_free_slot for proxy in sample):
             others = [proxy for proxy in candidates if proxy not in sample]
-            more = sample_proxies(others, self._random)
+            more = route.sample(others, self._random)
             await self._load_queries.refresh(more)
             sample.extend(more)
         return route.rules.choose(sample, self._clock.now_s(), self._random)
@@ -340,7 +373,7 @@
         candidates = self._find_candidates(route, (first,))
         if not candidates:
             return None
-        sample = sample_proxies(candidates, self._random)
+        sample = route.sample(candidates, self._random)
         return route.rules.choose(sample, self._clock.now_s(), self._random)
 
     def _has_untried_proxy(self, route: '_RouteState') -> bool:
@@ -449,6 +482,13 @@
             or self.refused_tries.is_used_up
         )
 
+    def sample(
+        self, proxies: list[ProxyStats], source: random.Random
+    ) -> list[ProxyStats]:
+        """Return a few random proxies, most of them in the same zone."""
+        remote_count = self.rules.remote_sample_size
+        return sample_proxies(proxies, source, remote_count=remote_count)
+
     def record_refusal(self, refusal: Refusal, now_s: float) -> Refusal:
         """Record a refusal and return the one to give the caller."""
         if not self.tried_proxies:
--- a/verbenadeck/router/_service_state.py
+++ b/verbenadeck/router/_service_state.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from verbenadeck.model import ServicePolicy
+from verbenadeck.model import ServiceName, ServicePolicy
 from verbenadeck.router._budget import (
     MIN_BURST,
     TokenBudget,
@@ -11,6 +11,7 @@
 from verbenadeck.router._choice import ChooseProxy
 from verbenadeck.router._options import RetryOptions
 from verbenadeck.router._quantile import LatencyQuantile
+from verbenadeck.router._zones import ZoneBalance
 
 _RESERVED_SHARE = 0.5
 """Share of the retries of a service with few slots that is reserved for
@@ -29,18 +30,23 @@
     max_refused_tries : int
         Number of proxies without capacity after which it is refused; 0 sets
         no limit.
+    remote_sample_size : int
+        Number of proxies of other zones among the candidates.
     """
 
     choose: ChooseProxy
     retry_budget: TokenBudget
-    max_refused_tries: int
+    max_refused_tries: int = 0
+    remote_sample_size: int = 1
 
 
 class ServiceState:
-    """Retry budgets, hedge budget and latency estimate of one service.
+    """Budgets, latency estimate and use of other zones of one service.
 
     Parameters
     ----------
+    service : ServiceName
+        Service.
     retries : RetryOptions or None
         Retries while the service has few slots.
     """
@@ -51,14 +57,18 @@
         '_retry_budget',
         'hedge_budget',
         'latency',
+        'zones',
     )
 
-    def __init__(self, retries: RetryOptions | None) -> None:
+    def __init__(
+        self, service: ServiceName, retries: RetryOptions | None
+    ) -> None:
         self._retries = retries
         self._retry_budget = TokenBudget()
         self._few_slots_budget = _make_few_slots_budget(retries)
         self.hedge_budget = TokenBudget()
         self.latency = LatencyQuantile()
+        self.zones = ZoneBalance(service)
 
     def refill_retries(
         self, policy: ServicePolicy, *, has_few_slots: bool, member_count: int
--- a/verbenadeck/router/tests/builders.py
+++ b/verbenadeck/router/tests/builders.py
@@ -29,6 +29,8 @@
 )
 
 _DEFAULT_OPTIONS = RouterOptions()
+_IN_ZONE_S = 0.0005
+_BETWEEN_ZONES_S = 0.005
 
 
 def make_router(
@@ -91,7 +93,8 @@
 ) -> tuple[list[FaultyUpstream], list[ProxyRouter]]:
     """Make upstreams with 3 slots in the given zones, and entries elsewhere.
 
-    The entries are beside another service, evenly in the zones.
+    The entries are beside another service, evenly in the zones in order of
+    their names. A message takes longer between zones than within one.
     """
     proxy_fleet = ProxyFleet()
     proxy_fleet.fleet.config = make_config(
@@ -115,6 +118,12 @@
         )
         for number in range(entries)
     ]
+    zone_by_address = {node.address: node.zone for node in proxy_fleet.nodes}
+    proxy_fleet.network.delay_s = lambda source, target: (
+        _IN_ZONE_S
+        if zone_by_address[source] == zone_by_address[target]
+        else _BETWEEN_ZONES_S
+    )
     return upstreams, [
         make_router(proxy_fleet, node, options=options) for node in nodes
     ]
