--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -29,12 +29,8 @@
 from verbenadeck.node._late_bound_ownership import LateBoundOwnership
 from verbenadeck.peers import PeerTransport
 from verbenadeck.placement import LoadReporter, LoadTable, Planner
-from verbenadeck.proxy import (
-    LimitOptions,
-    QueueOptions,
-    UpstreamProxy,
-)
-from verbenadeck.router import ProxyRouter
+from verbenadeck.proxy import LimitOptions, QueueOptions, UpstreamProxy
+from verbenadeck.router import ProxyRouter, RouterOptions
 from verbenadeck.utils import Clock, always_true, ignore_name
 
 MESSAGE_TYPES = (
@@ -121,6 +117,8 @@
         other nodes; None for neither.
     count : callable
         Adds one to the counter with the given name.
+    router : RouterOptions
+        Options of the router.
     """
 
     timing: LeaseTiming | None = None
@@ -133,6 +131,7 @@
     queue: QueueOptions = QueueOptions()
     link_bytes_per_s: float | None = None
     count: Callable[[str], None] = ignore_name
+    router: RouterOptions = RouterOptions()
 
 
 _DEFAULT_CORE_OPTIONS = CoreOptions()
@@ -347,4 +346,5 @@
         clock=dependencies.clock,
         random_source=dependencies.random_source,
         reserves_transfers=options.link_bytes_per_s is not None,
+        options=options.router,
     )
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -276,6 +276,7 @@
             if link_bytes_per_s is None
             else link_bytes_per_s * _options.LINK_SHARE_FOR_BODIES,
             count=self._metrics.count,
+            router=_options.make_router_options(self._settings),
         )
 
     def _can_join(self) -> bool:
--- a/verbenadeck/platform/_settings.py
+++ b/verbenadeck/platform/_settings.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.model import NodeId, Region, ServiceName, Zone
-from verbenadeck.platform._fields import read_int, read_name
+from verbenadeck.platform._fields import read_int, read_name, read_number
 from verbenadeck.platform._units import (
     DECODE_ERRORS,
     MAX_PORT,
@@ -62,6 +62,9 @@
         Time in seconds from SIGTERM to SIGKILL.
     link_bytes_per_s : float or None
         Rate of the link of the VM, in bytes per second; None for no bound.
+    retry_budget_ratio, retry_budget_slack : float or None
+        Retries that the platform allows all nodes: per request of a service,
+        and in addition; None when the file states no limit.
     """
 
     node_id: NodeId
@@ -79,6 +82,8 @@
     drain_timeout_s: float
     stop_timeout_s: float
     link_bytes_per_s: float | None = None
+    retry_budget_ratio: float | None = None
+    retry_budget_slack: float | None = None
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -127,6 +132,8 @@
         drain_timeout_s=_read_positive_s(bounds['drain']),
         stop_timeout_s=_read_positive_s(bounds['grace']),
         link_bytes_per_s=_read_link_bytes_per_s(fields.get('limits')),
+        retry_budget_ratio=_read_bound(bounds, 'retryBudgetRatio'),
+        retry_budget_slack=_read_bound(bounds, 'retryBudgetSlack'),
     )
 
 
@@ -138,6 +145,16 @@
     return name
 
 
+def _read_bound(bounds: dict[str, object], name: str) -> float | None:
+    """Return a bound that is a number, or None if it is missing."""
+    if name not in bounds:
+        return None
+    try:
+        return read_number(bounds[name])
+    except (ArithmeticError, TypeError, ValueError) as error:
+        raise ValueError(f'bounds.{name}: {error}') from error
+
+
 def _read_positive_s(text: object) -> float:
     time_s = read_time_s(text)
     if time_s <= 0:
--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -4,12 +4,15 @@
 import random
 from functools import partial
 
+from returns.result import Success
+
 from verbenadeck.fleet import FleetView, request_shard
 from verbenadeck.logs import make_decision_logger
 from verbenadeck.model import (
     AnswerResult,
     NodeId,
     Outcome,
+    Refusal,
     RefusalReason,
     Request,
     ServiceName,
@@ -26,7 +29,6 @@
     refuse,
 )
 from verbenadeck.router._attempt_sender import AttemptSender, as_resent
-from verbenadeck.router._budget import TokenBudget
 from verbenadeck.router._choice import (
     ChooseProxy,
     ProxyChoice,
@@ -35,6 +37,7 @@
 )
 from verbenadeck.router._hedges import SendAttempt, send_hedged
 from verbenadeck.router._load_queries import LoadQueries
+from verbenadeck.router._options import RouterOptions
 from verbenadeck.router._outcomes import (
     TYPICAL_MOVE_S,
     NextStep,
@@ -44,9 +47,15 @@
     with_retry_hint,
 )
 from verbenadeck.router._proxy_directory import ProxyDirectory
-from verbenadeck.router._quantile import LatencyQuantile
+from verbenadeck.router._refused_tries import RefusedTries
+from verbenadeck.router._service_state import RouteRules, ServiceState
 from verbenadeck.router._stats import ProxyStats
 from verbenadeck.router._transfers import BodyTransfers
+from verbenadeck.router._zones import (
+    RoundTrips,
+    choose_by_cost,
+    transfer_cost_s,
+)
 from verbenadeck.utils import Clock
 
 _log_decision = make_decision_logger('router')
@@ -57,20 +66,10 @@
 """Share of the requests that ask for loads although that is not needed, so
 that proxies which are not chosen stay known."""
 
+_DEFAULT_OPTIONS = RouterOptions()
 _HEDGED_METHODS = frozenset(('GET', 'HEAD'))
 
 
-class _ServiceState:
-    """Retry budget, hedge budget and latency estimate of one service."""
-
-    __slots__ = ('hedge_budget', 'latency', 'retry_budget')
-
-    def __init__(self) -> None:
-        self.retry_budget = TokenBudget()
-        self.hedge_budget = TokenBudget()
-        self.latency = LatencyQuantile()
-
-
 class ProxyRouter:
     """Router that sends requests to proxies, with retries, hedges and waits.
 
@@ -91,7 +90,10 @@
     random_source : random.Random
         Generator for load balancing, jitter and attempt ids.
     choose : ChooseProxy
-        Load-balancing policy among proxies that may all serve a request.
+        Load-balancing policy among proxies that may all serve a request, for
+        services to which `options` do not apply.
+    options : RouterOptions
+        Options for services whose upstreams have few slots.
     reserves_transfers : bool
         Whether transfers of large bodies to other nodes are reserved.
     """
@@ -108,8 +110,11 @@
         random_source: random.Random,
         choose: ChooseProxy = choose_by_expected_wait,
         reserves_transfers: bool = False,
+        options: RouterOptions = _DEFAULT_OPTIONS,
     ) -> None:
         self._clock = clock
+        self._fleet = fleet
+        self._options = options
         self._random = random_source
         self._choose = choose
         self._proxy_directory = ProxyDirectory(
@@ -126,8 +131,14 @@
             is_member=self._proxy_directory.is_member,
             reserves_transfers=reserves_transfers,
         )
-        self._load_queries = LoadQueries(proxy=proxy, peers=peers, clock=clock)
-        self._services: dict[ServiceName, _ServiceState] = {}
+        self._round_trips = RoundTrips(zone)
+        self._load_queries = LoadQueries(
+            proxy=proxy,
+            peers=peers,
+            clock=clock,
+            round_trips=self._round_trips,
+        )
+        self._services: dict[ServiceName, ServiceState] = {}
 
     async def route(self, request: Request) -> AnswerResult:
         """Route a request and return the whole answer or a refusal.
@@ -156,21 +167,66 @@
                 not_run(RefusalReason.BAD_REQUEST, 'the service requires a key')
             )
         service_state = self._services.setdefault(
-            request.service, _ServiceState()
+            request.service,
+            ServiceState(request.service, self._options.retries),
         )
-        service_state.retry_budget.refill(policy.retry_ratio)
         service_state.hedge_budget.refill(policy.hedge_ratio)
         result = await self._route_with_retries(
             _RouteState(
-                request, policy, service_state, now_s=self._clock.now_s()
+                request,
+                policy,
+                service_state,
+                self._make_rules(request, policy, service_state),
+                now_s=self._clock.now_s(),
             )
         )
+        if isinstance(result, Success):
+            size_bytes = len(result.unwrap().body)
+            service_state.zones.record_answer(request.kind, size_bytes)
         refusal = refusal_of(result)
         if refusal is None or refusal.outcome is Outcome.UNKNOWN:
             return result
         left_s = self._clock.remaining_s(request.deadline_s)
         return refuse(with_retry_hint(refusal, left_s, self._random))
 
+    def _make_rules(
+        self,
+        request: Request,
+        policy: ServicePolicy,
+        service_state: ServiceState,
+    ) -> RouteRules:
+        """Return the rules for a request and refill its retry budget."""
+        max_slots = self._proxy_directory.max_slots(request.service)
+        has_few_slots = 0 < max_slots <= self._options.few_slots
+        retry_budget = service_state.refill_retries(
+            policy,
+            has_few_slots=has_few_slots,
+            member_count=len(self._fleet.members),
+        )
+        if not has_few_slots:
+            return RouteRules(self._choose, retry_budget)
+        zones = service_state.zones
+        if not policy.is_keyed:
+            zones.add_request(
+                self._proxy_directory.available_proxies(request.service),
+                self._clock.now_s(),
+            )
+        choose = partial(
+            choose_by_cost,
+            remote_cost_s=lambda zone: transfer_cost_s(
+                zones.transfer_bytes(request),
+                extra_s=self._round_trips.extra_s(zone),
+                cost_s_per_mb=self._options.zone_cost_s_per_mb,
+            ),
+            try_leave=zones.try_leave,
+        )
+        return RouteRules(
+            choose,
+            retry_budget,
+            self._options.max_refused_tries,
+            zones.remote_sample_size,
+        )
+
     async def _route_with_retries(self, route: '_RouteState') -> AnswerResult:
         pause_s = _MIN_RETRY_PAUSE_S
         request = route.request
@@ -184,7 +240,12 @@
                 is_uncertain = True
                 route.request = as_resent(route.request)
             route.upstream_sends += has_reached_upstream(refusal)
-            final = refuse(merge_outcome(refusal, is_uncertain=is_uncertain))
+            final = refuse(
+                merge_outcome(
+                    route.record_refusal(refusal, self._clock.now_s()),
+                    is_uncertain=is_uncertain,
+                )
+            )
             if self._clock.now_s() + pause_s >= route.request.deadline_s:
                 return final
             step = choose_next_step(
@@ -192,7 +253,7 @@
                 is_repeatable=route.request.is_repeatable,
                 is_owned=route.shard is not None,
             )
-            if step is NextStep.STOP or route.has_used_all_sends:
+            if step is NextStep.STOP or route.has_used_all_tries:
                 return final
             if step is NextStep.ELSEWHERE and not self._has_untried_proxy(
                 route
@@ -215,7 +276,7 @@
             )
             if (
                 step is NextStep.RETRY
-                and not route.service_state.retry_budget.try_spend()
+                and not route.rules.retry_budget.try_spend(request.priority)
             ):
                 return final
             await asyncio.sleep(self._retry_pause_s(route, step, pause_s))
@@ -276,17 +337,17 @@
         candidates = self._find_candidates(route, ())
         if not candidates:
             return None
-        sample = sample_proxies(candidates, self._random)
+        sample = route.sample(candidates, self._random)
         known = self._find_known(sample)
         if known and self._random.random() >= _QUERY_SHARE:
-            return self._choose(known, self._clock.now_s(), self._random)
+            return route.rules.choose(known, self._clock.now_s(), self._random)
         await self._load_queries.refresh(sample)
         if not any(proxy.has_free_slot for proxy in sample):
             others = [proxy for proxy in candidates if proxy not in sample]
-            more = sample_proxies(others, self._random)
+            more = route.sample(others, self._random)
             await self._load_queries.refresh(more)
             sample.extend(more)
-        return self._choose(sample, self._clock.now_s(), self._random)
+        return route.rules.choose(sample, self._clock.now_s(), self._random)
 
     def _find_known(self, sample: list[ProxyStats]) -> list[ProxyStats]:
         """Return the proxies of known load if no query is needed, else none.
@@ -320,8 +381,8 @@
         candidates = self._find_candidates(route, (first,))
         if not candidates:
             return None
-        sample = sample_proxies(candidates, self._random)
-        return self._choose(sample, self._clock.now_s(), self._random)
+        sample = route.sample(candidates, self._random)
+        return route.rules.choose(sample, self._clock.now_s(), self._random)
 
     def _has_untried_proxy(self, route: '_RouteState') -> bool:
         """Return whether a proxy that was not tried yet may answer."""
@@ -383,6 +444,8 @@
         Shard whose owner must serve the request; None when any proxy may.
     tried_proxies : list of ProxyStats
         Proxies that got an attempt.
+    refused_tries : RefusedTries
+        Refusals by proxies without capacity.
     upstream_sends : int
         Attempts that may have reached an upstream.
     transfers : BodyTransfers
@@ -393,7 +456,9 @@
 
     __slots__ = (
         'policy',
+        'refused_tries',
         'request',
+        'rules',
         'upstream_sends',
         'shard',
         'service_state',
@@ -406,13 +471,16 @@
         self,
         request: Request,
         policy: ServicePolicy,
-        service_state: _ServiceState,
+        service_state: ServiceState,
+        rules: RouteRules,
         *,
         now_s: float,
     ) -> None:
         self.request = request
         self.policy = policy
         self.service_state = service_state
+        self.rules = rules
+        self.refused_tries = RefusedTries(rules.max_refused_tries)
         self.tried_proxies: list[ProxyStats] = []
         self.shard: Shard | None = request_shard(request, policy)
         self.upstream_sends = 0
@@ -423,11 +491,28 @@
         self.wait_until_s = max(objective_at_s, now_s + TYPICAL_MOVE_S)
 
     @property
-    def has_used_all_sends(self) -> bool:
-        """Whether the request or its body was sent as often as allowed."""
+    def has_used_all_tries(self) -> bool:
+        """Whether no further send or try is allowed."""
         max_sends = self.request.max_sends
-        is_sent = 0 < max_sends <= self.upstream_sends
-        return is_sent or self.transfers.are_used_up
+        return (
+            0 < max_sends <= self.upstream_sends
+            or self.refused_tries.is_used_up
+            or self.transfers.are_used_up
+        )
+
+    def sample(
+        self, proxies: list[ProxyStats], source: random.Random
+    ) -> list[ProxyStats]:
+        """Return a few random proxies, most of them in the same zone."""
+        remote_count = self.rules.remote_sample_size
+        return sample_proxies(proxies, source, remote_count=remote_count)
+
+    def record_refusal(self, refusal: Refusal, now_s: float) -> Refusal:
+        """Record a refusal and return the one to give the caller."""
+        if not self.tried_proxies:
+            return refusal
+        proxy = self.tried_proxies[-1].member.incarnation
+        return self.refused_tries.record(proxy, refusal, now_s)
 
 
 def _log_choice(request: Request, choice: ProxyChoice) -> None:
--- a/verbenadeck/router/tests/test_invalid_statuses.py
+++ b/verbenadeck/router/tests/test_invalid_statuses.py
@@ -23,6 +23,7 @@
 from verbenadeck.proxy.tests.builders import ProxyFleet, make_request, verdict
 from verbenadeck.router._attempt_sender import AttemptSender
 from verbenadeck.router._stats import ProxyStats
+from verbenadeck.router._transfers import BodyTransfers
 from verbenadeck.utils import Clock
 
 _INVALID_STATUSES = (-200, -1, 0, 1, 99, 100, 101, 199, 600, 999, 2000, 2**40)
@@ -63,7 +64,9 @@
         member = msgspec.structs.replace(node.member(), address=owner.address)
         target = ProxyStats(member, is_local=False, is_same_zone=True)
         request = make_request(now_s=Clock().now_s(), method='POST')
-        return await sender.send(target, request, is_owner=True)
+        return await sender.send(
+            target, request, transfers=BodyTransfers(), is_owner=True
+        )
     finally:
         await owner.stop()
         await entry.stop()
