Test nodes in processes of their own with clients that exceed limits

Operators reported that clients which respect no limits ended a process by its memory. The tests start the node's own process with small crowds of such clients at the entry and the control address, and check that it lives, that its memory stays below 200 MB (the smallest VM) and its descriptors leave 200 free of 512 for files, and that an ordinary request is answered afterwards. Connections that send without end must be closed before they took 32 MB; a head that does not end, within 20 s at a header time-out of 0.5 s.

--- a/verbenadeck/platform/tests/node_process.py
+++ b/verbenadeck/platform/tests/node_process.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 import time
 from asyncio.subprocess import DEVNULL, Process
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -37,6 +39,9 @@
 _HEARTBEAT_S = 0.3
 _POLL_S = 0.02
 _START_TIMEOUT_S = 30.0
+_USUAL_LIMITS: Mapping[str, Any] = MappingProxyType(
+    {'maxBodyBytes': 100_000, 'idleTimeout': '15000ms'}
+)
 _NODE_VARIABLES = ('PATH', 'HOME', 'LANG')
 _Respond = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
@@ -71,6 +76,8 @@
     ----------
     peak_bytes : int
         Largest resident memory that was seen, in bytes.
+    peak_descriptors : int
+        Largest number of open descriptors that was seen.
     """
 
     def __init__(
@@ -78,6 +85,7 @@
     ) -> None:
         self.host = host
         self.peak_bytes = 0
+        self.peak_descriptors = 0
         self._process = process
         self._limit_bytes = limit_bytes
 
@@ -101,6 +109,9 @@
                 self.peak_bytes = max(
                     self.peak_bytes, watched.memory_info().rss
                 )
+                self.peak_descriptors = max(
+                    self.peak_descriptors, watched.num_fds()
+                )
                 if self.peak_bytes > self._limit_bytes:
                     self._send_signal(signal.SIGKILL)
                 await asyncio.sleep(_POLL_S)
@@ -131,6 +142,8 @@
     respond: _Respond,
     slots: int,
     limit_bytes: int,
+    limits: Mapping[str, Any] = _USUAL_LIMITS,
+    max_descriptors: int | None = None,
 ) -> AsyncIterator[NodeProcess]:
     """Yield a node that is ready, with an instance beside it.
 
@@ -144,15 +157,21 @@
         Requests that the instance runs at the same time.
     limit_bytes : int
         Resident memory above which the node is killed, in bytes.
+    limits : mapping
+        Published limits for callers, as in a configuration record.
+    max_descriptors : int or None
+        Limit of open descriptors of the node; None for that of the tests.
     """
     host = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 200}.1'
     store = StoreStandin()
-    await store.write(TOPIC, 'config', _make_config())
+    await store.write(TOPIC, 'config', _make_config(limits))
     store_app = await start_app(make_store_app(store), host=host)
     instance = await asyncio.start_server(respond, host, _INSTANCE_PORT)
     settings_path = folder / 'settings.json'
     settings_path.write_bytes(_make_settings(host, store_app.listening.port))
-    process = await _start_process(settings_path, folder / 'node.log')
+    process = await _start_process(
+        settings_path, folder / 'node.log', max_descriptors
+    )
     node = NodeProcess(process, host=host, limit_bytes=limit_bytes)
     tasks = (
         asyncio.create_task(node.watch_memory()),
@@ -169,7 +188,15 @@
         await store_app.runner.cleanup()
 
 
-async def _start_process(settings_path: Path, log_path: Path) -> Process:
+async def _start_process(
+    settings_path: Path, log_path: Path, max_descriptors: int | None
+) -> Process:
+    def lower_descriptor_limit() -> None:
+        if max_descriptors is not None:
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors)
+            )
+
     environment = {
         name: os.environ[name] for name in _NODE_VARIABLES if name in os.environ
     }
@@ -183,6 +210,7 @@
             stdin=DEVNULL,
             stdout=log,
             stderr=log,
+            preexec_fn=lower_descriptor_limit,
         )
 
 
@@ -208,7 +236,7 @@
             await asyncio.sleep(_HEARTBEAT_S)
 
 
-def _make_config() -> bytes:
+def _make_config(limits: Mapping[str, Any]) -> bytes:
     row = (
         'r1',
         CALLER_HOST,
@@ -223,7 +251,7 @@
     )
     return make_config(
         routes={'columns': _ROUTE_COLUMNS, 'rows': [row]},
-        limits={'maxBodyBytes': 100_000, 'idleTimeout': '15000ms'},
+        limits=dict(limits),
     )
 
 
