--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -198,28 +198,23 @@
                 # aiohttp queues an error in place of a request.
                 self._stop_reading()
                 return
-            self._group.mark_busy(self)
             self._body = body
             if body is EMPTY_PAYLOAD:
-                self._arrival.expect_head(_count_surplus(piece, new_requests))
+                self._expect_head(_count_surplus(piece, new_requests))
             else:
                 self._arrival.expect_body(body)
         else:
             self._arrival.add(len(piece))
         if self._arrival.body is not None and self._body.is_eof():
-            self._arrival.expect_head()
-        self._check_size()
-
-    def _check_size(self) -> None:
+            self._expect_head(0)
         excess = self._arrival.find_excess()
-        if excess is Excess.HEAD:
-            self._refuse_head()
-        elif excess is Excess.FRAMING:
-            self._group.reports.report(
-                'clients_refused_large_framing',
-                f'{self} sent too many bytes around a body',
-            )
-            self._stop_reading()
+        if excess is not None:
+            self._refuse(excess)
+
+    def _expect_head(self, received_bytes: int) -> None:
+        """Note that a request is complete and may run."""
+        self._group.mark_busy(self)
+        self._arrival.expect_head(received_bytes)
 
     def _update_state(self) -> None:
         """Update what the group knows, and the time that is left."""
@@ -281,9 +276,16 @@
             return
         super()._process_keepalive()
 
-    def _refuse_head(self) -> None:
-        """Answer in place of the head that is due, and read no more."""
+    def _refuse(self, excess: Excess) -> None:
+        """Refuse the request that is being received, and read no more."""
         self._stop_reading()
+        if excess is Excess.FRAMING:
+            self._group.reports.report(
+                'clients_refused_large_framing',
+                f'{self} sent too many bytes around a body',
+            )
+            return
+        # Answered in the order of the requests, as those of aiohttp.
         text = _STATUS_TEXTS[_HEAD_TOO_LARGE]
         error = _ErrInfo(
             _HEAD_TOO_LARGE, HttpProcessingError(message=text), text
--- a/verbenadeck/entry/_connection_group.py
+++ b/verbenadeck/entry/_connection_group.py
@@ -89,12 +89,21 @@
     def join(self, peer: BoundedPeer) -> None:
         """Add a new connection; close one if there are too many.
 
+        When all others have requests in progress, one ends whose caller does
+        not read its answer; without any, the new one.
+
         Parameters
         ----------
         peer : BoundedPeer
             The connection.
         """
         excess = self._open.add(peer)
+        if excess is peer:
+            unread = self._unread.take_largest(self._clock.now_s())
+            if unread is not None:
+                self._open.remove(unread)
+                self._open.add(peer)
+                excess = unread
         if excess is not None:
             self._close('clients_closed_connections', excess)
 
--- a/verbenadeck/entry/_open_connections.py
+++ b/verbenadeck/entry/_open_connections.py
@@ -10,7 +10,8 @@
     """Open connections by what they do, with a limit of their number.
 
     Above the limit a connection without a request in progress ends: first
-    the oldest one that never sent a request, then the one idle for longest.
+    the oldest one that never sent a whole request, then the one idle for
+    longest. A request whose body has not arrived does not run yet.
 
     Parameters
     ----------
--- a/verbenadeck/entry/_unread_answers.py
+++ b/verbenadeck/entry/_unread_answers.py
@@ -112,6 +112,26 @@
         if unread is not None:
             self._total_bytes -= unread.size_bytes
 
+    def take_largest(self, now_s: float) -> ConnectionT | None:
+        """Return and forget the connection that holds most without progress.
+
+        Parameters
+        ----------
+        now_s : float
+            Time in seconds.
+
+        Returns
+        -------
+        ConnectionT or None
+            None if all answers have been read.
+        """
+        self._measure_all(now_s)
+        if not self._total_bytes:
+            return None
+        largest = self._find_largest(now_s)
+        self.remove(largest)
+        return largest
+
     def take_stalled(self, now_s: float) -> list[ConnectionT]:
         """Return and forget the connections without progress for too long.
 
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -331,3 +331,33 @@
             assert await running.read_status() == 200
 
     asyncio.run(scenario())
+
+
+# Guards against callers that keep all others out by bodies without end.
+def test_connection_with_part_of_a_body_gives_way() -> None:
+    async def scenario() -> None:
+        async with _running(_Router(), max_connections=1) as run:
+            uploading = await run.connect()
+            await uploading.send(_CHUNKED, b'4\r\nwh')
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            assert await caller.read_status() == 200
+            assert await uploading.is_closed()
+
+    asyncio.run(scenario())
+
+
+# Guards against callers that keep all others out by answers they do not read.
+def test_connection_with_an_unread_answer_gives_way() -> None:
+    async def scenario() -> None:
+        router = _Router(_ANSWER_BODY)
+        async with _running(router, max_connections=1) as run:
+            slow = await run.connect(receive_buffer_bytes=4096)
+            await slow.send(_REQUEST)
+            await slow.reader.readexactly(1)
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            assert await caller.read_status() == 200
+            assert run.counters == {'clients_closed_connections': 1}
+
+    asyncio.run(scenario())
