Remove abandoned requests from the queue at once

The proxy resolved an abandoned request but kept it in the list of waiting requests until it came first. Under lasting overload it lengthened the reported queue and counted as ahead of late requests, which were then refused.

--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -184,6 +184,8 @@
             raise
         finally:
             timer.cancel()
+            # One that was abandoned has been resolved but not removed.
+            self._remove_waiter(waiter)
 
     def release(self, waiter: Waiter | None = None) -> None:
         """Release a slot and assign it to the next waiter.
@@ -284,9 +286,9 @@
 
     def _abandon(self, waiter: Waiter) -> None:
         future = waiter.future
-        if future is None or future.cancelled():
-            self._remove_waiter(waiter)
-        elif future.done() and future.result() is None:
+        if future is None or future.cancelled() or not future.done():
+            return
+        if future.result() is None:
             self.release(waiter)
 
     def _remove_waiter(self, waiter: Waiter) -> None:
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -232,6 +232,33 @@
     run_virtual(scenario())
 
 
+# Guards against abandoned requests that stay in the queue behind more urgent
+# ones: they lengthen the reported queue and count as ahead of late requests.
+def test_abandoned_request_leaves_the_queue_while_all_slots_are_in_use() -> (
+    None
+):
+    async def scenario() -> None:
+        fleet = ProxyFleet()
+        node = await fleet.add(
+            FakeUpstream(slots=1, service_time_s=0.1),
+            queue=QueueOptions(few_slots=5),
+        )
+        fleet.own_all(node)
+        kept = [make_deposit() for _ in range(2)]
+        tasks = [asyncio.create_task(admit(node, each)) for each in kept]
+        await asyncio.sleep(0.001)
+        abandoned = asyncio.create_task(admit(node, make_deposit()))
+        await asyncio.sleep(0.001)
+        assert node.proxy.load.queued == 2
+        abandoned.cancel()
+        await asyncio.gather(abandoned, return_exceptions=True)
+        await asyncio.sleep(0.001)
+        assert (node.proxy.load.running, node.proxy.load.queued) == (1, 1)
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
 # Guards against a displaced deposit that was refused as not run and then runs.
 def test_forwarded_deposit_displaces_a_local_one_that_never_runs() -> None:
     async def scenario() -> None:
