Count reserved uploads for the node at which they entered

A reservation was taken for a local request, so that an origin above its share displaced its own waiting requests, or those of others, with each new upload.

--- a/verbenadeck/proxy/_endpoint.py
+++ b/verbenadeck/proxy/_endpoint.py
@@ -60,9 +60,9 @@
         peers.register_handler(PoisonCleared, self._on_cleared)
 
     async def _on_reserve(
-        self, _peer: PeerAddress, message: ReserveTransfer
+        self, peer: PeerAddress, message: ReserveTransfer
     ) -> TransferReply:
-        decided = self._transfer_admission.reserve(message)
+        decided = self._transfer_admission.reserve(message, origin=peer)
         return TransferReply(
             refusal_of(decided), self._proxy.load, decided.value_or(0.0)
         )
--- a/verbenadeck/proxy/_transfer_admission.py
+++ b/verbenadeck/proxy/_transfer_admission.py
@@ -5,6 +5,7 @@
 from verbenadeck.fleet import request_shard
 from verbenadeck.logs import make_decision_logger
 from verbenadeck.model import Refusal, RefusalReason, Request, Shard
+from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy._components import ProxyComponents
 from verbenadeck.proxy._refusals import not_run, refusal_of
 from verbenadeck.proxy._runs import NO_SHARD, Run
@@ -28,7 +29,9 @@
         self._clock = components.dependencies.clock
         self._gate = components.gate
 
-    def reserve(self, message: ReserveTransfer) -> Result[float, Refusal]:
+    def reserve(
+        self, message: ReserveTransfer, *, origin: PeerAddress
+    ) -> Result[float, Refusal]:
         """Reserve a transfer; return after how many seconds it may start.
 
         The result is a refusal if the body must not be sent.
@@ -37,12 +40,14 @@
         ----------
         message : ReserveTransfer
             Attempt and the size of its body.
+        origin : PeerAddress
+            Address of the node at which the request entered.
         """
         request = message.unpack(self._clock.now_s())
         if self._is_known(message, request):
             # It is answered from its run or the ledger and takes no slot.
             return Success(0.0)
-        decided = self._decide(message, request)
+        decided = self._decide(message, request, origin)
         refusal = refusal_of(decided)
         if refusal is not None:
             _log_decision(
@@ -66,7 +71,7 @@
         return entry is not None
 
     def _decide(
-        self, message: ReserveTransfer, request: Request
+        self, message: ReserveTransfer, request: Request, origin: PeerAddress
     ) -> Result[float, Refusal]:
         policy = self._gate.policy
         owned = None if policy is None else request_shard(request, policy)
@@ -77,7 +82,7 @@
             return Failure(refusal)
         return self._components.transfers.reserve(
             message.attempt_id,
-            Run(message.attempt_id, request, shard).waiter,
+            Run(message.attempt_id, request, shard, origin=origin).waiter,
             message.body_bytes,
             queue_limit=0 if policy is None else policy.queue_limit,
         )
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -24,6 +24,11 @@
     Upstream,
     simulate_returning_callers,
 )
+from verbenadeck.proxy.tests.transfer_builders import (
+    make_upload,
+    publish_uploads,
+    reserve,
+)
 from verbenadeck.testing import run_virtual
 
 _LONG = Kind('ledger', 1, 5, 9, priority=2)
@@ -259,6 +264,43 @@
     run_virtual(scenario())
 
 
+# Guards against uploads of an entry above its share that are taken for those of
+# the proxy's own node and displace others.
+def test_upload_counts_for_the_origin_that_reserves_its_transfer() -> None:
+    async def scenario() -> None:
+        fleet = ProxyFleet()
+        publish_uploads(fleet)
+        upstream = FakeUpstream(slots=1, service_time_s=0.289)
+        node = await fleet.add(upstream, queue=QueueOptions(few_slots=5))
+        entry = await fleet.add()
+        warm = make_upload()
+        assert await admit(node, warm) == answered(warm)
+        uploads = [make_upload() for _ in range(8)]
+        tasks = [
+            asyncio.create_task(
+                entry.transport.call(
+                    node.address,
+                    ForwardRequest.pack(AttemptId(f'a{number}'), each, 4),
+                    deadline_s=each.deadline_s,
+                )
+            )
+            for number, each in enumerate(uploads)
+        ]
+        await asyncio.sleep(0.1)
+        assert node.proxy.load.queued >= 5
+        replies = [
+            await reserve(entry, node, make_upload(), f'r{number}')
+            for number in range(5)
+        ]
+        assert replies[-1].refusal is not None
+        await asyncio.gather(*tasks)
+        assert set(upstream.runs) == {
+            each.request_id for each in (warm, *uploads)
+        }
+
+    run_virtual(scenario())
+
+
 # Guards against a displaced deposit that was refused as not run and then runs.
 def test_forwarded_deposit_displaces_a_local_one_that_never_runs() -> None:
     async def scenario() -> None:
