Ask the queue last before a transfer is reserved

The queue may refuse a waiting request in favour of an upload. It did so also for uploads that were then refused because of their transfer time.

--- a/verbenadeck/proxy/_transfers.py
+++ b/verbenadeck/proxy/_transfers.py
@@ -158,20 +158,21 @@
     def _queue_refusal(
         self, waiter: Waiter, span: LinkSpan, queue_limit: int
     ) -> Refusal | None:
-        refusal = self._slots.queue_refusal(waiter, queue_limit)
-        if refusal is not None:
-            return refusal
         now_s = self._clock.now_s()
         objective_left_s = waiter.objective_at_s - span.ends_at_s
         run_s = self._service_times.expected_s(
             waiter.kind, objective_left_s=objective_left_s
         )
-        return transfer_refusal(
+        refusal = transfer_refusal(
             waiter,
             span.ends_at_s + run_s,
             backlog_s=span.starts_at_s - now_s,
             now_s=now_s,
         )
+        if refusal is not None:
+            return refusal
+        # The queue is asked last, as it may refuse a waiting request instead.
+        return self._slots.queue_refusal(waiter, queue_limit)
 
 
 def link_refusal(body_s: float, *, backlog_s: float) -> Refusal | None:
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -10,6 +10,7 @@
 from verbenadeck.model import AttemptId, Outcome, Refusal, RefusalReason
 from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy import ForwardAnswer, ForwardRequest, QueueOptions
+from verbenadeck.proxy._transfers import Transfers
 from verbenadeck.proxy.tests.builders import (
     ProxyFleet,
     admit,
@@ -25,6 +26,7 @@
     simulate_returning_callers,
 )
 from verbenadeck.proxy.tests.transfer_builders import (
+    LINK_BYTES_PER_S,
     make_upload,
     publish_uploads,
     reserve,
@@ -301,6 +303,37 @@
     run_virtual(scenario())
 
 
+# Guards against a waiting request that is displaced by an upload whose body
+# can't arrive in time, so that both are refused.
+def test_upload_that_arrives_too_late_displaces_no_waiting_request() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        patient = _LONG._replace(objective_s=4.5, timeout_s=5)
+        tasks = [_start(upstream, patient, origin=_THERE) for _ in range(8)]
+        await asyncio.sleep(0.01)
+        waiting = upstream.queue.queued
+        assert waiting > 2
+        transfers = Transfers(
+            clock=upstream.clock,
+            slots=upstream.queue,
+            service_times=upstream.times,
+            link_bytes_per_s=LINK_BYTES_PER_S,
+            count=lambda _name: None,
+        )
+        upload = upstream.waiter(patient, origin=_HERE)
+        body_bytes = int(LINK_BYTES_PER_S * patient.timeout_s)
+        reserved = transfers.reserve(
+            AttemptId('a1'), upload, body_bytes, queue_limit=64
+        )
+        assert not isinstance(reserved, Success)
+        assert upstream.queue.queued == waiting
+        assert upstream.counters['requests_displaced'] == 0
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
 # Guards against a displaced deposit that was refused as not run and then runs.
 def test_forwarded_deposit_displaces_a_local_one_that_never_runs() -> None:
     async def scenario() -> None:
