Compute the slot reserve once for each priority

The decayed load and the occupied slots were computed for each waiting request whenever a slot was released. The measured load is that of started requests, which its name says now; it is no longer kept where the reserve is off.

--- a/verbenadeck/proxy/_slot_reserve.py
+++ b/verbenadeck/proxy/_slot_reserve.py
@@ -1,7 +1,7 @@
 """Slots that long requests leave to short, more urgent ones."""
 
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from verbenadeck.proxy._service_times import ServiceTimes
@@ -36,15 +36,15 @@
     mean_run_s: float
 
 
-class OfferedLoad:
-    """Offered load by priority, measured by exponentially decaying sums."""
+class ServedLoad:
+    """Load by priority of started requests, in exponentially decaying sums."""
 
     def __init__(self) -> None:
         self._by_priority: dict[int, tuple[float, float]] = {}
         self._decayed_at_s = -math.inf
 
     def record(self, priority: int, run_s: float, *, now_s: float) -> None:
-        """Count a request that arrived.
+        """Count a request that starts.
 
         Parameters
         ----------
@@ -160,13 +160,15 @@
         self._service_times = service_times
         self._running = running
         self._is_active = is_active
-        self._offered = OfferedLoad()
+        self._served = ServedLoad()
 
     def record_start(self, waiter: Waiter) -> None:
         """Count a request that gets a slot."""
+        if not self._is_active():
+            return
         now_s = self._clock.now_s()
         run_s = run_time_s(waiter, now_s, self._service_times)
-        self._offered.record(waiter.priority, run_s, now_s=now_s)
+        self._served.record(waiter.priority, run_s, now_s=now_s)
 
     def is_exhausted(self, waiter: Waiter) -> bool:
         """Return whether a request must leave a free slot to urgent ones.
@@ -176,18 +178,39 @@
         waiter : Waiter
             Request that could start.
         """
+        return not self.find_startable((waiter,))
+
+    def find_startable(self, waiting: Sequence[Waiter]) -> list[Waiter]:
+        """Return the requests that need not leave a free slot to urgent ones.
+
+        Parameters
+        ----------
+        waiting : sequence of Waiter
+            Requests that could start.
+        """
         if not self._is_active():
-            return False
+            return list(waiting)
         now_s = self._clock.now_s()
         slots = self._limit()
-        reserved = reserved_slots(
-            self._offered.above(waiter.priority, now_s=now_s),
-            run_s=run_time_s(waiter, now_s, self._service_times),
-            slots=slots,
-        )
-        if reserved <= 0:
-            return False
-        occupied = sum(
-            each.priority >= waiter.priority for each in self._running
-        )
-        return occupied >= slots - reserved
+        unoccupied = {
+            priority: slots - self._count_occupied(priority)
+            for priority in {each.priority for each in waiting}
+        }
+        urgent = {
+            priority: self._served.above(priority, now_s=now_s)
+            for priority in unoccupied
+        }
+        startable: list[Waiter] = []
+        for each in waiting:
+            reserved = reserved_slots(
+                urgent[each.priority],
+                run_s=run_time_s(each, now_s, self._service_times),
+                slots=slots,
+            )
+            if reserved <= 0 or reserved < unoccupied[each.priority]:
+                startable.append(each)
+        return startable
+
+    def _count_occupied(self, priority: int) -> int:
+        """Return how many slots requests of no higher priority hold."""
+        return sum(each.priority >= priority for each in self._running)
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -204,11 +204,7 @@
         """Assign free slots to waiters that can still meet their deadlines."""
         self._rules.refuse_unservable(self._waiting)
         while self.in_use < self._limit():
-            startable = [
-                each
-                for each in self._waiting
-                if not self._reserve.is_exhausted(each)
-            ]
+            startable = self._reserve.find_startable(self._waiting)
             if not startable:
                 return
             now_s = self._clock.now_s()
