--- a/verbenadeck/proxy/tests/test_slot_reserve.py
+++ b/verbenadeck/proxy/tests/test_slot_reserve.py
@@ -36,16 +36,20 @@
             options=QueueOptions(few_slots=few_slots),
         )
 
-    async def run(self, kind: str) -> None:
+    async def run(
+        self, kind: str, *, run_s: float | None = None, timeout_s: float = 5
+    ) -> None:
         now_s = self.clock.now_s()
-        waiter = Waiter(now_s + 5, -1, priority=_PRIORITIES[kind], kind=kind)
+        waiter = Waiter(
+            now_s + timeout_s, -1, priority=_PRIORITIES[kind], kind=kind
+        )
         assert await self._slots.acquire(waiter) is None
         if kind == 'ledger':
             self._ledgers += 1
             self.most_ledgers = max(self.most_ledgers, self._ledgers)
         else:
             self.waits_s.append(self.clock.now_s() - now_s)
-        await asyncio.sleep(_RUN_TIMES_S[kind])
+        await asyncio.sleep(run_s or _RUN_TIMES_S[kind])
         self._ledgers -= kind == 'ledger'
         self._slots.release(waiter)
 
@@ -90,3 +94,33 @@
         return queue.most_ledgers
 
     assert run_virtual(scenario()) == _SLOTS
+
+
+def test_free_slot_is_used_after_the_last_urgent_request() -> None:
+    """Guards against a long request that waits beside a free slot.
+
+    The others are occupied by ledgers that take long, so that no slot is
+    released after the checks have ceased.
+    """
+
+    async def scenario() -> tuple[float, int]:
+        queue = _Queue(few_slots=_SLOTS)
+        stuck_s = 30.0
+        async with asyncio.TaskGroup() as group:
+            for _ in range(20):
+                await queue.run('check')
+            for _ in range(_SLOTS - 1):
+                group.create_task(queue.run('ledger', run_s=stuck_s))
+            await asyncio.sleep(0)
+            began_s = queue.clock.now_s()
+            last = group.create_task(queue.run('ledger', timeout_s=stuck_s))
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            running_at_first = queue.most_ledgers
+            await last
+            waited_s = queue.clock.now_s() - began_s
+        return waited_s, running_at_first
+
+    waited_s, running_at_first = run_virtual(scenario())
+    assert running_at_first == _SLOTS - 1
+    # 20 checks of 0.04 s decay from 0.3 to 0.05 slots within 4 s.
+    assert waited_s < 4 + _RUN_TIMES_S['ledger'] + 0.1
