Give requests refused beside a free slot a retry time

A request that no longer fits before its deadline after a slow answer was refused with a retry time of 0 when no other request waited. Its caller returned at once, while the slow span lasted.

--- a/verbenadeck/proxy/_retry_times.py
+++ b/verbenadeck/proxy/_retry_times.py
@@ -28,7 +28,8 @@
         now_s : float
             Current time, in seconds.
         wait_s : float
-            Forecast wait at the end of the queue, in seconds.
+            Forecast wait at the end of the queue, in seconds. The retry time
+            is at least `interval_s`, as 0 would mean that none is known.
         interval_s : float
             Time in which the upstream serves one request, in seconds.
         followed_s : float
@@ -37,7 +38,9 @@
         """
         if self._last_at_s <= now_s:
             self._last_at_s = -math.inf
-        at_s = max(now_s + wait_s, self._last_at_s + interval_s)
+        at_s = max(
+            now_s + max(wait_s, interval_s), self._last_at_s + interval_s
+        )
         if at_s <= now_s + followed_s:
             self._last_at_s = at_s
         return at_s - now_s
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -198,6 +198,24 @@
     run_virtual(scenario())
 
 
+# Guards against callers that return at once, while the slow span lasts, and are
+# refused for good: no other request waits, so the forecast wait is 0.
+def test_request_refused_after_a_slow_answer_gets_a_retry_time() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        slow = _start(upstream, _LONG._replace(service_s=3))
+        await asyncio.sleep(0.01)
+        waiting = _start(upstream, _LONG._replace(objective_s=4, timeout_s=4.5))
+        await slow
+        found = await waiting
+        assert found is not None
+        assert found.reason is RefusalReason.DEADLINE
+        assert found.retry_after_s >= _LONG.service_s
+
+    run_virtual(scenario())
+
+
 def test_late_returning_requests_wait_while_fewer_than_slots() -> None:
     async def scenario() -> None:
         upstream = Upstream(slots=2, few_slots=5)
