--- a/verbenadeck/proxy/_slot_reserve.py
+++ b/verbenadeck/proxy/_slot_reserve.py
@@ -1,5 +1,6 @@
 """Slots that long requests leave to short, more urgent ones."""
 
+import asyncio
 import math
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
@@ -19,6 +20,10 @@
 """Ratio of the run times from which on a request counts as long. A wait for
 one that is hardly longer costs an urgent request little."""
 
+_RECHECK_INTERVAL_S = 0.1
+"""Interval in seconds at which requests that leave a free slot to urgent ones
+are reconsidered. No event shows that urgent requests have ceased to arrive."""
+
 
 class UrgentLoad(NamedTuple):
     """Load of the requests that are more urgent than a given one.
@@ -144,6 +149,8 @@
         Requests that hold a slot.
     is_active : callable returning bool
         Returns whether the limit applies to the upstream.
+    on_recheck : callable
+        Called some time after `schedule_recheck`.
     """
 
     def __init__(
@@ -154,12 +161,15 @@
         service_times: ServiceTimes,
         running: Collection[Waiter],
         is_active: Callable[[], bool],
+        on_recheck: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._limit = limit
         self._service_times = service_times
         self._running = running
         self._is_active = is_active
+        self._on_recheck = on_recheck
+        self._timer: asyncio.TimerHandle | None = None
         self._served = ServedLoad()
 
     def record_start(self, waiter: Waiter) -> None:
@@ -192,9 +202,10 @@
             return list(waiting)
         now_s = self._clock.now_s()
         slots = self._limit()
+        priorities = {each.priority for each in waiting}
         unoccupied = {
             priority: slots - self._count_occupied(priority)
-            for priority in {each.priority for each in waiting}
+            for priority in priorities
         }
         urgent = {
             priority: self._served.above(priority, now_s=now_s)
@@ -211,6 +222,17 @@
                 startable.append(each)
         return startable
 
+    def schedule_recheck(self) -> None:
+        """Call `on_recheck` later, since requests leave a free slot to others."""
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                _RECHECK_INTERVAL_S, self._recheck
+            )
+
+    def _recheck(self) -> None:
+        self._timer = None
+        self._on_recheck()
+
     def _count_occupied(self, priority: int) -> int:
         """Return how many slots requests of no higher priority hold."""
         return sum(each.priority >= priority for each in self._running)
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -25,10 +25,6 @@
 _DEFAULT_OPTIONS = QueueOptions()
 _TIMER_RESOLUTION_S = 0.001
 
-_RESERVE_RECHECK_S = 0.1
-"""Interval in seconds at which requests that leave a free slot to urgent ones
-are reconsidered. No event shows that urgent requests have ceased to arrive."""
-
 
 class ReservedRequests:
     """Requests that count as queued although their bodies have not arrived."""
@@ -100,13 +96,13 @@
         )
         self._waiting: list[Waiter] = []
         self._started_at_s: dict[Waiter, float] = {}
-        self._reserve_timer: asyncio.TimerHandle | None = None
         self._reserve = SlotReserve(
             clock=clock,
             limit=limit,
             service_times=self._service_times,
             running=self._started_at_s.keys(),
             is_active=self._has_few_slots,
+            on_recheck=self.assign_free_slots,
         )
         context = QueueContext(
             clock=clock,
@@ -211,7 +207,8 @@
         while self.in_use < self._limit():
             startable = self._reserve.find_startable(self._waiting)
             if not startable:
-                self._recheck_reserve_later()
+                if self._waiting:
+                    self._reserve.schedule_recheck()
                 return
             now_s = self._clock.now_s()
             waiter = first_waiter(startable, now_s, self._service_times)
@@ -254,17 +251,6 @@
     def _has_few_slots(self) -> bool:
         return 0 < self._slots() <= self._options.few_slots
 
-    def _recheck_reserve_later(self) -> None:
-        if not self._waiting or self._reserve_timer is not None:
-            return
-        self._reserve_timer = asyncio.get_running_loop().call_later(
-            _RESERVE_RECHECK_S, self._recheck_reserve
-        )
-
-    def _recheck_reserve(self) -> None:
-        self._reserve_timer = None
-        self.assign_free_slots()
-
     def _recheck_later(self, waiter: Waiter) -> None:
         """Schedule a check for the time from which a waiter is late.
 
