--- a/verbenadeck/proxy/tests/few_slots_load.py
+++ b/verbenadeck/proxy/tests/few_slots_load.py
@@ -8,6 +8,7 @@
 from verbenadeck.model import Refusal
 from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy import ConcurrencyLimit, QueueOptions
+from verbenadeck.proxy._cold_start_rate import ColdStartRateLimiter
 from verbenadeck.proxy._service_times import ServiceTimes
 from verbenadeck.proxy._slots import SlotQueue
 from verbenadeck.proxy._waiter import LOCAL_ORIGIN, Waiter
@@ -42,8 +43,10 @@
         self.limit.reset_for_instance(slots, slots, now_s=self.clock.now_s())
         self.times = ServiceTimes(overall_s=lambda: self.limit.service_time_s)
         self.counters: Counter[str] = Counter()
+        self.cold_start_rate = ColdStartRateLimiter(clock=self.clock)
         self.queue = SlotQueue(
             clock=self.clock,
+            cold_start_rate=self.cold_start_rate,
             limit=lambda: slots,
             service_time_s=lambda: self.limit.service_time_s,
             service_times=self.times,
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Success
 
+from verbenadeck.adapters import ColdStartState
 from verbenadeck.model import AttemptId, Outcome, Refusal, RefusalReason
 from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy import ForwardAnswer, ForwardRequest, QueueOptions
@@ -241,6 +242,89 @@
     run_virtual(scenario())
 
 
+# Guards against late requests that fill the queue of an upstream.
+def test_requests_past_their_objectives_wait_while_fewer_than_slots() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_LONG)
+        late = _LONG._replace(objective_s=-0.1)
+        running = [_start(upstream, _LONG) for _ in range(2)]
+        await asyncio.sleep(0.01)
+        tasks = [_start(upstream, late) for _ in range(3)]
+        refused = [each is not None for each in await asyncio.gather(*tasks)]
+        assert refused == [False, False, True]
+        await asyncio.gather(*running)
+
+    run_virtual(scenario())
+
+
+# Guards against a second refusal, final for most callers, of a request that
+# can still meet its deadline behind more urgent ones.
+@pytest.mark.parametrize('is_returning', (True, False))
+def test_only_a_returning_request_waits_when_it_is_overtaken(
+    is_returning: bool,
+) -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        tasks = [_start(upstream, _LONG)]
+        await asyncio.sleep(0.01)
+        kind = _LONG._replace(objective_s=2.5)
+        began_s = upstream.clock.now_s() if is_returning else None
+        waiter = upstream.waiter(kind, started_s=began_s)
+        overtaken = asyncio.create_task(upstream.run(waiter, kind))
+        await asyncio.sleep(0)
+        urgent = _LONG._replace(priority=0)
+        tasks += [_start(upstream, urgent) for _ in range(3)]
+        assert (await overtaken is None) == is_returning
+        assert not any(await asyncio.gather(*tasks))
+
+    run_virtual(scenario())
+
+
+# Guards against refusals of requests that would be served, since one answer in
+# a slow span has doubled the expected times: five of 0.1 s in a second.
+def test_slow_answer_does_not_empty_the_queue() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_SHORT)
+        kind = _SHORT._replace(objective_s=0.9, timeout_s=1)
+        slow = _start(upstream, kind._replace(service_s=0.3))
+        await asyncio.sleep(0)
+        tasks = [_start(upstream, kind) for _ in range(5)]
+        assert not any(await asyncio.gather(slow, *tasks))
+
+    run_virtual(scenario())
+
+
+# Guards against requests admitted to an upstream with free slots that bears
+# 7.8 requests a second after its start, and retry times before their turn.
+def test_cold_upstream_is_forecast_by_the_rate_that_it_bears() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=5, few_slots=5)
+        upstream.learn(_SHORT)
+        now_s = upstream.clock.now_s()
+        rate_per_s = 7.8
+        upstream.cold_start_rate.set_cold_start(
+            ColdStartState(cold_until_s=now_s + 3, requests_per_s=rate_per_s)
+        )
+        kind = _SHORT._replace(objective_s=0.97, timeout_s=3.3)
+        tasks = [_start(upstream, kind) for _ in range(20)]
+        await asyncio.sleep(0.01)
+        refused = [await each for each in tasks if each.done()]
+        longest_wait_s = kind.objective_s - kind.service_s
+        assert upstream.queue.queued == pytest.approx(
+            longest_wait_s * rate_per_s, abs=1
+        )
+        assert len(refused) > 10
+        for found in refused:
+            assert found is not None
+            assert found.retry_after_s >= longest_wait_s
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
 def test_burst_of_one_origin_does_not_push_out_another() -> None:
     async def scenario() -> None:
         upstream = Upstream(slots=2, few_slots=5)
