--- a/verbenadeck/proxy/_slot_reserve.py
+++ b/verbenadeck/proxy/_slot_reserve.py
@@ -1,7 +1,8 @@
 """Slots that long requests leave to short, more urgent ones."""
 
+import asyncio
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from verbenadeck.proxy._service_times import ServiceTimes
@@ -19,6 +20,10 @@
 """Ratio of the run times from which on a request counts as long. A wait for
 one that is hardly longer costs an urgent request little."""
 
+_RECHECK_INTERVAL_S = 0.1
+"""Interval in seconds at which requests that leave a free slot to urgent ones
+are reconsidered. No event shows that urgent requests have ceased to arrive."""
+
 
 class UrgentLoad(NamedTuple):
     """Load of the requests that are more urgent than a given one.
@@ -36,15 +41,15 @@
     mean_run_s: float
 
 
-class OfferedLoad:
-    """Offered load by priority, measured by exponentially decaying sums."""
+class ServedLoad:
+    """Load by priority of started requests, in exponentially decaying sums."""
 
     def __init__(self) -> None:
         self._by_priority: dict[int, tuple[float, float]] = {}
         self._decayed_at_s = -math.inf
 
     def record(self, priority: int, run_s: float, *, now_s: float) -> None:
-        """Count a request that arrived.
+        """Count a request that starts.
 
         Parameters
         ----------
@@ -144,6 +149,8 @@
         Requests that hold a slot.
     is_active : callable returning bool
         Returns whether the limit applies to the upstream.
+    on_recheck : callable
+        Called some time after `schedule_recheck`.
     """
 
     def __init__(
@@ -154,19 +161,24 @@
         service_times: ServiceTimes,
         running: Collection[Waiter],
         is_active: Callable[[], bool],
+        on_recheck: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._limit = limit
         self._service_times = service_times
         self._running = running
         self._is_active = is_active
-        self._offered = OfferedLoad()
+        self._on_recheck = on_recheck
+        self._timer: asyncio.TimerHandle | None = None
+        self._served = ServedLoad()
 
     def record_start(self, waiter: Waiter) -> None:
         """Count a request that gets a slot."""
+        if not self._is_active():
+            return
         now_s = self._clock.now_s()
         run_s = run_time_s(waiter, now_s, self._service_times)
-        self._offered.record(waiter.priority, run_s, now_s=now_s)
+        self._served.record(waiter.priority, run_s, now_s=now_s)
 
     def is_exhausted(self, waiter: Waiter) -> bool:
         """Return whether a request must leave a free slot to urgent ones.
@@ -176,18 +188,51 @@
         waiter : Waiter
             Request that could start.
         """
+        return not self.find_startable((waiter,))
+
+    def find_startable(self, waiting: Sequence[Waiter]) -> list[Waiter]:
+        """Return the requests that need not leave a free slot to urgent ones.
+
+        Parameters
+        ----------
+        waiting : sequence of Waiter
+            Requests that could start.
+        """
         if not self._is_active():
-            return False
+            return list(waiting)
         now_s = self._clock.now_s()
         slots = self._limit()
-        reserved = reserved_slots(
-            self._offered.above(waiter.priority, now_s=now_s),
-            run_s=run_time_s(waiter, now_s, self._service_times),
-            slots=slots,
-        )
-        if reserved <= 0:
-            return False
-        occupied = sum(
-            each.priority >= waiter.priority for each in self._running
-        )
-        return occupied >= slots - reserved
+        priorities = {each.priority for each in waiting}
+        unoccupied = {
+            priority: slots - self._count_occupied(priority)
+            for priority in priorities
+        }
+        urgent = {
+            priority: self._served.above(priority, now_s=now_s)
+            for priority in unoccupied
+        }
+        startable: list[Waiter] = []
+        for each in waiting:
+            reserved = reserved_slots(
+                urgent[each.priority],
+                run_s=run_time_s(each, now_s, self._service_times),
+                slots=slots,
+            )
+            if reserved <= 0 or reserved < unoccupied[each.priority]:
+                startable.append(each)
+        return startable
+
+    def schedule_recheck(self) -> None:
+        """Call `on_recheck` later, since requests leave a free slot to others."""
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                _RECHECK_INTERVAL_S, self._recheck
+            )
+
+    def _recheck(self) -> None:
+        self._timer = None
+        self._on_recheck()
+
+    def _count_occupied(self, priority: int) -> int:
+        """Return how many slots requests of no higher priority hold."""
+        return sum(each.priority >= priority for each in self._running)
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -102,6 +102,7 @@
             service_times=self._service_times,
             running=self._started_at_s.keys(),
             is_active=self._has_few_slots,
+            on_recheck=self.assign_free_slots,
         )
         context = QueueContext(
             clock=clock,
@@ -184,6 +185,8 @@
             raise
         finally:
             timer.cancel()
+            # One that was abandoned has been resolved but not removed.
+            self._remove_waiter(waiter)
 
     def release(self, waiter: Waiter | None = None) -> None:
         """Release a slot and assign it to the next waiter.
@@ -202,12 +205,10 @@
         """Assign free slots to waiters that can still meet their deadlines."""
         self._rules.refuse_unservable(self._waiting)
         while self.in_use < self._limit():
-            startable = [
-                each
-                for each in self._waiting
-                if not self._reserve.is_exhausted(each)
-            ]
+            startable = self._reserve.find_startable(self._waiting)
             if not startable:
+                if self._waiting:
+                    self._reserve.schedule_recheck()
                 return
             now_s = self._clock.now_s()
             waiter = first_waiter(startable, now_s, self._service_times)
@@ -284,9 +285,9 @@
 
     def _abandon(self, waiter: Waiter) -> None:
         future = waiter.future
-        if future is None or future.cancelled():
-            self._remove_waiter(waiter)
-        elif future.done() and future.result() is None:
+        if future is None or future.cancelled() or not future.done():
+            return
+        if future.result() is None:
             self.release(waiter)
 
     def _remove_waiter(self, waiter: Waiter) -> None:
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -7,9 +7,11 @@
 import pytest
 from returns.result import Success
 
+from verbenadeck.adapters import ColdStartState
 from verbenadeck.model import AttemptId, Outcome, Refusal, RefusalReason
 from verbenadeck.peers import PeerAddress
 from verbenadeck.proxy import ForwardAnswer, ForwardRequest, QueueOptions
+from verbenadeck.proxy._transfers import Transfers
 from verbenadeck.proxy.tests.builders import (
     ProxyFleet,
     admit,
@@ -24,6 +26,12 @@
     Upstream,
     simulate_returning_callers,
 )
+from verbenadeck.proxy.tests.transfer_builders import (
+    LINK_BYTES_PER_S,
+    make_upload,
+    publish_uploads,
+    reserve,
+)
 from verbenadeck.testing import run_virtual
 
 _LONG = Kind('ledger', 1, 5, 9, priority=2)
@@ -191,6 +199,24 @@
     run_virtual(scenario())
 
 
+# Guards against callers that return at once, while the slow span lasts, and are
+# refused for good: no other request waits, so the forecast wait is 0.
+def test_request_refused_after_a_slow_answer_gets_a_retry_time() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        slow = _start(upstream, _LONG._replace(service_s=3))
+        await asyncio.sleep(0.01)
+        waiting = _start(upstream, _LONG._replace(objective_s=4, timeout_s=4.5))
+        await slow
+        found = await waiting
+        assert found is not None
+        assert found.reason is RefusalReason.DEADLINE
+        assert found.retry_after_s >= _LONG.service_s
+
+    run_virtual(scenario())
+
+
 def test_late_returning_requests_wait_while_fewer_than_slots() -> None:
     async def scenario() -> None:
         upstream = Upstream(slots=2, few_slots=5)
@@ -216,6 +242,89 @@
     run_virtual(scenario())
 
 
+# Guards against late requests that fill the queue of an upstream.
+def test_requests_past_their_objectives_wait_while_fewer_than_slots() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_LONG)
+        late = _LONG._replace(objective_s=-0.1)
+        running = [_start(upstream, _LONG) for _ in range(2)]
+        await asyncio.sleep(0.01)
+        tasks = [_start(upstream, late) for _ in range(3)]
+        refused = [each is not None for each in await asyncio.gather(*tasks)]
+        assert refused == [False, False, True]
+        await asyncio.gather(*running)
+
+    run_virtual(scenario())
+
+
+# Guards against a second refusal, final for most callers, of a request that
+# can still meet its deadline behind more urgent ones.
+@pytest.mark.parametrize('is_returning', (True, False))
+def test_only_a_returning_request_waits_when_it_is_overtaken(
+    is_returning: bool,
+) -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        tasks = [_start(upstream, _LONG)]
+        await asyncio.sleep(0.01)
+        kind = _LONG._replace(objective_s=2.5)
+        began_s = upstream.clock.now_s() if is_returning else None
+        waiter = upstream.waiter(kind, started_s=began_s)
+        overtaken = asyncio.create_task(upstream.run(waiter, kind))
+        await asyncio.sleep(0)
+        urgent = _LONG._replace(priority=0)
+        tasks += [_start(upstream, urgent) for _ in range(3)]
+        assert (await overtaken is None) == is_returning
+        assert not any(await asyncio.gather(*tasks))
+
+    run_virtual(scenario())
+
+
+# Guards against refusals of requests that would be served, since one answer in
+# a slow span has doubled the expected times: five of 0.1 s in a second.
+def test_slow_answer_does_not_empty_the_queue() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_SHORT)
+        kind = _SHORT._replace(objective_s=0.9, timeout_s=1)
+        slow = _start(upstream, kind._replace(service_s=0.3))
+        await asyncio.sleep(0)
+        tasks = [_start(upstream, kind) for _ in range(5)]
+        assert not any(await asyncio.gather(slow, *tasks))
+
+    run_virtual(scenario())
+
+
+# Guards against requests admitted to an upstream with free slots that bears
+# 7.8 requests a second after its start, and retry times before their turn.
+def test_cold_upstream_is_forecast_by_the_rate_that_it_bears() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=5, few_slots=5)
+        upstream.learn(_SHORT)
+        now_s = upstream.clock.now_s()
+        rate_per_s = 7.8
+        upstream.cold_start_rate.set_cold_start(
+            ColdStartState(cold_until_s=now_s + 3, requests_per_s=rate_per_s)
+        )
+        kind = _SHORT._replace(objective_s=0.97, timeout_s=3.3)
+        tasks = [_start(upstream, kind) for _ in range(20)]
+        await asyncio.sleep(0.01)
+        refused = [await each for each in tasks if each.done()]
+        longest_wait_s = kind.objective_s - kind.service_s
+        assert upstream.queue.queued == pytest.approx(
+            longest_wait_s * rate_per_s, abs=1
+        )
+        assert len(refused) > 10
+        for found in refused:
+            assert found is not None
+            assert found.retry_after_s >= longest_wait_s
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
 def test_burst_of_one_origin_does_not_push_out_another() -> None:
     async def scenario() -> None:
         upstream = Upstream(slots=2, few_slots=5)
@@ -232,6 +341,101 @@
     run_virtual(scenario())
 
 
+# Guards against abandoned requests that stay in the queue behind more urgent
+# ones: they lengthen the reported queue and count as ahead of late requests.
+def test_abandoned_request_leaves_the_queue_while_all_slots_are_in_use() -> (
+    None
+):
+    async def scenario() -> None:
+        fleet = ProxyFleet()
+        node = await fleet.add(
+            FakeUpstream(slots=1, service_time_s=0.1),
+            queue=QueueOptions(few_slots=5),
+        )
+        fleet.own_all(node)
+        kept = [make_deposit() for _ in range(2)]
+        tasks = [asyncio.create_task(admit(node, each)) for each in kept]
+        await asyncio.sleep(0.001)
+        abandoned = asyncio.create_task(admit(node, make_deposit()))
+        await asyncio.sleep(0.001)
+        assert node.proxy.load.queued == 2
+        abandoned.cancel()
+        await asyncio.gather(abandoned, return_exceptions=True)
+        await asyncio.sleep(0.001)
+        assert (node.proxy.load.running, node.proxy.load.queued) == (1, 1)
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
+# Guards against uploads of an entry above its share that are taken for those of
+# the proxy's own node and displace others.
+def test_upload_counts_for_the_origin_that_reserves_its_transfer() -> None:
+    async def scenario() -> None:
+        fleet = ProxyFleet()
+        publish_uploads(fleet)
+        upstream = FakeUpstream(slots=1, service_time_s=0.289)
+        node = await fleet.add(upstream, queue=QueueOptions(few_slots=5))
+        entry = await fleet.add()
+        warm = make_upload()
+        assert await admit(node, warm) == answered(warm)
+        uploads = [make_upload() for _ in range(8)]
+        tasks = [
+            asyncio.create_task(
+                entry.transport.call(
+                    node.address,
+                    ForwardRequest.pack(AttemptId(f'a{number}'), each, 4),
+                    deadline_s=each.deadline_s,
+                )
+            )
+            for number, each in enumerate(uploads)
+        ]
+        await asyncio.sleep(0.1)
+        assert node.proxy.load.queued >= 5
+        replies = [
+            await reserve(entry, node, make_upload(), f'r{number}')
+            for number in range(5)
+        ]
+        assert replies[-1].refusal is not None
+        await asyncio.gather(*tasks)
+        assert set(upstream.runs) == {
+            each.request_id for each in (warm, *uploads)
+        }
+
+    run_virtual(scenario())
+
+
+# Guards against a waiting request that is displaced by an upload whose body
+# can't arrive in time, so that both are refused.
+def test_upload_that_arrives_too_late_displaces_no_waiting_request() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=1, few_slots=5)
+        upstream.learn(_LONG)
+        patient = _LONG._replace(objective_s=4.5, timeout_s=5)
+        tasks = [_start(upstream, patient, origin=_THERE) for _ in range(8)]
+        await asyncio.sleep(0.01)
+        waiting = upstream.queue.queued
+        assert waiting > 2
+        transfers = Transfers(
+            clock=upstream.clock,
+            slots=upstream.queue,
+            service_times=upstream.times,
+            link_bytes_per_s=LINK_BYTES_PER_S,
+            count=lambda _name: None,
+        )
+        upload = upstream.waiter(patient, origin=_HERE)
+        body_bytes = int(LINK_BYTES_PER_S * patient.timeout_s)
+        reserved = transfers.reserve(
+            AttemptId('a1'), upload, body_bytes, queue_limit=64
+        )
+        assert not isinstance(reserved, Success)
+        assert upstream.queue.queued == waiting
+        assert upstream.counters['requests_displaced'] == 0
+        await asyncio.gather(*tasks)
+
+    run_virtual(scenario())
+
+
 # Guards against a displaced deposit that was refused as not run and then runs.
 def test_forwarded_deposit_displaces_a_local_one_that_never_runs() -> None:
     async def scenario() -> None:
