--- a/verbenadeck/router/_router.py
+++ b/verbenadeck/router/_router.py
@@ -29,6 +29,7 @@
     refuse,
 )
 from verbenadeck.router._attempt_sender import AttemptSender, as_resent
+from verbenadeck.router._budget import TokenBudget
 from verbenadeck.router._choice import (
     ChooseProxy,
     ProxyChoice,
@@ -197,6 +198,10 @@
     ) -> RouteRules:
         """Return the rules for a request and refill its retry budget."""
         max_slots = self._proxy_directory.max_slots(request.service)
+        if self._options.few_slots and not max_slots:
+            return RouteRules(
+                self._choose, TokenBudget(max_tokens=0), is_provisional=True
+            )
         has_few_slots = 0 < max_slots <= self._options.few_slots
         retry_budget = service_state.refill_retries(
             policy,
@@ -280,8 +285,19 @@
             ):
                 return final
             await asyncio.sleep(self._retry_pause_s(route, step, pause_s))
+            self._update_rules(route)
             pause_s = min(_MAX_RETRY_PAUSE_S, pause_s * 2)
 
+    def _update_rules(self, route: '_RouteState') -> None:
+        """Replace provisional rules once the service has a member."""
+        request = route.request
+        if route.rules.is_provisional and self._proxy_directory.max_slots(
+            request.service
+        ):
+            route.use_rules(
+                self._make_rules(request, route.policy, route.service_state)
+            )
+
     def _retry_pause_s(
         self, route: '_RouteState', step: NextStep, pause_s: float
     ) -> float:
@@ -479,8 +495,7 @@
         self.request = request
         self.policy = policy
         self.service_state = service_state
-        self.rules = rules
-        self.refused_tries = RefusedTries(rules.max_refused_tries)
+        self.use_rules(rules)
         self.tried_proxies: list[ProxyStats] = []
         self.shard: Shard | None = request_shard(request, policy)
         self.upstream_sends = 0
@@ -490,6 +505,11 @@
         objective_at_s = request.objective_at_s or request.deadline_s
         self.wait_until_s = max(objective_at_s, now_s + TYPICAL_MOVE_S)
 
+    def use_rules(self, rules: RouteRules) -> None:
+        """Use rules for all tries, before the first one."""
+        self.rules = rules
+        self.refused_tries = RefusedTries(rules.max_refused_tries)
+
     @property
     def has_used_all_tries(self) -> bool:
         """Whether no further send or try is allowed."""
--- a/verbenadeck/router/_service_state.py
+++ b/verbenadeck/router/_service_state.py
@@ -32,12 +32,16 @@
         no limit.
     remote_sample_size : int
         Number of proxies of other zones among the candidates.
+    is_provisional : bool
+        Whether the service had no member yet, so that the number of its slots
+        is not known. Such rules allow no retry.
     """
 
     choose: ChooseProxy
     retry_budget: TokenBudget
     max_refused_tries: int = 0
     remote_sample_size: int = 1
+    is_provisional: bool = False
 
 
 class ServiceState:
--- a/verbenadeck/router/tests/test_failing_upstreams.py
+++ b/verbenadeck/router/tests/test_failing_upstreams.py
@@ -1,5 +1,6 @@
 """Load: upstreams with few slots refuse or lose requests while healthy."""
 
+import asyncio
 import random
 from collections import Counter
 from statistics import mean
@@ -17,7 +18,14 @@
     RefusalReason,
     Request,
 )
-from verbenadeck.proxy.tests.builders import make_request
+from verbenadeck.proxy.tests.builders import ProxyFleet, make_request
+from verbenadeck.proxy.tests.fakes import (
+    KEYED,
+    SERVICE,
+    FakeUpstream,
+    make_config,
+    make_policy,
+)
 from verbenadeck.router import ProxyStats, RetryOptions, RouterOptions
 from verbenadeck.router._attempt_sender import AttemptSender
 from verbenadeck.router._budget import MIN_BURST, TokenBudget, burst_per_member
@@ -26,6 +34,7 @@
     Callers,
     FaultyUpstream,
     few_slots_fleet,
+    make_router,
 )
 from verbenadeck.testing import run_virtual
 
@@ -134,6 +143,34 @@
     assert members <= spent <= _MAX_RATIO * requests + _SLACK
 
 
+def test_requests_that_waited_for_the_first_upstream_keep_the_bound() -> None:
+    """Load: requests arrive before the first upstream, which refuses all.
+
+    Guards against retries by the larger budget of services with more slots
+    while the slots of the service are not known.
+    """
+
+    async def scenario() -> None:
+        proxy_fleet = ProxyFleet()
+        policy = make_policy(has_ledger_shards=False, has_ledger_copies=False)
+        proxy_fleet.fleet.config = make_config(services={SERVICE: policy})
+        entry = await proxy_fleet.add(FakeUpstream(service=KEYED))
+        router = make_router(proxy_fleet, entry, options=_ON)
+        count = 20
+        requests = [make_request(method='POST') for _ in range(count)]
+        async with asyncio.TaskGroup() as group:
+            for request in requests:
+                group.create_task(router.route(request))
+            await asyncio.sleep(0.1)
+            upstream = FaultyUpstream(service_time_s=0.1, seed=1)
+            upstream.refused_share = 1
+            await proxy_fleet.add(upstream)
+        retries = upstream.sends - count
+        assert 0 < retries <= MIN_BURST + _RETRIES.ratio * count
+
+    run_virtual(scenario())
+
+
 def test_request_tries_three_proxies_while_none_has_capacity(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
