Let requests leave a zone whose proxies do not reply

When all upstreams of a zone are lost, the fleet lists them until their leases end. Their loads are then unknown and counted as admitting, and the share that may leave falls to its least, 0.05, since no load of the own zone is known. Proxies that cool down without a recent load no longer count as admitting. A proxy that refuses for lack of capacity reports its load, so that a shortage alone lets no request leave beyond the share.

--- a/verbenadeck/router/_stats.py
+++ b/verbenadeck/router/_stats.py
@@ -176,6 +176,22 @@
             return True
         return self.load.is_admitting
 
+    def may_admit(self, now_s: float) -> bool:
+        """Return whether the proxy admits requests and is likely to reply.
+
+        A proxy that cools down without a recent load did not reply to the
+        last query or attempt. One that refused for lack of capacity did.
+
+        Parameters
+        ----------
+        now_s : float
+            Time now, in seconds.
+        """
+        is_silent = now_s < self.cooldown_until_s and not self.has_recent_load(
+            now_s
+        )
+        return self.is_admitting(now_s) and not is_silent
+
     @property
     def has_free_slot(self) -> bool:
         """Whether the last load that was reported leaves a slot free."""
--- a/verbenadeck/router/_zones.py
+++ b/verbenadeck/router/_zones.py
@@ -329,7 +329,7 @@
         return probe
     near, far = _costs_by_zone(proxies, now_s, remote_cost_s)
     known = [each for each in far if each.proxy.has_recent_load(now_s)]
-    if not any(each.proxy.is_admitting(now_s) for each in near):
+    if not any(each.proxy.may_admit(now_s) for each in near):
         best = min(known or far or near, key=_cost_s)
         return ProxyChoice(best.proxy, 'no proxy admits in the own zone')
     own = min(near, key=_cost_s)
--- a/verbenadeck/router/tests/test_zones.py
+++ b/verbenadeck/router/tests/test_zones.py
@@ -186,6 +186,31 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize(('near', 'is_leaving'), [(None, True), (_BUSY, False)])
+def test_requests_leave_a_zone_that_does_not_reply(
+    near: ProxyLoad | None, is_leaving: bool
+) -> None:
+    """Load: the upstreams of a zone are lost, and the fleet still lists them.
+
+    Guards against requests that stay with proxies which did not reply, and
+    against leaving since a proxy of the zone had no capacity.
+    """
+
+    async def scenario() -> None:
+        stats = await _make_stats(('nadi', near), ('suva', _IDLE))
+        stats[0].start_cooldown(0.48)
+        choice = choose_by_cost(
+            stats,
+            0.5,
+            random.Random(1),
+            remote_cost_s=lambda _zone: 0.01,
+            try_leave=bool,
+        )
+        assert choice.proxy.is_same_zone is not is_leaving
+
+    run_virtual(scenario())
+
+
 def test_share_that_leaves_changes_by_bounded_steps() -> None:
     """Load: a peak of some seconds in one zone.
 
