--- a/verbenadeck/router/tests/test_failing_upstreams.py
+++ b/verbenadeck/router/tests/test_failing_upstreams.py
@@ -42,7 +42,7 @@
 _CAPACITY_PER_S = len(_ZONES) * 3 / 0.1
 _FAULT_SHARE = 0.55
 _MAX_RATIO = 0.2
-_SLACK = 212
+_SLACK = 210
 _RETRIES = RetryOptions(ratio=0.8 * _MAX_RATIO, burst=0.8 * _SLACK)
 _OFF = RouterOptions()
 _ON = RouterOptions(few_slots=5, retries=_RETRIES)
