Give a head its time again while the node does not read it

Cause: a caller that pipelines a whole request and the start of the next one behind a request in progress can't send the rest, since no more is read. After the header time-out the connection was closed behind the answer in progress, and the whole request that waited was dropped.

Change: the time of a head restarts while reading is paused, as that of a body.

Result: the new test failed before with a closed connection; test_client_limits passes (16).

--- a/verbenadeck/entry/_arrival.py
+++ b/verbenadeck/entry/_arrival.py
@@ -114,3 +114,14 @@
             self.due_s = now_s + self._limits.idle_timeout_s
         elif self._received_bytes and self.due_s is None:
             self.due_s = now_s + self._limits.header_timeout_s
+
+    def restart_due(self, now_s: float) -> None:
+        """Give what is due its whole time again.
+
+        Parameters
+        ----------
+        now_s : float
+            Time in seconds.
+        """
+        self.due_s = None
+        self.update_due(now_s)
--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -247,9 +247,9 @@
             return
         now_s = self._loop.time()
         is_paused = self._reading_paused or self._buffer_paused
-        if arrival.body is not None and is_paused:
-            # The node does not read the body, so the client can't send it.
-            arrival.update_due(now_s)
+        if is_paused:
+            # The node does not read, so the client can't send the rest.
+            arrival.restart_due(now_s)
         if now_s < arrival.due_s:
             self._timer = self._loop.call_at(arrival.due_s, self._check_due)
         else:
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -288,6 +288,28 @@
     asyncio.run(scenario())
 
 
+# Guards against a whole request that is dropped, since the start of the one
+# behind it waits for longer than a head may take.
+def test_head_behind_waiting_requests_is_not_late() -> None:
+    async def scenario() -> None:
+        router = _Router()
+        router.may_answer.clear()
+        async with _running(router, header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            while not router.bodies:
+                await asyncio.sleep(_POLL_S)
+            await caller.send(_REQUEST + _REQUEST[:10])
+            await asyncio.sleep(0.5)
+            router.may_answer.set()
+            await caller.send(_REQUEST[10:])
+            for _ in range(3):
+                assert await caller.read_status() == 200
+            assert not run.counters
+
+    asyncio.run(scenario())
+
+
 # Guards against reading without end from a caller whose request runs.
 def test_no_more_is_read_while_a_request_waits() -> None:
     async def scenario() -> None:
