Count no byte of a body as part of the next head

Cause: the bytes after a request without a body were counted from the start of a piece, by one empty line for each of its requests. An empty line in the body of an earlier request made the rest of the body count as a partial head, and the header time-out closed the idle connection.

Change: the count starts at the last head in the piece.

--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -200,7 +200,7 @@
                 return
             self._body = body
             if body is EMPTY_PAYLOAD:
-                self._expect_head(_count_surplus(piece, new_requests))
+                self._expect_head(_count_surplus(piece))
             else:
                 self._arrival.expect_body(body)
         else:
@@ -313,27 +313,22 @@
         self._close = True
 
 
-def _count_surplus(piece: bytes, requests: int) -> int:
-    r"""Return the bytes in a piece after the heads of requests without bodies.
+def _count_surplus(piece: bytes) -> int:
+    r"""Return the bytes in a piece after the head of a request without a body.
 
     Parameters
     ----------
     piece : bytes
-        Bytes in which as many heads end.
-    requests : int
-        Number of the requests.
+        Bytes in which the head ends, as the last one.
 
     Examples
     --------
-    >>> _count_surplus(b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET', 1)
+    >>> _count_surplus(b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET')
     3
     """
-    position = 0
-    for _ in range(requests):
-        while piece.startswith(_LINE_END, position):
-            position += len(_LINE_END)
-        head_end = piece.find(_HEAD_END, position)
-        if head_end < 0:
-            return 0
-        position = head_end + len(_HEAD_END)
-    return len(piece) - position
+    head_end = piece.rfind(_HEAD_END)
+    if head_end < 0:
+        return 0
+    # Empty lines after a head count as part of the next one.
+    head = piece[:head_end].rstrip(_LINE_END)
+    return len(piece) - len(head) - len(_HEAD_END)
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -310,6 +310,39 @@
     asyncio.run(scenario())
 
 
+# Guards against a kept connection that is closed by the header time-out, since
+# the rest of a body with empty lines was taken for the start of a head.
+def test_body_before_a_request_is_no_part_of_a_head() -> None:
+    async def scenario() -> None:
+        async with _running(_Router(), header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            body = b'a\r\n\r\nb'
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: %d\r\n\r\n%b%b' % (len(body), body, _REQUEST)
+            )
+            for _ in range(2):
+                assert await caller.read_status() == 200
+            await asyncio.sleep(0.5)
+            await caller.send(_REQUEST)
+            assert await caller.read_status() == 200
+
+    asyncio.run(scenario())
+
+
+# Guards against empty lines after a request that have no time of their own.
+def test_empty_lines_after_a_request_are_closed_late() -> None:
+    async def scenario() -> None:
+        async with _running(_Router(), header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            await caller.send(b'%b\r\n\r\n' % _REQUEST)
+            assert await caller.read_status() == 200
+            assert await caller.is_closed()
+            assert run.counters == {'clients_closed_late_heads': 1}
+
+    asyncio.run(scenario())
+
+
 # Guards against reading without end from a caller whose request runs.
 def test_no_more_is_read_while_a_request_waits() -> None:
     async def scenario() -> None:
