Do not count a body that is being read as partial heads

Cause: bytes that wait for a handler to read its body counted towards the 8 MiB of all partial heads, 128 KiB and more for each upload.

Change: only bytes behind a request in progress count, and parts of heads.

--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -222,7 +222,12 @@
             if not self._buffer_paused:
                 self._pause_reading_for_buffer()
         arrival = self._arrival
-        partial_bytes = len(self._unparsed) + arrival.head_bytes
+        partial_bytes = arrival.head_bytes
+        # The first request at an idle connection runs at once.
+        starting = 0 if self._waiter is None else 1
+        if arrival.body is None or len(self._messages) > starting:
+            partial_bytes += len(self._unparsed)
+        # Otherwise a handler reads the body, and bounds its memory.
         if partial_bytes or self._has_partial:
             self._has_partial = partial_bytes > 0
             self._group.hold_partial(self, partial_bytes)
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager, suppress
 
 import msgspec
+import pytest
 from returns.result import Success
 
 from verbenadeck.entry import EntryServer
@@ -255,6 +256,54 @@
     asyncio.run(scenario())
 
 
+# Guards against uploads that are closed for the limit of all partial heads, when
+# many bodies arrive faster than the node reads them.
+def test_body_that_is_being_read_is_no_partial_head(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        'verbenadeck.entry._watched_connection._READ_BUFFER_BYTES', 1024
+    )
+
+    async def scenario() -> None:
+        router = _Router()
+        async with _running(
+            router, partial_heads_limit_bytes=10_000, body_limit_bytes=60_000
+        ) as run:
+            caller = await run.connect()
+            body = bytes(60_000)
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+            )
+            assert await caller.read_status() == 200
+            assert not run.counters
+        assert router.bodies == [body]
+
+    asyncio.run(scenario())
+
+
+# Guards against pipelined bodies that take memory without a bound.
+def test_body_behind_a_running_request_counts_as_partial() -> None:
+    async def scenario() -> None:
+        router = _Router()
+        router.may_answer.clear()
+        async with _running(
+            router, partial_heads_limit_bytes=10_000, body_limit_bytes=60_000
+        ) as run:
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            while not router.bodies:
+                await asyncio.sleep(_POLL_S)
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: 60000\r\n\r\n%b' % bytes(59_000)
+            )
+            await run.wait_for('clients_closed_partial_heads')
+
+    asyncio.run(scenario())
+
+
 def test_body_in_chunks_of_one_byte_is_served() -> None:
     async def scenario() -> None:
         router = _Router()
