Apply the header time-out to a head that follows a body

Cause: the timer of a body is set to the idle time-out and stayed after it, so that a head which began then was checked only when it fired.

Change: a timer that fires later than the head is due is replaced.

--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -233,8 +233,11 @@
             self._group.hold_partial(self, partial_bytes)
         if partial_bytes or arrival.body is not None:
             arrival.update_due(self._loop.time())
-            if arrival.due_s is not None and self._timer is None:
-                self._timer = self._loop.call_at(arrival.due_s, self._check_due)
+            due_s = arrival.due_s
+            if due_s is not None and not _fires_by(self._timer, due_s):
+                if self._timer is not None:
+                    self._timer.cancel()
+                self._timer = self._loop.call_at(due_s, self._check_due)
 
     def _resume_reading_if_drained(self) -> None:
         # aiohttp calls this when a handler takes the next request.
@@ -318,6 +321,11 @@
         self._close = True
 
 
+def _fires_by(timer: asyncio.TimerHandle | None, due_s: float) -> bool:
+    # The timer of a body is set to the idle time-out, and remains after it.
+    return timer is not None and timer.when() <= due_s
+
+
 def _count_surplus(piece: bytes) -> int:
     r"""Return the bytes in a piece after the head of a request without a body.
 
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -227,6 +227,24 @@
     asyncio.run(scenario())
 
 
+# Guards against a head after a body that has the longer time of the body.
+def test_head_after_a_body_has_its_own_time() -> None:
+    async def scenario() -> None:
+        async with _running(
+            _Router(), idle_timeout_s=30, header_timeout_s=0.2
+        ) as run:
+            caller = await run.connect()
+            await caller.send(_CHUNKED, b'1\r\na\r\n')
+            await asyncio.sleep(0.1)
+            await caller.send(b'0\r\n\r\n')
+            assert await caller.read_status() == 200
+            await caller.send(_REQUEST[:10])
+            assert await caller.is_closed()
+            assert run.counters == {'clients_closed_late_heads': 1}
+
+    asyncio.run(scenario())
+
+
 # Guards against a body that is announced and holds its memory for ever.
 def test_body_that_stops_is_refused_unrouted() -> None:
     async def scenario() -> None:
