Listen on addresses of IPv6 again

Cause: the listener was made for IPv4 only, so that an entry whose host is ::1 did not start (OSError, address family not supported).

Change: the family follows from the address.

Result: the new test covers it; the same call raised the error before. test_entry passes.

--- a/verbenadeck/entry/_connections.py
+++ b/verbenadeck/entry/_connections.py
@@ -95,7 +95,8 @@
                 auto_decompress=False,
             )
 
-        listener = socket.create_server((host, port))
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family)
         self._listening = await start_listening(
             make_connection, listener, backlog=self._options.listen_backlog
         )
--- a/verbenadeck/entry/tests/test_entry.py
+++ b/verbenadeck/entry/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from returns.result import Failure, Success
 
 from verbenadeck.adapters import DEADLINE_HEADER, OUTCOME_HEADER
@@ -260,3 +261,16 @@
             await stopping
 
     asyncio.run(scenario())
+
+
+# Guards against an entry that does not start on an address of IPv6.
+def test_entry_listens_on_an_address_of_ipv6() -> None:
+    async def scenario() -> None:
+        entry = make_entry(_EchoRouter())
+        entry.apply_options(msgspec.structs.replace(entry.options, host='::1'))
+        await entry.start()
+        _, writer = await asyncio.open_connection('::1', entry.port)
+        writer.close()
+        await entry.stop()
+
+    asyncio.run(scenario())
