--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -200,7 +200,7 @@
                 return
             self._body = body
             if body is EMPTY_PAYLOAD:
-                self._expect_head(_count_surplus(piece, new_requests))
+                self._expect_head(_count_surplus(piece))
             else:
                 self._arrival.expect_body(body)
         else:
@@ -222,14 +222,22 @@
             if not self._buffer_paused:
                 self._pause_reading_for_buffer()
         arrival = self._arrival
-        partial_bytes = len(self._unparsed) + arrival.head_bytes
+        partial_bytes = arrival.head_bytes
+        # The first request at an idle connection runs at once.
+        starting = 0 if self._waiter is None else 1
+        if arrival.body is None or len(self._messages) > starting:
+            partial_bytes += len(self._unparsed)
+        # Otherwise a handler reads the body, and bounds its memory.
         if partial_bytes or self._has_partial:
             self._has_partial = partial_bytes > 0
             self._group.hold_partial(self, partial_bytes)
         if partial_bytes or arrival.body is not None:
             arrival.update_due(self._loop.time())
-            if arrival.due_s is not None and self._timer is None:
-                self._timer = self._loop.call_at(arrival.due_s, self._check_due)
+            due_s = arrival.due_s
+            if due_s is not None and not _fires_by(self._timer, due_s):
+                if self._timer is not None:
+                    self._timer.cancel()
+                self._timer = self._loop.call_at(due_s, self._check_due)
 
     def _resume_reading_if_drained(self) -> None:
         # aiohttp calls this when a handler takes the next request.
@@ -247,9 +255,9 @@
             return
         now_s = self._loop.time()
         is_paused = self._reading_paused or self._buffer_paused
-        if arrival.body is not None and is_paused:
-            # The node does not read the body, so the client can't send it.
-            arrival.update_due(now_s)
+        if is_paused:
+            # The node does not read, so the client can't send the rest.
+            arrival.restart_due(now_s)
         if now_s < arrival.due_s:
             self._timer = self._loop.call_at(arrival.due_s, self._check_due)
         else:
@@ -313,27 +321,27 @@
         self._close = True
 
 
-def _count_surplus(piece: bytes, requests: int) -> int:
-    r"""Return the bytes in a piece after the heads of requests without bodies.
+def _fires_by(timer: asyncio.TimerHandle | None, due_s: float) -> bool:
+    # The timer of a body is set to the idle time-out, and remains after it.
+    return timer is not None and timer.when() <= due_s
+
+
+def _count_surplus(piece: bytes) -> int:
+    r"""Return the bytes in a piece after the head of a request without a body.
 
     Parameters
     ----------
     piece : bytes
-        Bytes in which as many heads end.
-    requests : int
-        Number of the requests.
+        Bytes in which the head ends, as the last one.
 
     Examples
     --------
-    >>> _count_surplus(b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET', 1)
+    >>> _count_surplus(b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET')
     3
     """
-    position = 0
-    for _ in range(requests):
-        while piece.startswith(_LINE_END, position):
-            position += len(_LINE_END)
-        head_end = piece.find(_HEAD_END, position)
-        if head_end < 0:
-            return 0
-        position = head_end + len(_HEAD_END)
-    return len(piece) - position
+    head_end = piece.rfind(_HEAD_END)
+    if head_end < 0:
+        return 0
+    # Empty lines after a head count as part of the next one.
+    head = piece[:head_end].rstrip(_LINE_END)
+    return len(piece) - len(head) - len(_HEAD_END)
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager, suppress
 
 import msgspec
+import pytest
 from returns.result import Success
 
 from verbenadeck.entry import EntryServer
@@ -226,6 +227,24 @@
     asyncio.run(scenario())
 
 
+# Guards against a head after a body that has the longer time of the body.
+def test_head_after_a_body_has_its_own_time() -> None:
+    async def scenario() -> None:
+        async with _running(
+            _Router(), idle_timeout_s=30, header_timeout_s=0.2
+        ) as run:
+            caller = await run.connect()
+            await caller.send(_CHUNKED, b'1\r\na\r\n')
+            await asyncio.sleep(0.1)
+            await caller.send(b'0\r\n\r\n')
+            assert await caller.read_status() == 200
+            await caller.send(_REQUEST[:10])
+            assert await caller.is_closed()
+            assert run.counters == {'clients_closed_late_heads': 1}
+
+    asyncio.run(scenario())
+
+
 # Guards against a body that is announced and holds its memory for ever.
 def test_body_that_stops_is_refused_unrouted() -> None:
     async def scenario() -> None:
@@ -255,6 +274,54 @@
     asyncio.run(scenario())
 
 
+# Guards against uploads that are closed for the limit of all partial heads, when
+# many bodies arrive faster than the node reads them.
+def test_body_that_is_being_read_is_no_partial_head(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        'verbenadeck.entry._watched_connection._READ_BUFFER_BYTES', 1024
+    )
+
+    async def scenario() -> None:
+        router = _Router()
+        async with _running(
+            router, partial_heads_limit_bytes=10_000, body_limit_bytes=60_000
+        ) as run:
+            caller = await run.connect()
+            body = bytes(60_000)
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+            )
+            assert await caller.read_status() == 200
+            assert not run.counters
+        assert router.bodies == [body]
+
+    asyncio.run(scenario())
+
+
+# Guards against pipelined bodies that take memory without a bound.
+def test_body_behind_a_running_request_counts_as_partial() -> None:
+    async def scenario() -> None:
+        router = _Router()
+        router.may_answer.clear()
+        async with _running(
+            router, partial_heads_limit_bytes=10_000, body_limit_bytes=60_000
+        ) as run:
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            while not router.bodies:
+                await asyncio.sleep(_POLL_S)
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: 60000\r\n\r\n%b' % bytes(59_000)
+            )
+            await run.wait_for('clients_closed_partial_heads')
+
+    asyncio.run(scenario())
+
+
 def test_body_in_chunks_of_one_byte_is_served() -> None:
     async def scenario() -> None:
         router = _Router()
@@ -288,6 +355,61 @@
     asyncio.run(scenario())
 
 
+# Guards against a whole request that is dropped, since the start of the one
+# behind it waits for longer than a head may take.
+def test_head_behind_waiting_requests_is_not_late() -> None:
+    async def scenario() -> None:
+        router = _Router()
+        router.may_answer.clear()
+        async with _running(router, header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            while not router.bodies:
+                await asyncio.sleep(_POLL_S)
+            await caller.send(_REQUEST + _REQUEST[:10])
+            await asyncio.sleep(0.5)
+            router.may_answer.set()
+            await caller.send(_REQUEST[10:])
+            for _ in range(3):
+                assert await caller.read_status() == 200
+            assert not run.counters
+
+    asyncio.run(scenario())
+
+
+# Guards against a kept connection that is closed by the header time-out, since
+# the rest of a body with empty lines was taken for the start of a head.
+def test_body_before_a_request_is_no_part_of_a_head() -> None:
+    async def scenario() -> None:
+        async with _running(_Router(), header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            body = b'a\r\n\r\nb'
+            await caller.send(
+                b'POST /holds/1 HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: %d\r\n\r\n%b%b' % (len(body), body, _REQUEST)
+            )
+            for _ in range(2):
+                assert await caller.read_status() == 200
+            await asyncio.sleep(0.5)
+            await caller.send(_REQUEST)
+            assert await caller.read_status() == 200
+
+    asyncio.run(scenario())
+
+
+# Guards against empty lines after a request that have no time of their own.
+def test_empty_lines_after_a_request_are_closed_late() -> None:
+    async def scenario() -> None:
+        async with _running(_Router(), header_timeout_s=0.2) as run:
+            caller = await run.connect()
+            await caller.send(b'%b\r\n\r\n' % _REQUEST)
+            assert await caller.read_status() == 200
+            assert await caller.is_closed()
+            assert run.counters == {'clients_closed_late_heads': 1}
+
+    asyncio.run(scenario())
+
+
 # Guards against reading without end from a caller whose request runs.
 def test_no_more_is_read_while_a_request_waits() -> None:
     async def scenario() -> None:
