Give refused requests retry times behind those of their own priority

Cause: a refused request was told to return at the end of the whole queue and after all retry times given before, also those of less urgent requests. Change: the forecast wait and the schedule of retry times are those of the request's priority. Measured: the new test failed before.

--- a/verbenadeck/proxy/_forecast_rules.py
+++ b/verbenadeck/proxy/_forecast_rules.py
@@ -1,6 +1,7 @@
 """Rules of a queue by the forecast from the kinds of requests."""
 
-from collections.abc import Callable, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from verbenadeck.model import Refusal, RefusalReason
@@ -69,7 +70,9 @@
     ) -> None:
         self._context = context
         self._count = count
-        self._retry_times = RetrySchedule()
+        self._retry_times: defaultdict[int, RetrySchedule] = defaultdict(
+            RetrySchedule
+        )
 
     def refusal(
         self, waiter: Waiter, waiting: Sequence[Waiter], limit: int
@@ -101,7 +104,7 @@
         if victim is None or self._is_refused_without(
             victim, waiter, waiting, limit
         ):
-            return self._make_refusal(waiter, problem, plan.end_wait_s)
+            return self._make_refusal(waiter, problem, plan.end_waits_s)
         self._count('requests_displaced')
         self._resolve(victim, _DISPLACED, plan)
         return None
@@ -130,6 +133,7 @@
         now_s = context.clock.now_s()
         forecast = forecast_slots(context)
         refused: list[Waiter] = []
+        end_waits_s: dict[int, float] = {}
         for waiter, run_s in in_order(context, waiting):
             least_wait_s = _RECHECKED_WAIT_SHARE * forecast.next_wait_s
             ends_at_s = now_s + least_wait_s + run_s
@@ -137,10 +141,9 @@
                 refused.append(waiter)
             else:
                 forecast.add(run_s)
+            end_waits_s[waiter.priority] = forecast.next_wait_s
         for late in refused:
-            late.resolve(
-                self._make_refusal(late, _UNSERVABLE, forecast.next_wait_s)
-            )
+            late.resolve(self._make_refusal(late, _UNSERVABLE, end_waits_s))
             context.remove(late)
 
     def expires_at_s(self, waiter: Waiter) -> float:
@@ -216,21 +219,28 @@
     ) -> bool:
         if waiter.is_resolved:
             return False
-        waiter.resolve(self._make_refusal(waiter, problem, plan.end_wait_s))
+        waiter.resolve(self._make_refusal(waiter, problem, plan.end_waits_s))
         self._context.remove(waiter)
         return True
 
     def _make_refusal(
-        self, waiter: Waiter, problem: _Problem, wait_s: float
+        self,
+        waiter: Waiter,
+        problem: _Problem,
+        end_waits_s: Mapping[int, float],
     ) -> Refusal:
+        """Return a refusal with a retry time behind those of its priority.
+
+        Less urgent requests do not delay the caller when it returns.
+        """
         context = self._context
         now_s = context.clock.now_s()
         left_s = max(0, waiter.deadline_s - now_s)
         rate_per_s = max(1, context.limit()) / context.service_time_s()
         interval_s = 1 / min(rate_per_s, context.rate_per_s() or rate_per_s)
-        retry_after_s = self._retry_times.assign(
+        retry_after_s = self._retry_times[waiter.priority].assign(
             now_s=now_s,
-            wait_s=wait_s,
+            wait_s=end_waits_s[waiter.priority],
             interval_s=interval_s,
             followed_s=left_s * _FOLLOWED_SHARE,
         )
--- a/verbenadeck/proxy/_queue_plan.py
+++ b/verbenadeck/proxy/_queue_plan.py
@@ -42,12 +42,13 @@
     ----------
     runs : list of PlannedRun
         Runs in the order of the queue.
-    end_wait_s : float
-        Wait at the end of the queue, in seconds.
+    end_waits_s : dict of int to float
+        Wait in seconds behind all requests of a priority, by the priorities
+        of the runs.
     """
 
     runs: list[PlannedRun]
-    end_wait_s: float
+    end_waits_s: dict[int, float]
 
 
 def plan_queue(
@@ -70,13 +71,15 @@
     now_s = context.clock.now_s()
     forecast = forecast_slots(context)
     runs: list[PlannedRun] = []
+    end_waits_s: dict[int, float] = {}
     everyone = waiting if joining is None else [*waiting, joining]
     for waiter, run_s in in_order(context, everyone):
         wait_s = forecast.next_wait_s
         runs.append(PlannedRun(waiter, wait_s, now_s + wait_s + run_s))
         if waiter is not joining:
             forecast.add(run_s)
-    return QueuePlan(runs, forecast.next_wait_s)
+        end_waits_s[waiter.priority] = forecast.next_wait_s
+    return QueuePlan(runs, end_waits_s)
 
 
 def forecast_slots(context: QueueContext) -> SlotForecast:
--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -199,6 +199,23 @@
     run_virtual(scenario())
 
 
+# Guards against urgent callers that are told to return only behind all less
+# urgent ones, so that they miss their objective or don't return.
+def test_urgent_request_is_not_told_to_return_behind_less_urgent_ones() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(slots=2, few_slots=5)
+        upstream.learn(_SHORT, _LONG)
+        waiting = [_start(upstream, _LONG) for _ in range(8)]
+        await asyncio.sleep(0.01)
+        hurried = _SHORT._replace(timeout_s=0.5, objective_s=0.3)
+        found = await _start(upstream, hurried)
+        assert found is not None
+        assert found.retry_after_s <= _LONG.service_s
+        await asyncio.gather(*waiting)
+
+    run_virtual(scenario())
+
+
 # Guards against callers that return at once, while the slow span lasts, and are
 # refused for good: no other request waits, so the forecast wait is 0.
 def test_request_refused_after_a_slow_answer_gets_a_retry_time() -> None:
