Stop reading behind a refused head while a request runs

Cause: once a head was over its limit, the bytes behind it were dropped but still read until the answer to the running request had been written, since the refusal comes after it. Change: reading pauses until the refusal is taken. Measured: the new test failed before.

--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -129,6 +129,10 @@
             position += _PIECE_BYTES
         if not self._is_closing:
             self._update_state()
+        elif self._messages and self._request_in_progress:
+            # The refusal waits for the answer before it, and no byte behind it
+            # is of use; aiohttp resumes reading when it takes the refusal.
+            self._pause_reading_for_buffer()
 
     def handle_error(
         self,
--- a/verbenadeck/entry/tests/test_client_limits.py
+++ b/verbenadeck/entry/tests/test_client_limits.py
@@ -410,6 +410,28 @@
     asyncio.run(scenario())
 
 
+# Guards against reading without end from a caller whose request runs: what is
+# behind a head over the limit is dropped, but must not be read meanwhile.
+def test_no_more_is_read_behind_a_refused_head_while_a_request_runs() -> None:
+    async def scenario() -> None:
+        router = _Router()
+        router.may_answer.clear()
+        async with _running(router) as run:
+            caller = await run.connect()
+            await caller.send(_REQUEST)
+            while not router.bodies:
+                await asyncio.sleep(_POLL_S)
+            empty_lines = b'\r\n' * 16_384
+            sending = asyncio.create_task(caller.send(*(empty_lines,) * 1024))
+            await asyncio.sleep(1)
+            assert not sending.done()
+            router.may_answer.set()
+            assert await caller.read_status() == 200
+            sending.cancel()
+
+    asyncio.run(scenario())
+
+
 # Guards against reading without end from a caller whose request runs.
 def test_no_more_is_read_while_a_request_waits() -> None:
     async def scenario() -> None:
