--- a/verbenadeck/proxy/tests/test_few_slots.py
+++ b/verbenadeck/proxy/tests/test_few_slots.py
@@ -36,13 +36,13 @@
 
 _LONG = Kind('ledger', 1, 5, 9, priority=2)
 _SHORT = Kind('payout', 0.1, 0.8, 1.6)
-_WORKSHOP = (
+_SHORT_AND_LONG = (
     Kind('payout', 0.071, 0.305, 1.22, weight=130),
     Kind('ledger', 0.41, 1.207, 5.028, priority=2, weight=75),
     Kind('check', 0.03, 0.125, 0.416, weight=300),
 )
-_SALDO = (Kind('balance', 0.244, 0.966, 3.293),)
-_STOREFRONT = (
+_LOOKUPS = (Kind('balance', 0.244, 0.966, 3.293),)
+_VIEWS_AND_ORDERS = (
     Kind('view', 0.1, 0.404, 1.516, priority=2, weight=421),
     Kind('order', 0.14, 0.61, 2.032, priority=1, weight=162),
 )
@@ -158,7 +158,9 @@
 
 # Guards against callers that are refused in bursts of 1.5 times the capacity,
 # return while it is still taken, and are refused for good.
-@pytest.mark.parametrize(('kinds', 'slots'), ((_SALDO, 5), (_STOREFRONT, 3)))
+@pytest.mark.parametrize(
+    ('kinds', 'slots'), ((_LOOKUPS, 5), (_VIEWS_AND_ORDERS, 3))
+)
 def test_callers_refused_in_a_burst_are_refused_again_less_often(
     kinds: tuple[Kind, ...], slots: int
 ) -> None:
@@ -169,14 +171,14 @@
 
 
 def test_calls_beside_reports_are_never_refused_at_their_deadlines() -> None:
-    counts = _simulate(_WORKSHOP, slots=3, few_slots=5)
+    counts = _simulate(_SHORT_AND_LONG, slots=3, few_slots=5)
     assert counts['first refusal']
     assert counts['refusals at the deadline'] == 0
 
 
 def test_upstream_with_more_slots_keeps_the_count_rules() -> None:
-    assert _simulate(_WORKSHOP, slots=3, few_slots=2) == _simulate(
-        _WORKSHOP, slots=3, few_slots=0
+    assert _simulate(_SHORT_AND_LONG, slots=3, few_slots=2) == _simulate(
+        _SHORT_AND_LONG, slots=3, few_slots=0
     )
 
 
