--- a/verbenadeck/entry/_bounded_connection.py
+++ b/verbenadeck/entry/_bounded_connection.py
@@ -129,10 +129,6 @@
             position += _PIECE_BYTES
         if not self._is_closing:
             self._update_state()
-        elif self._messages and self._request_in_progress:
-            # The refusal waits for the answer before it, and no byte behind it
-            # is of use; aiohttp resumes reading when it takes the refusal.
-            self._pause_reading_for_buffer()
 
     def handle_error(
         self,
@@ -303,6 +299,10 @@
             _HEAD_TOO_LARGE, HttpProcessingError(message=text), text
         )
         self._messages.append((error, EMPTY_PAYLOAD))
+        if self._request_in_progress:
+            # No byte behind the refusal is of use, and it waits for the answer
+            # before it; aiohttp resumes reading when it takes the refusal.
+            self._pause_reading_for_buffer()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
