Show that fencing tokens fall when the store comes back from a copy

The tokens are offsets of the fleet's log, which go back with it.

The store of the stand-ins gains a copy, the return from it, Store-Era and the 410 for an offset that it does not have.

--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -148,6 +148,7 @@
         self.grown = asyncio.Event()
         self.mode = 'up'
         self.epochs = {}
+        self.era = 1
         self.refused = lambda message: False
 
     async def start(self, host, port):
@@ -165,7 +166,25 @@
         grown.set()
         return offset, len(log)
 
+    def copy(self):
+        """Return a copy from which the store may come back."""
+        topics = {name: list(log) for name, log in self.topics.items()}
+        return topics, dict(self.epochs)
+
+    def restore(self, copy):
+        """Come back from a copy: what was appended since is gone."""
+        self.topics = {name: list(log) for name, log in copy[0].items()}
+        self.epochs = dict(copy[1])
+        self.era += 1
+
     async def handle(self, message):
+        answer = await self._handle(message)
+        if answer is None:
+            return None
+        first, _, rest = answer.partition(b'\r\n')
+        return b'%s\r\nStore-Era: %d\r\n%s' % (first, self.era, rest)
+
+    async def _handle(self, message):
         if self.mode == 'silent' or self.refused(message):
             return None
         if self.mode == 'busy':
@@ -209,13 +228,16 @@
     async def _on_read(self, fields):
         log = self.topics.setdefault(fields['topic'], [])
         start = int(fields['from'])
+        if start > len(log):
+            return self._json(410, {'first': 0})
+        era = self.era
         until = time.monotonic() + int(fields.get('waitMs', 0)) / 1000
         while len(log) <= start and time.monotonic() < until:
             with contextlib.suppress(TimeoutError, asyncio.TimeoutError):
                 await asyncio.wait_for(
                     self.grown.wait(), max(0.001, until - time.monotonic())
                 )
-            if self.mode == 'silent':
+            if self.mode == 'silent' or self.era != era:
                 return None
         pieces = [struct.pack('>QQ', len(log), 0)]
         for record in log[start:start + 4000]:
@@ -653,7 +675,8 @@
             'limits': {'maxHeaderBytes': 16384, 'maxBodyBytes': 67108864,
                        'headerTimeout': '3000ms', 'idleTimeout': '15000ms'},
         }
-        self.store.put('keyed.op', 'config', json.dumps(config).encode())
+        self.config = json.dumps(config).encode()
+        self.store.put('keyed.op', 'config', self.config)
         self.record.write(f'configuration {self.version:08x} acknowledged')
 
     async def start(self):
