--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -784,6 +785,8 @@
         for instance in self.instances:
             if instance.server is not None:
                 await instance.stop()
+        if not os.environ.get('KEEP_LOGS'):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def runs_of(self, request_id):
         return [
