--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,17 +13,18 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'lab_2'))
 import lab as stand
 
-DRAIN_S = 2.0
-STAYS_S = 3.0
+DRAIN_S = 2.5
+STAYS_S = 3.5
 USUAL_PER_S = 32
 BURST = 2.5
 BURST_S = 6.9
-LEAVES_AT_S = 5.5
+LEAVES_AT_S = 6.2
 WORK_MS = 289
 SERVICE = 'dokumenti'
 
 
 async def case(lab, has_trouble):
+    stand.BOUNDS['drain'] = '2500ms'
     for zone in stand.ZONES:
         lab.add(zone, SERVICE, slots=5)
     lab.put_config(
