--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Result
 
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 
 
 class LogFailure(enum.Enum):
@@ -75,7 +75,20 @@
 
 
 class LogAdapter(Protocol):
-    """Adapter that appends to and reads from one stream of a log."""
+    """Adapter that appends to and reads from one stream of a log.
+
+    Its offsets are the indices of records in the log.
+    """
+
+    @property
+    def era(self) -> Era:
+        """Highest era of the log in any of its answers to this adapter.
+
+        It rises when the log has come back from a backup without its newest
+        records. No page or records are returned from an earlier era, also if
+        a call began before the log came back.
+        """
+        ...
 
     async def append(
         self,
--- a/verbenadeck/adapters/_log_http.py
+++ b/verbenadeck/adapters/_log_http.py
@@ -13,7 +13,7 @@
     LogPage,
     NewestRecords,
 )
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.utils import Clock
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -113,6 +113,11 @@
                 LogFailure.UNAVAILABLE, f'no answer from the log: {error_name}'
             )
 
+    @property
+    def era(self) -> Era:
+        """Return 0, as this log never loses records."""
+        return Era(0)
+
     async def newest(self) -> Result[NewestRecords | None, LogError]:
         """Return None: this log keeps no record for good."""
         return Success(None)
--- a/verbenadeck/fleet/_ownership.py
+++ b/verbenadeck/fleet/_ownership.py
@@ -189,6 +189,17 @@
             self._release_range(record, released) for released in record.ranges
         ]
 
+    def raise_fences(self, offset: Offset) -> None:
+        """Raise all fences at the start of an era.
+
+        Parameters
+        ----------
+        offset : Offset
+            Offset at which the era begins.
+        """
+        for table in self.tables.values():
+            table.raise_fences(Fence(offset))
+
     def remove_earlier_owner(self, incarnation: Incarnation) -> None:
         """Remove an ended member from the earlier owners of all shards.
 
--- a/verbenadeck/fleet/_reader.py
+++ b/verbenadeck/fleet/_reader.py
@@ -10,6 +10,7 @@
 from verbenadeck.model import (
     ConfigDocument,
     ConfigVersion,
+    Era,
     Incarnation,
     Offset,
     ServiceName,
@@ -19,10 +20,19 @@
 
 
 class FleetReader:
-    """Base class of `FleetState` with the read-only methods."""
+    """Base class of `FleetState` with the read-only methods.
+
+    Attributes
+    ----------
+    log_era : Era
+        Era that the log was in when the state was read from it.
+    departed_upstreams : DepartedUpstreams
+        Upstream instances that have departed from their nodes.
+    """
 
     def __init__(self) -> None:
         self._applied_offset = Offset(-1)
+        self.log_era = Era(0)
         self._ownership = Ownership()
         self._members = Members(self._ownership.remove_earlier_owner)
         self._config = ConfigDocument()
--- a/verbenadeck/fleet/_shard_table.py
+++ b/verbenadeck/fleet/_shard_table.py
@@ -138,6 +138,16 @@
         _fill_range(self.owners, shard_range, owner)
         _fill_range(self.fences, shard_range, fence)
 
+    def raise_fences(self, fence: Fence) -> None:
+        """Raise the fences of all shards to one above them.
+
+        Parameters
+        ----------
+        fence : Fence
+            New fence of every shard.
+        """
+        _fill_range(self.fences, (0, len(self.fences)), fence)
+
     def release(
         self, shard_range: ShardRange, incarnation: Incarnation, as_of: Offset
     ) -> bool:
--- a/verbenadeck/fleet/_state.py
+++ b/verbenadeck/fleet/_state.py
@@ -19,13 +19,21 @@
 )
 from verbenadeck.fleet._view import AppliedListener
 from verbenadeck.fleet._writers import WriterWindows
-from verbenadeck.model import ConfigDocument, ConfigVersion, Offset
+from verbenadeck.model import (
+    ConfigDocument,
+    ConfigVersion,
+    Era,
+    Offset,
+    era_of,
+    next_offset,
+)
 from verbenadeck.records import (
     Assign,
     CheckpointChunk,
     CodecError,
     ConfigPublished,
     Envelope,
+    EraStart,
     NodeJoin,
     NodeLeave,
     Record,
@@ -72,6 +80,8 @@
     5. Votes count for one epoch and need a quorum that intersects every
        renewal quorum; see `eviction_quorum`.
     6. A record takes effect at most once; see `WriterWindows`.
+    7. After a record of an era, records that were decided in an earlier era
+       have no effect. The first record of an era raises all fences.
     """
 
     def __init__(self) -> None:
@@ -88,6 +98,7 @@
             ConfigPublished: self._apply_config,
             CheckpointChunk: lambda _offset, _record: Verdict.ACCEPTED,
             UpstreamLeave: self.departed_upstreams.apply,
+            EraStart: lambda _offset, _record: Verdict.ACCEPTED,
         }
 
     def subscribe(self, listener: AppliedListener) -> None:
@@ -103,13 +114,36 @@
         """
         self._listeners.append(listener)
 
+    def clear(self) -> None:
+        """Replace the whole state by that of a log without records."""
+        self._load(_EMPTY_SNAPSHOT)
+
+    def follow(self, payload: bytes | Envelope) -> tuple[Offset, Verdict]:
+        """Apply the record that follows the last applied one in the log.
+
+        Parameters
+        ----------
+        payload : bytes or Envelope
+            The record.
+
+        Returns
+        -------
+        (Offset, Verdict)
+            Offset of the record, and the verdict on it.
+        """
+        envelope = _decode_payload(payload)
+        offset = next_offset(self._applied_offset, _era_of_envelope(envelope))
+        return offset, self.apply(
+            offset, payload if envelope is None else envelope
+        )
+
     def apply(self, offset: Offset, payload: bytes | Envelope) -> Verdict:
         """Apply the next record of the log.
 
         Parameters
         ----------
         offset : Offset
-            Offset of the record, one past the last applied offset.
+            Offset of the record, the next one after the last applied offset.
         payload : bytes or Envelope
             The record; bytes that cannot be decoded are `INVALID`.
 
@@ -122,13 +156,16 @@
         ValueError
             If the offset is not the next one.
         """
-        if offset != self._applied_offset + 1:
-            expected = self._applied_offset + 1
+        envelope = _decode_payload(payload)
+        expected = next_offset(self._applied_offset, _era_of_envelope(envelope))
+        if offset != expected:
             raise ValueError(
                 f'cannot apply offset {offset}: expected offset {expected}'
             )
-        envelope = _decode_payload(payload)
+        is_first_of_era = era_of(offset) > era_of(self._applied_offset)
         self._applied_offset = offset
+        if is_first_of_era:
+            self._ownership.raise_fences(offset)
         if envelope is None:
             return Verdict.INVALID
         verdict = self._apply_envelope(offset, envelope)
@@ -193,6 +230,8 @@
         return Success(self._applied_offset)
 
     def _apply_envelope(self, offset: Offset, envelope: Envelope) -> Verdict:
+        if _era_of_envelope(envelope) < era_of(offset):
+            return Verdict.STALE
         verdict = self._writers.check(envelope, offset)
         if verdict is not None:
             return verdict
@@ -241,3 +280,22 @@
     if isinstance(payload, Envelope):
         return payload
     return decode_envelope(payload).value_or(None)
+
+
+def _era_of_envelope(envelope: Envelope | None) -> Era:
+    """Return the era of a record, 0 for bytes that cannot be decoded."""
+    return Era(0) if envelope is None else envelope.era
+
+
+_EMPTY_SNAPSHOT = Snapshot(
+    version=SNAPSHOT_VERSION,
+    applied_offset=Offset(-1),
+    config_version=ConfigVersion(0),
+    config_author='',
+    document=encode_document(ConfigDocument()),
+    live=(),
+    ended=(),
+    votes={},
+    tables=(),
+    writers=(),
+)
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -11,6 +11,7 @@
     ConfigDocument,
     ConfigVersion,
     Epoch,
+    Era,
     Fence,
     Incarnation,
     NodeId,
@@ -257,9 +258,12 @@
     ----------
     departed_upstreams : DepartedUpstreams
         Upstream instances that have departed from their nodes.
+    log_era : Era
+        Era that the log was in when the state was read from it.
     """
 
     departed_upstreams: DepartedUpstreams
+    log_era: Era
 
     def owners(self, service: ServiceName) -> Sequence[int]:
         """Return the assigned owners, indexed by shard.
--- a/verbenadeck/fleet/_writers.py
+++ b/verbenadeck/fleet/_writers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from verbenadeck.model import Offset, WriterId
+from verbenadeck.model import Offset, WriterId, index_of
 from verbenadeck.records import Envelope, Verdict
 
 REPEAT_WINDOW_OFFSETS = 65_536
@@ -73,7 +73,7 @@
     log and no clock, so every node reaches the same result:
 
     1. A record at offset p with a `seen_offset` of s has no effect unless
-       ``s < p <= s + REPEAT_WINDOW_OFFSETS``.
+       ``s < p <= s + REPEAT_WINDOW_OFFSETS``, counted in indices.
     2. The window of a writer is dropped at the first offset beyond ``q +
        REPEAT_WINDOW_OFFSETS``, where q is the offset of its last record that
        passed rule 1. Every record that it wrote up to q has ``s < q``, so by
@@ -112,7 +112,7 @@
         seen_offset = envelope.seen_offset
         if envelope.sequence < 1 or not -1 <= seen_offset < offset:
             return Verdict.INVALID
-        if offset - seen_offset > REPEAT_WINDOW_OFFSETS:
+        if index_of(offset) - index_of(seen_offset) > REPEAT_WINDOW_OFFSETS:
             return Verdict.STALE
         window = self._windows.pop(envelope.writer, None)
         if window is None:
@@ -142,9 +142,10 @@
     def _drop_expired_writers(self, offset: Offset) -> None:
         while self._windows:
             writer = next(iter(self._windows))
+            last_offset = self._windows[writer].last_offset
             if (
-                self._windows[writer].last_offset + REPEAT_WINDOW_OFFSETS
-                >= offset
+                index_of(offset) - index_of(last_offset)
+                <= REPEAT_WINDOW_OFFSETS
             ):
                 return
             self._windows.pop(writer)
--- a/verbenadeck/journal/_checkpoint_tracker.py
+++ b/verbenadeck/journal/_checkpoint_tracker.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from verbenadeck.model import Offset, WriterId
+from verbenadeck.model import Offset, WriterId, era_of, index_of
 from verbenadeck.records import CheckpointChunk, Envelope
 
 MAX_CHUNKS = 512
@@ -27,7 +27,7 @@
 
     def is_usable(self, first_offset: Offset) -> bool:
         """Return whether the log still has every record after the snapshot."""
-        return self.as_of_offset + 1 >= first_offset
+        return index_of(self.as_of_offset) + 1 >= first_offset
 
 
 class _PartialCheckpoint(msgspec.Struct):
@@ -64,6 +64,9 @@
             offset, chunk
         ):
             return False
+        if envelope.era < era_of(offset):
+            # Written before the log lost records that the snapshot includes.
+            return False
         key = (envelope.writer, chunk.as_of_offset)
         partial = self._partial_checkpoints.setdefault(
             key, _PartialCheckpoint(chunk.count, {})
@@ -90,6 +93,8 @@
 
 
 def _is_valid_chunk(offset: Offset, chunk: CheckpointChunk) -> bool:
-    is_before_offset = -1 <= chunk.as_of_offset and chunk.as_of_offset < offset
+    is_before_offset = -1 <= chunk.as_of_offset < offset and index_of(
+        chunk.as_of_offset
+    ) < index_of(offset)
     is_index_valid = 0 <= chunk.index and chunk.index < chunk.count
     return is_before_offset and is_index_valid and chunk.count <= MAX_CHUNKS
--- a/verbenadeck/journal/_checkpointer.py
+++ b/verbenadeck/journal/_checkpointer.py
@@ -9,7 +9,7 @@
 from verbenadeck.fleet import MemberState, compress_snapshot
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
 from verbenadeck.journal._client import LogClient
-from verbenadeck.model import Incarnation, Offset
+from verbenadeck.model import Incarnation, Offset, index_of
 from verbenadeck.records import CheckpointChunk, Verdict
 from verbenadeck.utils import Clock
 
@@ -151,9 +151,11 @@
         as_of_offset = Offset(-1)
         if self._newest is not None:
             as_of_offset = self._newest.as_of_offset
-        if as_of_offset + 1 < first_offset:
+        as_of_index = index_of(as_of_offset)
+        if as_of_index + 1 < first_offset:
             return True
-        unsaved_count = self._client.fleet.applied_offset - as_of_offset
+        applied_index = index_of(self._client.fleet.applied_offset)
+        unsaved_count = applied_index - as_of_index
         if unsaved_count > self._options.max_records:
             return True
         return now_s >= self._newest_at_s + self._options.interval_s
--- a/verbenadeck/journal/_client.py
+++ b/verbenadeck/journal/_client.py
@@ -21,9 +21,12 @@
 from verbenadeck.journal._waiters import completes_by
 from verbenadeck.model import NodeId, WriterId
 from verbenadeck.peers import PeerAddress, PeerTransport
-from verbenadeck.records import Record
+from verbenadeck.records import EraStart, Record
 from verbenadeck.utils import Clock
 
+_ERA_START_SPREAD_S = 0.3
+_ERA_START_TIMEOUT_S = 1.0
+
 
 class JournalOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Options of the log client.
@@ -89,6 +92,7 @@
             transport=transport,
             options=chosen_options.reads,
         )
+        self._era_task: asyncio.Task[None] | None = None
         self._append_slots = asyncio.Semaphore(chosen_options.parallel_appends)
         self._appender = Appender(
             adapter=adapter,
@@ -101,6 +105,18 @@
         if transport is not None:
             self._register_relay_handlers(transport)
 
+    async def start(self) -> None:
+        """Start tailing, and to write the first records of new eras."""
+        await super().start()
+        self._era_task = asyncio.create_task(self._start_eras())
+
+    async def stop(self) -> None:
+        """Stop all tasks and close the client for the log service."""
+        if self._era_task is not None:
+            self._era_task.cancel()
+            await asyncio.gather(self._era_task, return_exceptions=True)
+        await super().stop()
+
     async def propose(
         self, record: Record, *, deadline_s: float
     ) -> Result[AppliedRecord, JournalError]:
@@ -112,16 +128,37 @@
         """
         if not await self.wait_ready(deadline_s=deadline_s):
             return _not_appended(f'waits for {self.blocked_on}')
+        return await self._append(record, deadline_s=deadline_s)
+
+    async def _append(
+        self, record: Record, *, deadline_s: float
+    ) -> Result[AppliedRecord, JournalError]:
         slot_wait = self._append_slots.acquire()
         if not await completes_by(slot_wait, self._clock, deadline_s):
             return _not_appended('too many appends in flight')
-        proposal = self._proposals.open(record, self._fleet.applied_offset)
+        proposal = self._proposals.open(
+            record, self._fleet.applied_offset, self._fleet.log_era
+        )
         try:
             return await self._appender.append(proposal, deadline_s=deadline_s)
         finally:
             self._proposals.close(proposal)
             self._append_slots.release()
 
+    async def _start_eras(self) -> None:
+        """Write the first record of each era that nobody else writes."""
+        while True:
+            await self._era_start.wait_start_due()
+            # So that few of the nodes append at once.
+            spread_s = self._random.uniform(0, _ERA_START_SPREAD_S)
+            await self._clock.sleep_until(self._clock.now_s() + spread_s)
+            if not self._era_start.is_era_started:
+                await self._append(
+                    EraStart(self._fleet.log_era),
+                    deadline_s=self._clock.now_s() + _ERA_START_TIMEOUT_S,
+                )
+            self._era_start.mark_caught_up()
+
     def _relay_peers(self) -> tuple[PeerAddress, ...]:
         return tuple(
             member.address
@@ -137,6 +174,7 @@
             applied_offset=lambda: self._fleet.applied_offset,
             first_offset=lambda: self.applier.first_offset,
             age_s=lambda: self._reader.age_s,
+            era=lambda: self._fleet.log_era,
         )
         transport.register_handler(RelayFetch, relay.handle_fetch)
         transport.register_handler(
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -9,13 +9,21 @@
 from verbenadeck.adapters import LogAdapter, LogFailure, LogPage
 from verbenadeck.fleet import FleetState
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
+from verbenadeck.journal._era_start_gate import EraStartGate
 from verbenadeck.journal._proposals import Proposals
 from verbenadeck.journal._reader import PageReader, ReadOptions
 from verbenadeck.journal._record_applier import RecordApplier
 from verbenadeck.journal._sources import LOG, Source, SourcePlanner
 from verbenadeck.journal._state_loader import StateLoader
 from verbenadeck.journal._waiters import OffsetWaiters, completes_by
-from verbenadeck.model import Incarnation, NodeId, Offset
+from verbenadeck.model import (
+    Incarnation,
+    NodeId,
+    Offset,
+    era_of,
+    index_of,
+    make_offset,
+)
 from verbenadeck.peers import PeerTransport
 from verbenadeck.utils import Clock
 
@@ -57,6 +65,9 @@
     ----------
     applier : RecordApplier
         Applies records; holds the recent records and the newest checkpoint.
+    new_history_listeners : list of callable
+        Called before the state is replaced by an older one, because the log
+        has come back from a backup without its newest records.
     """
 
     def __init__(
@@ -90,6 +101,7 @@
             clock=clock,
             random_source=random_source,
         )
+        self.new_history_listeners = self._loader.new_history_listeners
         self._reader = PageReader(
             adapter=adapter,
             transport=transport,
@@ -97,9 +109,10 @@
             random_source=random_source,
             plan=self._planner.plan if transport else _plan_log,
             options=options,
+            era=lambda: self._fleet.log_era,
             on_refresh=self._waiters.refresh,
         )
-        self._ready = asyncio.Event()
+        self._era_start = EraStartGate(self._fleet)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -115,12 +128,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the state is loaded and has reached the end of the log once."""
-        return self._ready.is_set()
+        return self._era_start.is_passed
 
     @property
     def blocked_on(self) -> str:
         """What loading the state waits for, empty if it is not waiting."""
-        return self._loader.blocked_on
+        return self._loader.blocked_on or self._era_start.blocked_on
 
     @property
     def age_s(self) -> float:
@@ -150,7 +163,9 @@
 
     async def wait_ready(self, *, deadline_s: float) -> bool:
         """Wait until the state has caught up; return False at the deadline."""
-        return await completes_by(self._ready.wait(), self._clock, deadline_s)
+        return await completes_by(
+            self._era_start.wait_passed(), self._clock, deadline_s
+        )
 
     async def wait_applied(self, offset: Offset, *, deadline_s: float) -> bool:
         """Wait until a record is applied; return False at the deadline."""
@@ -164,7 +179,7 @@
         Reads the log itself, since what peers relay may be older. Returns
         False if the end is not known or not applied by the deadline.
         """
-        next_offset = Offset(self._fleet.applied_offset + 1)
+        next_offset = _index_after(self._fleet.applied_offset)
         answer = await self._adapter.read(
             next_offset,
             limit=self._page_limit,
@@ -172,9 +187,12 @@
         )
         match answer:
             case Success(page):
-                last_offset = Offset(next_offset + len(page.records) - 1)
+                last_index = next_offset + len(page.records) - 1
+                era = era_of(self._fleet.applied_offset)
+                last_offset = make_offset(era, last_index)
                 return (
                     page.reaches_end
+                    and self._adapter.era == self._fleet.log_era
                     and page.start_offset == next_offset
                     and await self.wait_applied(
                         last_offset, deadline_s=deadline_s
@@ -189,8 +207,9 @@
         while True:
             if self._planner.consume_change():
                 self._reader.replan()
-            next_offset = Offset(self._fleet.applied_offset + 1)
-            match await self._reader.read(next_offset):
+            match await self._reader.read(
+                _index_after(self._fleet.applied_offset)
+            ):
                 case Success(page):
                     self._apply_page(page)
                 case Failure(error):
@@ -204,19 +223,23 @@
             await self._load_state()
 
     async def _load_state(self) -> None:
-        self._ready.clear()
+        self._era_start.close()
         await self._loader.load()
         self.applier.restart()
         if self._loader.tail is not None:
             self.applier.apply_page(self._loader.tail)
             # The retained records reached the end of the log when they were read.
             self._reader.record_end_known()
-            self._ready.set()
+            self._era_start.mark_caught_up()
 
     def _apply_page(self, page: LogPage) -> None:
         self.applier.apply_page(page)
         if len(page.records) < self._page_limit:
-            self._ready.set()
+            self._era_start.mark_caught_up()
+
+
+def _index_after(offset: Offset) -> Offset:
+    return Offset(index_of(offset) + 1)
 
 
 def _plan_log() -> tuple[Source, ...]:
--- a/verbenadeck/journal/_interface.py
+++ b/verbenadeck/journal/_interface.py
@@ -1,6 +1,7 @@
 """Interface for reading the fleet state and appending to the log."""
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -49,13 +50,27 @@
 
 
 class Journal(Protocol):
-    """Log client of a node, which tails the log and appends to it."""
+    """Log client of a node, which tails the log and appends to it.
+
+    Attributes
+    ----------
+    new_history_listeners : list of callable
+        Called before the state is replaced by an older one, because the log
+        has come back from a backup without its newest records.
+    """
+
+    new_history_listeners: list[Callable[[], None]]
 
     @property
     def fleet(self) -> FleetTables:
         """Fleet state derived from the records applied so far."""
         ...
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the state has caught up with the log."""
+        ...
+
     async def propose(
         self, record: Record, *, deadline_s: float
     ) -> Result[AppliedRecord, JournalError]:
--- a/verbenadeck/journal/_messages.py
+++ b/verbenadeck/journal/_messages.py
@@ -1,7 +1,7 @@
 """Messages between the log clients of nodes."""
 
 from verbenadeck.adapters import LogFailure
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.peers import Message
 
 
@@ -11,13 +11,16 @@
     Parameters
     ----------
     next_offset : Offset
-        Offset of the first requested record.
+        Index of the first requested record in the log.
     wait_s : float
         Maximum time in seconds that the peer waits for that record.
+    era : Era
+        Era of the log that the requester's records are from.
     """
 
     next_offset: Offset
     wait_s: float
+    era: Era = Era(0)
 
 
 class StreamFetch(RelayFetch, frozen=True, array_like=True, tag='stream-fetch'):
@@ -30,9 +33,9 @@
     Parameters
     ----------
     first_offset : Offset
-        Oldest offset that the log retains, as far as the peer knows.
+        Oldest index that the log retains, as far as the peer knows.
     start_offset : Offset
-        Offset of the first record of `records`.
+        Index of the first record of `records`.
     records : tuple of bytes
         Records; empty if the peer has none from that offset on.
     age_s : float
@@ -40,6 +43,9 @@
         or through other peers.
     is_kept : bool
         Whether the peer can serve records from the requested offset on.
+    era : Era
+        Era of the log that the peer's records are from. Records of another
+        era than the requester's are not returned.
     """
 
     first_offset: Offset
@@ -47,6 +53,7 @@
     records: tuple[bytes, ...]
     age_s: float
     is_kept: bool
+    era: Era = Era(0)
 
 
 class RelayAppend(Message, frozen=True, array_like=True, tag='relay-append'):
--- a/verbenadeck/journal/_proposals.py
+++ b/verbenadeck/journal/_proposals.py
@@ -5,11 +5,12 @@
 import msgspec
 
 from verbenadeck.journal._interface import AppliedRecord
-from verbenadeck.model import Offset, WriterId
+from verbenadeck.model import Era, Offset, WriterId
 from verbenadeck.records import (
     FORMAT_VERSION,
     CheckpointChunk,
     Envelope,
+    EraStart,
     Record,
     Verdict,
     encode_envelope,
@@ -58,8 +59,18 @@
         self._last_sequence = 0
         self._pending: dict[int, Proposal] = {}
 
-    def open(self, record: Record, seen_offset: Offset) -> Proposal:
-        """Assign the next sequence number to a record and register it."""
+    def open(self, record: Record, seen_offset: Offset, era: Era) -> Proposal:
+        """Assign the next sequence number to a record and register it.
+
+        Parameters
+        ----------
+        record : Record
+            Record to append.
+        seen_offset : Offset
+            Last offset that this process has applied.
+        era : Era
+            Era of the log that its state was read in.
+        """
         self._last_sequence += 1
         envelope = Envelope(
             format_version=FORMAT_VERSION,
@@ -67,6 +78,7 @@
             sequence=self._last_sequence,
             record=record,
             seen_offset=seen_offset,
+            era=era,
         )
         proposal = Proposal(
             sequence=envelope.sequence,
@@ -97,10 +109,14 @@
 
 
 def _retained_name(record: Record) -> str:
-    """Return the name of a checkpoint chunk, which replaces the previous one."""
+    """Return the name under which the log retains a record, empty for none.
+
+    A checkpoint replaces the previous one. The start of each era is retained,
+    since it tells which of the records after it were decided earlier.
+    """
     if isinstance(record, CheckpointChunk):
         return f'checkpoint-{record.index}'
-    return ''
+    return f'era-{record.era}' if isinstance(record, EraStart) else ''
 
 
 def _generation(record: Record) -> int:
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -17,7 +17,7 @@
     RelayPage,
 )
 from verbenadeck.journal._sources import DIRECT_READERS, LOG, Source
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.peers import PeerAddress, PeerError, PeerTransport
 from verbenadeck.utils import Clock, do_nothing
 
@@ -106,6 +106,9 @@
         Returns the sources in order of preference.
     options : ReadOptions
         Timeouts, limits and intervals.
+    era : callable
+        Returns the era of the log that the records read so far are from. Reads
+        fail with `EXPIRED` when the log or a peer is in a later one.
     make_fetch : type
         Message type that requests records from a peer.
     on_refresh : callable
@@ -121,10 +124,12 @@
         random_source: random.Random,
         plan: Callable[[], tuple[Source, ...]],
         options: ReadOptions,
+        era: Callable[[], Era],
         make_fetch: type[RelayFetch] = RelayFetch,
         on_refresh: Callable[[], None] = do_nothing,
     ) -> None:
         self._on_refresh = on_refresh
+        self._era = era
         self._make_fetch = make_fetch
         self._adapter = adapter
         self._transport = transport
@@ -214,6 +219,8 @@
             limit=self._options.page_limit,
             deadline_s=self._clock.now_s() + self._options.wait_s,
         )
+        if self._adapter.era > self._era():
+            return _lost(self._adapter.era)
         if not is_successful(answer):
             return answer
         if answer.unwrap().start_offset != next_offset:
@@ -237,7 +244,7 @@
                 wait_s = min(wait_s, max(_MIN_WAIT_S, fresh_s))
         answer = await self._transport.call(
             peer,
-            self._make_fetch(next_offset, wait_s),
+            self._make_fetch(next_offset, wait_s, self._era()),
             deadline_s=self._clock.now_s()
             + wait_s
             + self._options.reply_margin_s,
@@ -249,6 +256,8 @@
 
     def _validate_page(self, reply: object, next_offset: Offset) -> ReadResult:
         """Validate the answer of a peer and convert it to a page."""
+        if isinstance(reply, RelayPage) and reply.era > self._era():
+            return _lost(reply.era)
         if not isinstance(reply, RelayPage) or not reply.is_kept:
             return _unavailable('the peer cannot serve the requested records')
         if reply.start_offset != next_offset:
@@ -314,5 +323,11 @@
     return Failure(LogError(LogFailure.UNAVAILABLE, detail))
 
 
+def _lost(era: Era) -> ReadResult:
+    """Return the failure of a read after records that the log has lost."""
+    detail = f'the log came back from a backup and is in era {era}'
+    return Failure(LogError(LogFailure.EXPIRED, detail))
+
+
 def _as_log_error(error: PeerError) -> LogError:
     return LogError(LogFailure.UNAVAILABLE, error.detail)
--- a/verbenadeck/journal/_recent.py
+++ b/verbenadeck/journal/_recent.py
@@ -3,7 +3,7 @@
 from collections import deque
 from itertools import islice
 
-from verbenadeck.model import Offset
+from verbenadeck.model import Offset, index_of
 
 RECENT_BYTES = 1_048_576
 """Maximum size in bytes of the buffer, which holds at least one record."""
@@ -25,13 +25,13 @@
         self._limit_bytes = limit_bytes
         self._records: deque[bytes] = deque()
         self._records_bytes = 0
-        self._stop_offset = Offset(0)
+        self._stop_index = 0
 
     def add(self, offset: Offset, payload: bytes) -> None:
         """Append the next record and evict old ones beyond the limit."""
         self._records.append(payload)
         self._records_bytes += len(payload)
-        self._stop_offset = Offset(offset + 1)
+        self._stop_index = index_of(offset) + 1
         while (
             self._records_bytes > self._limit_bytes and len(self._records) > 1
         ):
@@ -41,19 +41,19 @@
         """Clear the buffer; the next record follows the given offset."""
         self._records.clear()
         self._records_bytes = 0
-        self._stop_offset = Offset(offset + 1)
+        self._stop_index = index_of(offset) + 1
 
-    def covers(self, offset: Offset) -> bool:
-        """Return whether the buffer can serve records from an offset on."""
-        start = self._stop_offset - len(self._records)
-        return start <= offset <= self._stop_offset
+    def covers(self, index: int) -> bool:
+        """Return whether the buffer can serve records from an index on."""
+        start = self._stop_index - len(self._records)
+        return start <= index <= self._stop_index
 
-    def read_page(self, offset: Offset) -> tuple[bytes, ...]:
-        """Return records from a buffered offset on, none at the end."""
-        start = self._stop_offset - len(self._records)
+    def read_page(self, index: int) -> tuple[bytes, ...]:
+        """Return records from a buffered index on, none at the end."""
+        start = self._stop_index - len(self._records)
         page: list[bytes] = []
         page_bytes = 0
-        for payload in islice(self._records, offset - start, None):
+        for payload in islice(self._records, index - start, None):
             page_bytes += len(payload)
             if page and page_bytes > PAGE_BYTES:
                 break
--- a/verbenadeck/journal/_record_applier.py
+++ b/verbenadeck/journal/_record_applier.py
@@ -6,7 +6,7 @@
 from verbenadeck.journal._proposals import Proposals
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._waiters import OffsetWaiters
-from verbenadeck.model import Incarnation, Offset
+from verbenadeck.model import Incarnation, Offset, index_of
 from verbenadeck.records import (
     Envelope,
     NodeJoin,
@@ -58,10 +58,21 @@
         self.first_offset = Offset(0)
 
     def apply_page(self, page: LogPage) -> None:
-        """Apply consecutive records that follow the last applied one."""
+        """Apply consecutive records that follow the last applied one.
+
+        Raises
+        ------
+        ValueError
+            If the page starts at another index.
+        """
+        next_index = index_of(self._fleet.applied_offset) + 1
+        if page.start_offset != next_index:
+            raise ValueError(
+                f'expected records from {next_index}, got {page.start_offset}'
+            )
         self.first_offset = max(self.first_offset, page.first_offset)
-        for index, payload in enumerate(page.records):
-            self._apply(Offset(page.start_offset + index), payload)
+        for payload in page.records:
+            self._apply(payload)
         if page.records:
             self._waiters.wake(self._fleet.applied_offset)
 
@@ -70,14 +81,15 @@
         self.recent.restart(self._fleet.applied_offset)
         self._waiters.wake(self._fleet.applied_offset)
 
-    def _apply(self, offset: Offset, payload: bytes) -> None:
-        self.recent.add(offset, payload)
+    def _apply(self, payload: bytes) -> None:
         envelope = decode_envelope(payload).value_or(None)
+        offset, verdict = self._fleet.follow(
+            payload if envelope is None else envelope
+        )
+        self.recent.add(offset, payload)
         if envelope is None:
-            self._fleet.apply(offset, payload)
             return
         self.checkpoints.add(offset, envelope)
-        verdict = self._fleet.apply(offset, envelope)
         self._settle_own_record(offset, envelope, verdict)
 
     def _settle_own_record(
--- a/verbenadeck/journal/_recovery.py
+++ b/verbenadeck/journal/_recovery.py
@@ -1,5 +1,6 @@
 """Recovery of the fleet state from records that the log retains for good."""
 
+from collections.abc import Iterator
 from itertools import takewhile
 
 import msgspec
@@ -16,8 +17,8 @@
     Checkpoint,
     CheckpointTracker,
 )
-from verbenadeck.model import Offset
-from verbenadeck.records import decode_envelope
+from verbenadeck.model import Offset, era_of, index_of, make_offset
+from verbenadeck.records import Envelope, decode_envelope
 
 
 class RecoveredState(msgspec.Struct, frozen=True):
@@ -89,10 +90,10 @@
 ) -> RecoveredState:
     """Return the newest state that the retained records lead to."""
     checkpoint = _newest_checkpoint(newest)
-    base = int(applied_offset)
+    base = applied_offset
     if checkpoint is not None:
         base = max(base, checkpoint.as_of_offset)
-    start = Offset(base + 1)
+    start = Offset(index_of(base) + 1)
     tail = _read_consecutive(newest, start)
     return RecoveredState(
         checkpoint=checkpoint,
@@ -103,11 +104,25 @@
 
 def _newest_checkpoint(newest: NewestRecords) -> Checkpoint | None:
     tracker = CheckpointTracker(keeps_parts=True)
-    for offset, payload in newest.records:
+    for offset, envelope in _iter_envelopes(newest):
+        tracker.add(offset, envelope)
+    return tracker.newest
+
+
+def _iter_envelopes(
+    newest: NewestRecords,
+) -> Iterator[tuple[Offset, Envelope]]:
+    """Yield the retained records that can be decoded, with their positions.
+
+    The log retains the first record of each era for good, so that no position
+    is counted in too early an era.
+    """
+    era = era_of(Offset(0))
+    for index, payload in newest.records:
         envelope = decode_envelope(payload).value_or(None)
         if envelope is not None:
-            tracker.add(offset, envelope)
-    return tracker.newest
+            era = max(era, envelope.era)
+            yield make_offset(era, index), envelope
 
 
 def _read_consecutive(
--- a/verbenadeck/journal/_relay.py
+++ b/verbenadeck/journal/_relay.py
@@ -13,7 +13,7 @@
 )
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._waiters import OffsetWaiters
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset, era_of, index_of, make_offset
 from verbenadeck.peers import Handler, Message, PeerAddress
 from verbenadeck.utils import Clock
 
@@ -38,6 +38,8 @@
         Returns the oldest offset that the log is known to retain.
     age_s : callable
         Returns the seconds since this node last knew the end of the log.
+    era : callable
+        Returns the era of the log that the records are from.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         applied_offset: Callable[[], Offset],
         first_offset: Callable[[], Offset],
         age_s: Callable[[], float],
+        era: Callable[[], Era],
     ) -> None:
         self._clock = clock
         self._recent = recent
@@ -56,13 +59,17 @@
         self._applied_offset = applied_offset
         self._first_offset = first_offset
         self._age_s = age_s
+        self._era = era
 
     async def handle_fetch(
         self, _peer: PeerAddress, request: RelayFetch
     ) -> Message:
         """Answer a fetch, waiting for the first requested record."""
-        wanted_offset = request.next_offset
-        if wanted_offset > self._applied_offset():
+        wanted_index = request.next_offset
+        applied_offset = self._applied_offset()
+        is_same_era = request.era == self._era()
+        if is_same_era and wanted_index > index_of(applied_offset):
+            wanted_offset = make_offset(era_of(applied_offset), wanted_index)
             wait_s = min(max(request.wait_s, 0), _MAX_FETCH_WAIT_S)
             deadline_s = self._clock.now_s() + wait_s
             # Without the end at a refresh, what a reader knows of the end of
@@ -72,16 +79,19 @@
             )
         # A peer that is behind will have the records; its age tells whether
         # it still gets any.
-        is_ahead = wanted_offset > self._applied_offset() + 1
-        is_kept = is_ahead or self._recent.covers(wanted_offset)
+        is_ahead = wanted_index > index_of(self._applied_offset()) + 1
+        is_kept = request.era == self._era() and (
+            is_ahead or self._recent.covers(wanted_index)
+        )
         return RelayPage(
             first_offset=self._first_offset(),
-            start_offset=wanted_offset,
+            start_offset=wanted_index,
             records=()
             if is_ahead or not is_kept
-            else self._recent.read_page(wanted_offset),
+            else self._recent.read_page(wanted_index),
             age_s=self._age_s(),
             is_kept=is_kept,
+            era=self._era(),
         )
 
 
--- a/verbenadeck/journal/_state_loader.py
+++ b/verbenadeck/journal/_state_loader.py
@@ -1,6 +1,7 @@
 """Loading of the initial fleet state from a checkpoint."""
 
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from returns.pipeline import is_successful
@@ -10,7 +11,7 @@
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
 from verbenadeck.journal._recovery import recover_state
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset, index_of
 from verbenadeck.utils import Clock
 
 _log = logger.bind(part='journal')
@@ -20,7 +21,9 @@
 class StateLoader:
     """Loader of the newest checkpoint, or of an empty state for a whole log.
 
-    The state may start empty only if the log still has its first record.
+    The state may start empty only if the log still has its first record. When
+    the log has come back from a backup, nothing that is known is kept: some of
+    the applied records are lost, and which ones can't be told from offsets.
 
     Parameters
     ----------
@@ -39,6 +42,9 @@
     ----------
     blocked_on : str
         What loading the state waits for, empty if it is not waiting.
+    new_history_listeners : list of callable
+        Called right before the state is replaced by that of a log which has
+        lost its newest records.
     tail : LogPage or None
         Records that follow the loaded state, if the log returned them with
         the checkpoint.
@@ -59,6 +65,7 @@
         self._clock = clock
         self._random = random_source
         self.blocked_on = 'the log'
+        self.new_history_listeners: list[Callable[[], None]] = []
         self.tail: LogPage | None = None
 
     async def load(self) -> None:
@@ -78,9 +85,8 @@
 
     async def _try_load(self) -> bool:
         self.tail = None
-        recovery = await recover_state(
-            self._adapter, self._fleet.applied_offset
-        )
+        recovery = await recover_state(self._adapter, self._base_offset)
+        era = self._adapter.era
         if not is_successful(recovery):
             self.blocked_on = f'the log: {recovery.failure().detail}'
             return False
@@ -88,7 +94,7 @@
         if recovered is not None and recovered.is_complete:
             self.tail = recovered.tail
             return self._start_from(
-                recovered.checkpoint, recovered.tail.start_offset
+                recovered.checkpoint, recovered.tail.start_offset, era
             )
         first = await self._search.first_offset()
         if not is_successful(first):
@@ -102,18 +108,31 @@
                 'retained records have a gap: {}; reading the log instead',
                 recovered.describe(),
             )
-            return self._start_from(recovered.checkpoint, first_offset)
+            return self._start_from(recovered.checkpoint, first_offset, era)
         found = await self._search.find(first_offset)
         if not is_successful(found):
             self.blocked_on = f'the log: {found.failure().detail}'
             return False
-        return self._start_from(found.unwrap(), first_offset)
+        return self._start_from(found.unwrap(), first_offset, era)
+
+    @property
+    def _base_offset(self) -> Offset:
+        """Last applied offset that the log still has, -1 in a new history."""
+        if self._adapter.era > self._fleet.log_era:
+            return Offset(-1)
+        return self._fleet.applied_offset
 
     def _start_from(
-        self, checkpoint: Checkpoint | None, first_offset: Offset
+        self, checkpoint: Checkpoint | None, first_offset: Offset, era: Era
     ) -> bool:
-        applied_offset = self._fleet.applied_offset
-        if checkpoint and checkpoint.as_of_offset > applied_offset:
+        if era != self._adapter.era:
+            self.blocked_on = 'the log, which came back while it was read'
+            return False
+        base_offset = self._base_offset
+        is_new_history = era > self._fleet.log_era
+        if checkpoint and checkpoint.as_of_offset > base_offset:
+            if is_new_history:
+                self._begin_history(era)
             restored = self._fleet.restore(checkpoint.packed)
             if is_successful(restored):
                 _log.info(
@@ -122,10 +141,27 @@
                 )
                 return True
             self.blocked_on = restored.failure().detail
-        if applied_offset + 1 >= first_offset:
+        next_index = index_of(base_offset) + 1
+        if next_index >= first_offset:
+            if is_new_history:
+                self._begin_history(era)
+                self._fleet.clear()
             return True
         self.blocked_on = (
             f'a checkpoint: the log starts at {first_offset} and holds none '
-            f'that it continues, and {applied_offset + 1} comes next'
+            f'that it continues, and {next_index} comes next'
         )
         return False
+
+    def _begin_history(self, era: Era) -> None:
+        if self._fleet.log_era or self._fleet.members:
+            _log.warning(
+                'the log came back without its newest records: era {} follows '
+                'era {}, of which records up to {} were applied',
+                era,
+                self._fleet.log_era,
+                self._fleet.applied_offset,
+            )
+        for listener in self.new_history_listeners:
+            listener()
+        self._fleet.log_era = era
--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -14,7 +14,7 @@
 from verbenadeck.journal._relay import Relay
 from verbenadeck.journal._sources import SourcePlanner
 from verbenadeck.journal._waiters import OffsetWaiters
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.peers import PeerTransport
 from verbenadeck.utils import Clock
 
@@ -68,6 +68,7 @@
         self._on_records = on_records
         self._applied_offset = Offset(-1)
         self._first_offset = Offset(0)
+        self._era = Era(0)
         self._recent = RecentRecords()
         self._waiters = OffsetWaiters(clock)
         self._task: asyncio.Task[None] | None = None
@@ -78,6 +79,7 @@
             random_source=random_source,
             plan=planner.plan,
             options=options,
+            era=lambda: self._era,
             make_fetch=StreamFetch,
             on_refresh=self._waiters.refresh,
         )
@@ -88,6 +90,7 @@
             applied_offset=lambda: self._applied_offset,
             first_offset=lambda: self._first_offset,
             age_s=lambda: self._reader.age_s,
+            era=lambda: self._era,
         )
         transport.register_handler(StreamFetch, relay.handle_fetch)
 
@@ -116,6 +119,7 @@
         answer = await self._adapter.newest()
         match answer:
             case Success(newest_records) if newest_records is not None:
+                self._era = self._adapter.era
                 self._applied_offset = Offset(newest_records.end_offset - 1)
                 self._first_offset = newest_records.end_offset
                 self._recent.restart(self._applied_offset)
--- a/verbenadeck/journal/tests/test_fuzz_log.py
+++ b/verbenadeck/journal/tests/test_fuzz_log.py
@@ -18,7 +18,7 @@
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
 from verbenadeck.journal._state_loader import StateLoader
 from verbenadeck.journal.tests.builders import LogFleet, Node
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.records import ConfigPublished, Verdict
 from verbenadeck.testing import run_virtual
 
@@ -228,7 +228,10 @@
 
 
 def _start_at_any_offset(
-    loader: StateLoader, checkpoint: Checkpoint | None, first: Offset
+    loader: StateLoader,
+    checkpoint: Checkpoint | None,
+    first: Offset,
+    _era: Era,
 ) -> bool:
     """Start from any offset, even if the records before it have expired."""
     fleet = loader._fleet
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -239,7 +239,9 @@
         async with make_site('suva', 'nadi', 'lautoka') as site:
             first, second, third = site.nodes
             proposal = first.client._proposals.open(
-                make_join('once'), first.client.fleet.applied_offset
+                make_join('once'),
+                first.client.fleet.applied_offset,
+                first.client.fleet.log_era,
             )
             for helper in (second, third, second):
                 await first.transport.call(
--- a/verbenadeck/model/__init__.py
+++ b/verbenadeck/model/__init__.py
@@ -13,6 +13,7 @@
     AttemptId,
     ConfigVersion,
     Epoch,
+    Era,
     Fence,
     Incarnation,
     NodeId,
@@ -32,9 +33,17 @@
     RefusalReason,
     is_final_status,
 )
+from verbenadeck.model._positions import (
+    MAX_ERA,
+    era_of,
+    index_of,
+    make_offset,
+    next_offset,
+)
 from verbenadeck.model._requests import Request
 
 __all__ = (
+    'MAX_ERA',
     'NO_FENCE',
     'NO_MEMBER',
     'Admission',
@@ -44,6 +53,7 @@
     'ConfigDocument',
     'ConfigVersion',
     'Epoch',
+    'Era',
     'ExceptionRule',
     'Fence',
     'Incarnation',
@@ -61,5 +71,9 @@
     'Shard',
     'WriterId',
     'Zone',
+    'era_of',
+    'index_of',
     'is_final_status',
+    'make_offset',
+    'next_offset',
 )
--- a/verbenadeck/model/_ids.py
+++ b/verbenadeck/model/_ids.py
@@ -21,10 +21,18 @@
 """Index of a shard within its service, from 0."""
 
 Fence = NewType('Fence', int)
-"""Fencing token of a shard: the log offset of its `Assign` record."""
+"""Fencing token of a shard: the log offset of its `Assign` record, or of a
+later record that raised it."""
+
+Era = NewType('Era', int)
+"""Number of a log's history, from 0; it rises when the log has come back from
+a backup and lost its newest records."""
 
 Offset = NewType('Offset', int)
-"""Position of a record in the log, from 0."""
+"""Position of a record in the log: its era in the upper bits, its index below.
+
+Adapters and relays count records by index alone, which is the position in era
+0."""
 
 Epoch = NewType('Epoch', int)
 """Version of a member's witness set: offset of the record that installed it."""
--- /dev/null
+++ b/verbenadeck/platform/_eras.py
@@ -0,0 +1,66 @@
+"""Era of the store, which rises when it comes back from a backup."""
+
+from collections.abc import Mapping
+
+from loguru import logger
+
+from verbenadeck.model import MAX_ERA, Era
+
+ERA_HEADER = 'Store-Era'
+"""Header of all answers of the store with the number of its era."""
+
+_log = logger.bind(part='store')
+
+
+class StoreEras:
+    """Highest era that any answer of the store has named.
+
+    Attributes
+    ----------
+    newest : Era
+        The era; 0 for a store that names none.
+    refused_count : int
+        Number of answers that were not admitted.
+    """
+
+    def __init__(self) -> None:
+        self.newest = Era(0)
+        self.refused_count = 0
+
+    def admit(self, headers: Mapping[str, str]) -> bool:
+        """Note the era of an answer; return whether it is the newest one.
+
+        An answer without a valid era is admitted only from a store that has
+        never named one: it may be from before the store came back.
+
+        Parameters
+        ----------
+        headers : mapping of str to str
+            Headers of the answer.
+        """
+        era = _read_era(headers.get(ERA_HEADER, ''))
+        if era > self.newest:
+            _log.info('the store is in era {}, after {}', era, self.newest)
+            self.newest = era
+        if era == self.newest:
+            return True
+        self.refused_count += 1
+        _log.warning(
+            'ignoring answer {} of the store from era {!r}, since it is in '
+            'era {}',
+            self.refused_count,
+            headers.get(ERA_HEADER),
+            self.newest,
+        )
+        return False
+
+
+def _read_era(text: str) -> Era:
+    """Return the era in a header, 0 if it is malformed."""
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
+        return Era(0)
+    era = int(text)
+    return Era(era) if era <= MAX_ERA else Era(0)
+
+
+_MAX_DIGITS = len(str(MAX_ERA))
--- a/verbenadeck/platform/_log.py
+++ b/verbenadeck/platform/_log.py
@@ -17,7 +17,7 @@
     LogPage,
     NewestRecords,
 )
-from verbenadeck.model import NodeId, Offset
+from verbenadeck.model import Era, NodeId, Offset
 from verbenadeck.platform._frames import StorePage, make_failure, split_record
 from verbenadeck.platform._keyed_state import KeyedRecord, KeyedState
 from verbenadeck.platform._store import Producer, StoreClient
@@ -58,6 +58,11 @@
         self._clock = clock
         self._keys: Iterator[str] | None = None
 
+    @property
+    def era(self) -> Era:
+        """Highest era of the store in any of its answers."""
+        return self._store.era
+
     async def append(
         self,
         record: bytes,
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -15,7 +15,7 @@
     NewestRecords,
 )
 from verbenadeck.journal import RecordsHandler
-from verbenadeck.model import Offset, ServiceName, Zone
+from verbenadeck.model import Era, Offset, ServiceName, Zone
 from verbenadeck.platform._fields import (
     read_int,
     read_name,
@@ -71,6 +71,11 @@
         self._store = store
         self._clock = clock
 
+    @property
+    def era(self) -> Era:
+        """Highest era of the store in any of its answers."""
+        return self._store.era
+
     async def append(
         self,
         record: bytes,
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -9,7 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
+from verbenadeck.platform._eras import StoreEras
 from verbenadeck.platform._frames import (
     StorePage,
     make_append_body,
@@ -76,8 +77,14 @@
     def __init__(self, address: Address, *, clock: Clock) -> None:
         self._base_url = f'http://{address.host}:{address.port}/v1'
         self._clock = clock
+        self._eras = StoreEras()
         self._session: aiohttp.ClientSession | None = None
 
+    @property
+    def era(self) -> Era:
+        """Highest era of the store in any of its answers."""
+        return self._eras.newest
+
     async def append(
         self,
         topic: str,
@@ -115,7 +122,10 @@
                 data=make_append_body(key, content),
                 timeout=self._make_timeout(deadline_s),
             ) as response:
-                return read_appended(response.status, await response.read())
+                body = await response.read()
+                # An append of an earlier era may be lost: it is read back.
+                self._eras.admit(response.headers)
+                return read_appended(response.status, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return make_failure(
                 LogFailure.NOT_APPENDED, 'no connection to the store'
@@ -153,6 +163,8 @@
                 timeout=self._make_timeout(deadline_s + ANSWER_MARGIN_S),
             ) as response:
                 body = await response.read()
+                if not self._eras.admit(response.headers):
+                    return _earlier_era()
                 return read_page(response.status, body, start_offset)
         except _CALL_ERRORS as error:
             return make_failure(
@@ -177,10 +189,15 @@
         """
         pages: list[NewestPage] = []
         after = ''
+        first_era = self.era
         while not pages or pages[-1].has_more:
             answer = await self._fetch_newest_page(topic, after, deadline_s)
             if not is_successful(answer):
                 return Failure(answer.failure())
+            if not pages:
+                first_era = self.era
+            if self.era != first_era:
+                return _earlier_era()
             pages.append(answer.unwrap())
             after = pages[-1].last_key
         return Success(merge_pages(pages))
@@ -203,9 +220,10 @@
                 params=params,
                 timeout=self._make_timeout(deadline_s),
             ) as response:
-                return read_newest_page(
-                    response.status, await response.read(), after
-                )
+                body = await response.read()
+                if not self._eras.admit(response.headers):
+                    return _earlier_era()
+                return read_newest_page(response.status, body, after)
         except _CALL_ERRORS as error:
             return make_failure(
                 LogFailure.UNAVAILABLE, f'no answer from the store: {error!r}'
@@ -228,6 +246,13 @@
         return aiohttp.ClientTimeout(total=remaining_s, connect=connect_s)
 
 
+def _earlier_era() -> Failure[LogError]:
+    return make_failure(
+        LogFailure.UNAVAILABLE,
+        'the answer is from before the store came back from a backup',
+    )
+
+
 def _make_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
     """Return a socket that detects a dead connection within seconds."""
     family, kind, protocol, _, _ = address_info
--- a/verbenadeck/platform/tests/builders.py
+++ b/verbenadeck/platform/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data and a running store stand-in."""
 
 import math
+import random
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -11,13 +12,15 @@
 import msgspec
 from returns.result import Result
 
-from verbenadeck.model import ServiceName, Zone
+from verbenadeck.journal import LogClient
+from verbenadeck.model import NodeId, ServiceName, Zone
 from verbenadeck.platform._control import ControlServer
 from verbenadeck.platform._heartbeats import (
     ExpectedUpstream,
     InstanceHeartbeat,
     read_heartbeat,
 )
+from verbenadeck.platform._log import StoreLog
 from verbenadeck.platform._operator import read_operator_state
 from verbenadeck.platform._options import make_control_limits
 from verbenadeck.platform._refusals import HeartbeatError
@@ -303,3 +306,18 @@
         2,
         traffic_split,
     ]
+
+
+def make_log(client: StoreClient, name: str = 'n1') -> StoreLog:
+    """Return the log of a fleet in the store, for one of its nodes."""
+    return StoreLog(client, node_id=NodeId(name), clock=CLOCK)
+
+
+def make_log_client(store: StoreClient, name: str) -> LogClient:
+    """Return a log client without peers that uses the store."""
+    return LogClient(
+        adapter=make_log(store, name),
+        clock=CLOCK,
+        random_source=random.Random(name),
+        node_id=NodeId(name),
+    )
--- a/verbenadeck/platform/tests/test_log.py
+++ b/verbenadeck/platform/tests/test_log.py
@@ -1,7 +1,6 @@
 """The fleet's log in the store, and log clients that start from it."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 
 from returns.pipeline import is_successful
@@ -13,18 +12,18 @@
 from verbenadeck.model import (
     ConfigDocument,
     ConfigVersion,
-    NodeId,
     Offset,
 )
 from verbenadeck.platform._log import (
     RECORDS_KEPT_PER_WRITER,
     TOPIC,
-    StoreLog,
 )
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform.tests.builders import (
     CLOCK,
     make_deadline_s,
+    make_log,
+    make_log_client,
     running_store,
 )
 from verbenadeck.records import ConfigPublished
@@ -41,19 +40,6 @@
     asyncio.run(main())
 
 
-def _make_log(client: StoreClient, name: str = 'n1') -> StoreLog:
-    return StoreLog(client, node_id=NodeId(name), clock=CLOCK)
-
-
-def _make_log_client(store: StoreClient, name: str) -> LogClient:
-    return LogClient(
-        adapter=_make_log(store, name),
-        clock=CLOCK,
-        random_source=random.Random(name),
-        node_id=NodeId(name),
-    )
-
-
 async def _publish_config(journal: LogClient, version: int) -> None:
     document = ConfigDocument(moves_per_minute=version + 1)
     record = ConfigPublished(
@@ -66,7 +52,7 @@
 
 def test_read_returns_records_without_their_keys() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         for record in (b'a', b'bc'):
             await log.append(record, deadline_s=make_deadline_s())
         page = (
@@ -79,7 +65,7 @@
 
 def test_page_tells_whether_the_log_ended_after_it() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         for record in (b'a', b'bc'):
             await log.append(record, deadline_s=make_deadline_s())
         part, whole = [
@@ -98,7 +84,7 @@
 
 def test_failed_append_tells_whether_record_may_be_in_the_log() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         store.faults.is_down = True
         refused = await log.append(b'a', deadline_s=make_deadline_s())
         assert refused.failure().failure is LogFailure.NOT_APPENDED
@@ -112,7 +98,7 @@
 
 def test_newest_returns_kept_records_of_several_pages() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         for number in range(RECORDS_KEPT_PER_WRITER + 6):
             await log.append(bytes([number]), deadline_s=make_deadline_s())
         newest = (await log.newest()).unwrap()
@@ -126,14 +112,14 @@
 
 def test_client_starts_from_kept_records_after_older_ones_expired() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log_client(client, 'n1')
+        first = make_log_client(client, 'n1')
         await first.start()
         await _publish_config(first, 0)
         assert await Checkpointer(client=first, clock=CLOCK).write()
         await _publish_config(first, 1)
         topic = store.topic(TOPIC)
         topic.first = len(topic.records)
-        second = _make_log_client(client, 'n2')
+        second = make_log_client(client, 'n2')
         await second.start()
         assert await second.wait_ready(deadline_s=make_deadline_s())
         assert second.fleet.config_version == 2
@@ -147,12 +133,12 @@
 
 def test_client_is_not_ready_without_checkpoint_after_records_expired() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         for number in range(RECORDS_KEPT_PER_WRITER + 1):
             await log.append(bytes([number]), deadline_s=make_deadline_s())
         topic = store.topic(TOPIC)
         topic.first = len(topic.records)
-        late = _make_log_client(client, 'n2')
+        late = make_log_client(client, 'n2')
         await late.start()
         assert not await late.wait_ready(deadline_s=make_deadline_s(0.5))
         assert 'checkpoint' in late.blocked_on
@@ -163,17 +149,17 @@
 
 def test_restarted_writer_replaces_its_oldest_records_first() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log(client)
+        first = make_log(client)
         for number in range(20):
             await first.append(bytes([number]), deadline_s=make_deadline_s())
         for _ in range(8):
-            restarted = _make_log(client)
+            restarted = make_log(client)
             await restarted.newest()
             for number in range(4):
                 await restarted.append(
                     bytes([number]), deadline_s=make_deadline_s()
                 )
-        newest = (await _make_log(client).newest()).unwrap()
+        newest = (await make_log(client).newest()).unwrap()
         assert newest is not None
         offsets = [offset for offset, _ in newest.records]
         assert offsets == list(range(52))
@@ -188,10 +174,10 @@
     """
 
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log(client)
+        first = make_log(client)
         for number in range(4):
             await first.append(bytes([number]), deadline_s=make_deadline_s())
-        await _make_log(client).append(
+        await make_log(client).append(
             b'of a peer', deadline_s=make_deadline_s()
         )
         newest = (await first.newest()).unwrap()
@@ -204,7 +190,7 @@
 def test_append_fails_while_earlier_records_are_unknown() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
         store.faults.is_down = True
-        answer = await _make_log(client).append(
+        answer = await make_log(client).append(
             b'a', deadline_s=make_deadline_s()
         )
         assert answer.failure().failure is LogFailure.NOT_APPENDED
@@ -216,9 +202,9 @@
     """The store may carry out an append seconds after its sender has ended."""
 
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log(client)
+        first = make_log(client)
         await first.append(b'0', deadline_s=make_deadline_s())
-        restarted = _make_log(client)
+        restarted = make_log(client)
         await restarted.newest()
         await restarted.append(b'1', deadline_s=make_deadline_s())
         await first.append(b'late', deadline_s=make_deadline_s())
@@ -232,10 +218,10 @@
 def test_checkpoint_does_not_replace_one_of_another_writer() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
         for node in ('n1', 'n2'):
-            await _make_log(client, node).append(
+            await make_log(client, node).append(
                 node.encode(), deadline_s=make_deadline_s(), name='checkpoint/0'
             )
-        newest = (await _make_log(client).newest()).unwrap()
+        newest = (await make_log(client).newest()).unwrap()
         assert newest is not None
         assert [record for _, record in newest.records] == [b'n1', b'n2']
 
@@ -244,13 +230,13 @@
 
 def test_client_reads_records_that_are_not_kept_from_the_log() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log_client(client, 'n1')
+        first = make_log_client(client, 'n1')
         await first.start()
         await _publish_config(first, 0)
         assert await Checkpointer(client=first, clock=CLOCK).write()
         for version in range(1, RECORDS_KEPT_PER_WRITER + 4):
             await _publish_config(first, version)
-        second = _make_log_client(client, 'n2')
+        second = make_log_client(client, 'n2')
         await second.start()
         assert await second.wait_ready(deadline_s=make_deadline_s())
         assert second.fleet.config_version == RECORDS_KEPT_PER_WRITER + 4
@@ -262,10 +248,10 @@
 
 def test_start_from_kept_records_does_not_wait_for_new_records() -> None:
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        first = _make_log_client(client, 'n1')
+        first = make_log_client(client, 'n1')
         await first.start()
         await _publish_config(first, 0)
-        second = _make_log_client(client, 'n2')
+        second = make_log_client(client, 'n2')
         await second.start()
         assert await second.wait_ready(deadline_s=make_deadline_s(0.4))
         await first.stop()
@@ -282,7 +268,7 @@
     """
 
     async def scenario(_store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         for generation in (20, 10):
             await log.append(
                 bytes([generation]),
@@ -299,7 +285,7 @@
 
 def test_repeated_append_of_a_checkpoint_takes_effect_once() -> None:
     async def scenario(store: StoreStandin, client: StoreClient) -> None:
-        log = _make_log(client)
+        log = make_log(client)
         offsets = [
             await log.append(
                 b'same',
--- a/verbenadeck/records/__init__.py
+++ b/verbenadeck/records/__init__.py
@@ -6,12 +6,14 @@
     decode_envelope,
     encode_envelope,
 )
+from verbenadeck.records._era_records import EraStart
 from verbenadeck.records._node_records import (
     LeavePhase,
     NodeJoin,
     NodeLeave,
     UpstreamLeave,
 )
+from verbenadeck.records._ranges import ReleasedRange
 from verbenadeck.records._records import (
     Assign,
     CheckpointChunk,
@@ -19,7 +21,6 @@
     Envelope,
     Record,
     Released,
-    ReleasedRange,
     ShardMove,
     Suspect,
     Verdict,
@@ -34,6 +35,7 @@
     'CodecError',
     'ConfigPublished',
     'Envelope',
+    'EraStart',
     'LeavePhase',
     'NodeJoin',
     'NodeLeave',
--- a/verbenadeck/records/_codec.py
+++ b/verbenadeck/records/_codec.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from verbenadeck.model import MAX_ERA
 from verbenadeck.records._records import Envelope
 
 FORMAT_VERSION = 1
@@ -69,4 +70,6 @@
     if envelope.format_version != FORMAT_VERSION:
         version = envelope.format_version
         return Failure(CodecError(f'format version {version} is not supported'))
+    if not 0 <= envelope.era <= MAX_ERA:
+        return Failure(CodecError(f'era {envelope.era} is out of range'))
     return Success(envelope)
--- a/verbenadeck/records/_records.py
+++ b/verbenadeck/records/_records.py
@@ -7,17 +7,20 @@
 from verbenadeck.model import (
     ConfigVersion,
     Epoch,
+    Era,
     Fence,
     Incarnation,
     Offset,
     ServiceName,
     WriterId,
 )
+from verbenadeck.records._era_records import EraStart
 from verbenadeck.records._node_records import (
     NodeJoin,
     NodeLeave,
     UpstreamLeave,
 )
+from verbenadeck.records._ranges import ReleasedRange
 
 
 class Witnesses(msgspec.Struct, frozen=True, array_like=True, tag='witness'):
@@ -115,24 +118,6 @@
     moves: tuple[ShardMove, ...]
 
 
-class ReleasedRange(msgspec.Struct, frozen=True, array_like=True):
-    """Range of shards whose earlier owner has stopped serving them.
-
-    Parameters
-    ----------
-    service : ServiceName
-        Service of the shards.
-    first_shard : int
-        First shard of the range.
-    stop_shard : int
-        One past the last shard of the range.
-    """
-
-    service: ServiceName
-    first_shard: int
-    stop_shard: int
-
-
 class Released(msgspec.Struct, frozen=True, array_like=True, tag='released'):
     """Statement of an earlier owner that it no longer serves some shards.
 
@@ -207,6 +192,7 @@
     | ConfigPublished
     | CheckpointChunk
     | UpstreamLeave
+    | EraStart
 )
 
 
@@ -230,6 +216,9 @@
         Last offset that the writer had applied when it first proposed the
         record. The record takes effect only within a limited number of
         offsets after it, so that readers may drop the state of old writers.
+    era : Era
+        Era of the log that the writer's state was read in. The record takes
+        no effect after a record of a later era.
     """
 
     format_version: int
@@ -237,6 +226,7 @@
     sequence: int
     record: Record
     seen_offset: Offset = Offset(-1)
+    era: Era = Era(0)
 
 
 class Verdict(enum.Enum):
--- a/verbenadeck/standins/_store_app.py
+++ b/verbenadeck/standins/_store_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import struct
 
 import msgspec
@@ -20,6 +21,7 @@
 _UNAVAILABLE = 503
 _MS_PER_S = 1000
 _DEFAULT_WAIT_MS = '0'
+_ERA_HEADER = 'Store-Era'
 
 
 class StoreFaults(msgspec.Struct):
@@ -67,11 +69,28 @@
         return {key: entry for key, entry in found.items() if entry[1]}
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Copy of a store, from which it may come back.
+
+    Parameters
+    ----------
+    record_counts : dict of str to int
+        Number of records by topic.
+    producers : dict of str to dict of str to ProducerHistory
+        Last appends by topic and producer.
+    """
+
+    record_counts: dict[str, int]
+    producers: dict[str, dict[str, ProducerHistory]]
+
+
 class StoreStandin:
     """Topics and simulated faults of the store stand-in.
 
     Attributes
     ----------
+    era_header : str
+        Value of the header with the era of the store, empty for no header.
     faults : StoreFaults
         Faults to simulate.
     topics : dict of str to Topic
@@ -81,6 +100,30 @@
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.topics: dict[str, Topic] = {}
+        self.era_header = ''
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of all topics."""
+        topics = self.topics.items()
+        return StoreCopy(
+            {name: len(topic.records) for name, topic in topics},
+            {name: copy.deepcopy(topic.producers) for name, topic in topics},
+        )
+
+    def return_from(self, copied: StoreCopy, *, era: int) -> None:
+        """Come back from a copy, without what was appended since.
+
+        Parameters
+        ----------
+        copied : StoreCopy
+            The copy.
+        era : int
+            Era of the store from now on.
+        """
+        for name, topic in self.topics.items():
+            topic.records = topic.records[: copied.record_counts.get(name, 0)]
+            topic.producers = copied.producers.get(name, {})
+        self.era_header = str(era)
 
     def topic(self, name: str) -> Topic:
         """Return a topic by name, creating it at first use.
@@ -149,7 +192,7 @@
             return web.Response(status=_UNAVAILABLE)
         topic = store.topic(request.query['topic'])
         start = int(request.query['from'])
-        if start < topic.first:
+        if start < topic.first or start > len(topic.records):
             return web.json_response({'first': topic.first}, status=_GONE)
         wait_s = int(request.query.get('waitMs', _DEFAULT_WAIT_MS)) / _MS_PER_S
         await _wait_for_records(topic, start, wait_s)
@@ -179,7 +222,14 @@
             }
         )
 
+    async def add_era(
+        _request: web.Request, answer: web.StreamResponse
+    ) -> None:
+        if store.era_header:
+            answer.headers[_ERA_HEADER] = store.era_header
+
     app = web.Application()
+    app.on_response_prepare.append(add_era)
     app.router.add_post('/v1/log-append', append)
     app.router.add_get('/v1/log-read', read)
     app.router.add_get('/v1/log-newest', newest)
--- a/verbenadeck/testing/_fakes.py
+++ b/verbenadeck/testing/_fakes.py
@@ -73,6 +73,10 @@
         for listener in self._listeners:
             listener(self._announcement())
 
+    def granted_fences(self) -> dict[int, int]:
+        """Return the fence of each shard that is granted now."""
+        return {shard: self._fences[shard] for shard in self.granted_shards()}
+
     def granted_shards(self) -> tuple[int, ...]:
         """Return the shards for which an upstream request would run now."""
         is_granted = self._clock.now_s() < self._deadline_s
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -5,11 +5,12 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure, LogPage, NewestRecords
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.utils import Clock
 
 _POLL_S = 0.01
 _APPEND_LATENCY_S = 0.01
+_READ_LATENCY_S = 0.002
 
 
 class MemoryLog:
@@ -27,6 +28,8 @@
         Number of coming appends that take effect but get no answer.
     latency_s : float
         Duration of an append in seconds.
+    era : Era
+        Number of times that the log has come back from a copy.
     """
 
     def __init__(self) -> None:
@@ -35,6 +38,20 @@
         self.is_up = True
         self.lost_answers = 0
         self.latency_s = _APPEND_LATENCY_S
+        self.era = Era(0)
+
+    def return_from_copy(self, record_count: int) -> list[bytes]:
+        """Lose all records but the first ones; return those that are lost.
+
+        Parameters
+        ----------
+        record_count : int
+            Number of records in the copy.
+        """
+        lost = self.records[record_count:]
+        self.records = self.records[:record_count]
+        self.era = Era(self.era + 1)
+        return lost
 
 
 class MemoryLogAdapter:
@@ -57,6 +74,12 @@
         self.is_cut = False
         self._log = log
         self._clock = clock
+        self._era = Era(0)
+
+    @property
+    def era(self) -> Era:
+        """Highest era of the log in any of its answers to this adapter."""
+        return self._era
 
     async def append(
         self,
@@ -71,6 +94,7 @@
         if self.is_cut or not self._log.is_up:
             return Failure(LogError(LogFailure.NOT_APPENDED, 'log is down'))
         self._log.records.append(record)
+        self._era = self._log.era
         if self._log.lost_answers:
             self._log.lost_answers -= 1
             await self._clock.sleep_until(deadline_s)
@@ -82,9 +106,15 @@
     ) -> Result[LogPage, LogError]:
         """Read records, polling until one exists or the deadline passes."""
         log = self._log
+        first_era = log.era
         while self._clock.now_s() < deadline_s:
             if self.is_cut or not log.is_up:
                 return Failure(LogError(LogFailure.UNAVAILABLE, 'log is down'))
+            self._era = log.era
+            if log.era != first_era:
+                return Failure(LogError(LogFailure.UNAVAILABLE, 'log was away'))
+            if log.era and start_offset > len(log.records):
+                return Failure(LogError(LogFailure.EXPIRED, 'no such offset'))
             if start_offset < log.first_offset:
                 first = Offset(log.first_offset)
                 error = LogError(LogFailure.EXPIRED, 'offset expired', first)
@@ -108,8 +138,18 @@
         )
 
     async def newest(self) -> Result[NewestRecords | None, LogError]:
-        """Return None, since this log retains no record indefinitely."""
-        return Success(None)
+        """Return all records of a log that has come back, else None."""
+        log = self._log
+        if not log.era:
+            return Success(None)
+        await asyncio.sleep(_READ_LATENCY_S)
+        if self.is_cut or not log.is_up:
+            return Failure(LogError(LogFailure.UNAVAILABLE, 'log is down'))
+        self._era = log.era
+        retained = tuple(
+            (Offset(index), record) for index, record in enumerate(log.records)
+        )
+        return Success(NewestRecords(retained, Offset(len(log.records))))
 
     async def close(self) -> None:
         """Do nothing; there is no connection to close."""
