Contest shards until the members have claimed them in a new era

Cause: living nodes went on under what they knew, while restarted ones took the same keys from the copy. No rule told which of the two counts.

Change: the first record of an era contests every shard. A node that held shards under a lease when it learned of the era claims them with one record and serves them at once. What nobody claims is served only after each inherited member has claimed or ended, and one lease later, when one record closes the claims. A witness renews leases of its own era only, and between the return and the first record of the era nothing is served from the copy. `EraClaims` holds the rule, `ClaimWriter` writes the records.

Evidence: four scenarios in virtual time (a lost join, a lost eviction, a lost evacuation, a member that is cut from the store) with default and platform timing have no second owner. Six planted faults are found: an era read at the start only, shards taken from the copy at once or before the era starts, a witness that renews across eras, claims closed without a lease, a claim from a node without a lease.

--- a/verbenadeck/fleet/_members.py
+++ b/verbenadeck/fleet/_members.py
@@ -90,7 +90,7 @@
 
     Parameters
     ----------
-    on_end : callable
+    end_listeners : iterable of callable
         Called with the incarnation of each member that leaves or is evicted.
 
     Attributes
@@ -103,11 +103,13 @@
         Witnesses that voted to evict a live member in its current epoch.
     """
 
-    def __init__(self, on_end: Callable[[Incarnation], None]) -> None:
+    def __init__(
+        self, end_listeners: Iterable[Callable[[Incarnation], None]]
+    ) -> None:
         self.live: dict[Incarnation, Member] = {}
         self.ended: dict[Incarnation, EndedMember] = {}
         self.votes: dict[Incarnation, tuple[Incarnation, ...]] = {}
-        self._on_end = on_end
+        self._end_listeners = tuple(end_listeners)
 
     def join(self, offset: Offset, record: NodeJoin) -> Verdict:
         """Add a member; earlier incarnations of its node remain members.
@@ -305,7 +307,8 @@
         self.ended[incarnation] = EndedMember(last, offset)
         if len(self.ended) > MAX_ENDED_MEMBERS:
             self.ended.pop(next(iter(self.ended)))
-        self._on_end(incarnation)
+        for listener in self._end_listeners:
+            listener(incarnation)
 
 
 def _is_valid_join(record: NodeJoin) -> bool:
--- a/verbenadeck/fleet/_ownership.py
+++ b/verbenadeck/fleet/_ownership.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
+from verbenadeck.fleet._era_claims import EraClaims
 from verbenadeck.fleet._shard_table import ShardTable
 from verbenadeck.fleet._snapshot import (
     TableSnapshot,
@@ -34,13 +35,19 @@
 class Ownership:
     """Shard tables of all services.
 
+    Parameters
+    ----------
+    claims : EraClaims
+        Tells which shards are contested after the start of an era.
+
     Attributes
     ----------
     tables : dict of ServiceName to ShardTable
         Table of each service that any published document has defined.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, claims: EraClaims) -> None:
+        self._claims = claims
         self.tables: dict[ServiceName, ShardTable] = {}
 
     def shard(self, service: ServiceName, shard: Shard) -> ShardView:
@@ -65,6 +72,7 @@
             owner=Incarnation(table.owners[shard]),
             fence=Fence(table.fences[shard]),
             earlier_owners=table.earlier_incarnations(shard),
+            is_contested=self._claims.is_contested(Fence(table.fences[shard])),
         )
 
     def find_shard_count_conflicts(
@@ -275,6 +283,8 @@
             return Verdict.INVALID
         if not table.has_fence(first, stop, move.expected_fence):
             return Verdict.STALE
+        if self._claims.is_contested(move.expected_fence):
+            return Verdict.STALE
         table.assign(
             (first, stop),
             move.new_owner,
--- a/verbenadeck/fleet/_reader.py
+++ b/verbenadeck/fleet/_reader.py
@@ -4,13 +4,13 @@
 from types import MappingProxyType
 
 from verbenadeck.fleet._departed_upstreams import DepartedUpstreams
+from verbenadeck.fleet._era_claims import EraClaims
 from verbenadeck.fleet._members import Members
 from verbenadeck.fleet._ownership import Ownership
 from verbenadeck.fleet._view import Member, MemberState, ShardView
 from verbenadeck.model import (
     ConfigDocument,
     ConfigVersion,
-    Era,
     Incarnation,
     Offset,
     ServiceName,
@@ -24,17 +24,19 @@
 
     Attributes
     ----------
-    log_era : Era
-        Era that the log was in when the state was read from it.
+    claims : EraClaims
+        Era of the log, and claims since its start.
     departed_upstreams : DepartedUpstreams
         Upstream instances that have departed from their nodes.
     """
 
     def __init__(self) -> None:
         self._applied_offset = Offset(-1)
-        self.log_era = Era(0)
-        self._ownership = Ownership()
-        self._members = Members(self._ownership.remove_earlier_owner)
+        self.claims = EraClaims()
+        self._ownership = Ownership(self.claims)
+        self._members = Members(
+            (self._ownership.remove_earlier_owner, self.claims.discard)
+        )
         self._config = ConfigDocument()
         self._config_version = ConfigVersion(0)
         self._config_author = ''
--- a/verbenadeck/fleet/_shard_table.py
+++ b/verbenadeck/fleet/_shard_table.py
@@ -138,6 +138,22 @@
         _fill_range(self.owners, shard_range, owner)
         _fill_range(self.fences, shard_range, fence)
 
+    def claim(self, shard: int, owner: Incarnation, fence: Fence) -> None:
+        """Give a shard to a member that no earlier owner has to release it to.
+
+        Parameters
+        ----------
+        shard : int
+            Index of the shard.
+        owner : Incarnation
+            New owner.
+        fence : Fence
+            New fence.
+        """
+        self.owners[shard] = owner
+        self.fences[shard] = fence
+        self.earlier_owners.pop(shard, None)
+
     def raise_fences(self, fence: Fence) -> None:
         """Raise the fences of all shards to one above them.
 
--- a/verbenadeck/fleet/_snapshot.py
+++ b/verbenadeck/fleet/_snapshot.py
@@ -9,6 +9,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
+from verbenadeck.fleet._era_claims import ClaimsSnapshot
 from verbenadeck.fleet._members import EndedMember
 from verbenadeck.fleet._shard_table import EarlierOwners, ShardTable
 from verbenadeck.fleet._view import Member
@@ -83,6 +84,9 @@
     departed_upstreams : tuple of (NodeId, str)
         Upstream instance that departed last, by its node; none in snapshots
         of earlier releases.
+    claims : ClaimsSnapshot
+        Claims since the start of the newest era; none in snapshots of earlier
+        releases.
     """
 
     version: int
@@ -96,6 +100,7 @@
     tables: tuple[TableSnapshot, ...]
     writers: tuple[tuple[WriterId, WriterWindow], ...]
     departed_upstreams: tuple[tuple[NodeId, str], ...] = ()
+    claims: ClaimsSnapshot = ClaimsSnapshot()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/verbenadeck/fleet/_state.py
+++ b/verbenadeck/fleet/_state.py
@@ -1,7 +1,6 @@
 """Replicated state machine that every node runs over the records."""
 
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Iterable
 
 from returns.result import Failure, Result, Success
 
@@ -10,6 +9,7 @@
     decode_document,
     encode_document,
 )
+from verbenadeck.fleet._era_handlers import RecordHandler, make_era_handlers
 from verbenadeck.fleet._reader import FleetReader
 from verbenadeck.fleet._snapshot import (
     SNAPSHOT_VERSION,
@@ -33,7 +33,6 @@
     CodecError,
     ConfigPublished,
     Envelope,
-    EraStart,
     NodeJoin,
     NodeLeave,
     Record,
@@ -45,7 +44,6 @@
     decode_envelope,
 )
 
-_RecordHandler = Callable[[Offset, Any], Verdict]
 _VERDICT_PRECEDENCE = (Verdict.ACCEPTED, Verdict.STALE)
 
 
@@ -81,14 +79,16 @@
        renewal quorum; see `eviction_quorum`.
     6. A record takes effect at most once; see `WriterWindows`.
     7. After a record of an era, records that were decided in an earlier era
-       have no effect. The first record of an era raises all fences.
+       have no effect. The first record of an era raises all fences, and the
+       shards are contested until they are claimed or `ClaimsClosed` follows;
+       see `EraClaims`.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self._writers = WriterWindows()
         self._listeners: list[AppliedListener] = []
-        self._handlers: dict[type, _RecordHandler] = {
+        self._handlers: dict[type, RecordHandler] = {
             NodeJoin: self._members.join,
             NodeLeave: self._members.leave,
             Witnesses: self._members.change_witnesses,
@@ -98,7 +98,7 @@
             ConfigPublished: self._apply_config,
             CheckpointChunk: lambda _offset, _record: Verdict.ACCEPTED,
             UpstreamLeave: self.departed_upstreams.apply,
-            EraStart: lambda _offset, _record: Verdict.ACCEPTED,
+            **make_era_handlers(self.claims, self._members, self._ownership),
         }
 
     def subscribe(self, listener: AppliedListener) -> None:
@@ -166,6 +166,7 @@
         self._applied_offset = offset
         if is_first_of_era:
             self._ownership.raise_fences(offset)
+            self.claims.start(offset, self._members.live)
         if envelope is None:
             return Verdict.INVALID
         verdict = self._apply_envelope(offset, envelope)
@@ -192,6 +193,7 @@
                 tables=self._ownership.encode_tables(),
                 writers=tuple(self._writers.items()),
                 departed_upstreams=self.departed_upstreams.encode(),
+                claims=self.claims.encode(),
             ),
         )
 
@@ -225,6 +227,7 @@
         self._ownership.load(snapshot.tables)
         self._writers.load(snapshot.writers)
         self.departed_upstreams.load(snapshot.departed_upstreams)
+        self.claims.load(snapshot.claims)
         replaced = CheckpointChunk(self._applied_offset, 0, 0, b'')
         self._notify_listeners(self._applied_offset, replaced, Verdict.ACCEPTED)
         return Success(self._applied_offset)
--- a/verbenadeck/fleet/_view.py
+++ b/verbenadeck/fleet/_view.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from verbenadeck.fleet._departed_upstreams import DepartedUpstreams
+from verbenadeck.fleet._era_claims import EraClaims
 from verbenadeck.model import (
     ConfigDocument,
     ConfigVersion,
     Epoch,
-    Era,
     Fence,
     Incarnation,
     NodeId,
@@ -104,11 +104,15 @@
     earlier_owners : tuple of Incarnation
         Earlier owners that have neither released the shard nor left nor been
         evicted; `owner` may serve only while this is empty.
+    is_contested : bool
+        Whether a member that is not known may still serve the shard; nobody
+        may serve it as `owner` then.
     """
 
     owner: Incarnation
     fence: Fence
     earlier_owners: tuple[Incarnation, ...]
+    is_contested: bool = False
 
 
 AppliedListener = Callable[[Offset, Record, Verdict], None]
@@ -258,12 +262,12 @@
     ----------
     departed_upstreams : DepartedUpstreams
         Upstream instances that have departed from their nodes.
-    log_era : Era
-        Era that the log was in when the state was read from it.
+    claims : EraClaims
+        Era of the log, and claims since its start; not to be changed.
     """
 
     departed_upstreams: DepartedUpstreams
-    log_era: Era
+    claims: EraClaims
 
     def owners(self, service: ServiceName) -> Sequence[int]:
         """Return the assigned owners, indexed by shard.
--- a/verbenadeck/fleet/tests/test_snapshot.py
+++ b/verbenadeck/fleet/tests/test_snapshot.py
@@ -15,6 +15,9 @@
     Verdict,
 )
 
+_FIELDS_BEFORE_DEPARTURES = 10
+_FIELDS_BEFORE_CLAIMS = 11
+
 
 def _make_varied_fleet() -> Recorder:
     recorder, nodes = make_fleet(5)
@@ -98,13 +101,23 @@
 def test_snapshot_of_a_release_without_departures_is_restored() -> None:
     recorder = _make_varied_fleet()
     fields = msgspec.msgpack.decode(recorder.state.snapshot())
-    raw = msgspec.msgpack.encode(fields[:-1])
+    raw = msgspec.msgpack.encode(fields[:_FIELDS_BEFORE_DEPARTURES])
     restored = FleetState()
     restored.restore(b''.join(compress_snapshot(raw))).unwrap()
     assert restored.members == recorder.state.members
     assert restored.departed_upstreams.get(NodeId('node')) is None
 
 
+def test_snapshot_of_a_release_without_claims_is_restored() -> None:
+    recorder = _make_varied_fleet()
+    fields = msgspec.msgpack.decode(recorder.state.snapshot())
+    raw = msgspec.msgpack.encode(fields[:_FIELDS_BEFORE_CLAIMS])
+    restored = FleetState()
+    restored.restore(b''.join(compress_snapshot(raw))).unwrap()
+    assert restored.departed_upstreams.get(NodeId('node')) == 'instance'
+    assert not restored.claims.is_open
+
+
 def test_departures_of_many_nodes_are_bounded() -> None:
     recorder = _make_varied_fleet()
     for number in range(600):
--- a/verbenadeck/journal/_client.py
+++ b/verbenadeck/journal/_client.py
@@ -137,7 +137,7 @@
         if not await completes_by(slot_wait, self._clock, deadline_s):
             return _not_appended('too many appends in flight')
         proposal = self._proposals.open(
-            record, self._fleet.applied_offset, self._fleet.log_era
+            record, self._fleet.applied_offset, self._fleet.claims.log_era
         )
         try:
             return await self._appender.append(proposal, deadline_s=deadline_s)
@@ -154,7 +154,7 @@
             await self._clock.sleep_until(self._clock.now_s() + spread_s)
             if not self._era_start.is_era_started:
                 await self._append(
-                    EraStart(self._fleet.log_era),
+                    EraStart(self._fleet.claims.log_era),
                     deadline_s=self._clock.now_s() + _ERA_START_TIMEOUT_S,
                 )
             self._era_start.mark_caught_up()
@@ -174,7 +174,7 @@
             applied_offset=lambda: self._fleet.applied_offset,
             first_offset=lambda: self.applier.first_offset,
             age_s=lambda: self._reader.age_s,
-            era=lambda: self._fleet.log_era,
+            era=lambda: self._fleet.claims.log_era,
         )
         transport.register_handler(RelayFetch, relay.handle_fetch)
         transport.register_handler(
--- a/verbenadeck/journal/_era_start_gate.py
+++ b/verbenadeck/journal/_era_start_gate.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from verbenadeck.fleet import FleetTables
-from verbenadeck.model import era_of
 
 
 class EraStartGate:
@@ -32,9 +31,7 @@
         A fleet without members inherits nothing, so that any record may be
         the first of its era.
         """
-        fleet = self._fleet
-        is_started = era_of(fleet.applied_offset) >= fleet.log_era
-        return is_started or not fleet.members
+        return self._fleet.claims.is_started or not self._fleet.members
 
     @property
     def blocked_on(self) -> str:
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -109,7 +109,7 @@
             random_source=random_source,
             plan=self._planner.plan if transport else _plan_log,
             options=options,
-            era=lambda: self._fleet.log_era,
+            era=lambda: self._fleet.claims.log_era,
             on_refresh=self._waiters.refresh,
         )
         self._era_start = EraStartGate(self._fleet)
@@ -192,7 +192,7 @@
                 last_offset = make_offset(era, last_index)
                 return (
                     page.reaches_end
-                    and self._adapter.era == self._fleet.log_era
+                    and self._adapter.era == self._fleet.claims.log_era
                     and page.start_offset == next_offset
                     and await self.wait_applied(
                         last_offset, deadline_s=deadline_s
--- a/verbenadeck/journal/_state_loader.py
+++ b/verbenadeck/journal/_state_loader.py
@@ -118,7 +118,7 @@
     @property
     def _base_offset(self) -> Offset:
         """Last applied offset that the log still has, -1 in a new history."""
-        if self._adapter.era > self._fleet.log_era:
+        if self._adapter.era > self._fleet.claims.log_era:
             return Offset(-1)
         return self._fleet.applied_offset
 
@@ -129,7 +129,7 @@
             self.blocked_on = 'the log, which came back while it was read'
             return False
         base_offset = self._base_offset
-        is_new_history = era > self._fleet.log_era
+        is_new_history = era > self._fleet.claims.log_era
         if checkpoint and checkpoint.as_of_offset > base_offset:
             if is_new_history:
                 self._begin_history(era)
@@ -154,14 +154,14 @@
         return False
 
     def _begin_history(self, era: Era) -> None:
-        if self._fleet.log_era or self._fleet.members:
+        if self._fleet.claims.log_era or self._fleet.members:
             _log.warning(
                 'the log came back without its newest records: era {} follows '
                 'era {}, of which records up to {} were applied',
                 era,
-                self._fleet.log_era,
+                self._fleet.claims.log_era,
                 self._fleet.applied_offset,
             )
         for listener in self.new_history_listeners:
             listener()
-        self._fleet.log_era = era
+        self._fleet.claims.log_era = era
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -241,7 +241,7 @@
             proposal = first.client._proposals.open(
                 make_join('once'),
                 first.client.fleet.applied_offset,
-                first.client.fleet.log_era,
+                first.client.fleet.claims.log_era,
             )
             for helper in (second, third, second):
                 await first.transport.call(
--- a/verbenadeck/lease/_owned_shards.py
+++ b/verbenadeck/lease/_owned_shards.py
@@ -27,7 +27,8 @@
     Attributes
     ----------
     WAITING
-        An earlier owner has not released the shard yet.
+        An earlier owner has not released the shard yet, or may be unknown
+        after the start of an era.
     OPEN
         No earlier owner serves the shard any more.
     """
@@ -232,7 +233,10 @@
         if owned_shard is None or owned_shard.fence != view.fence:
             owned_shard = OwnedShard(view.fence)
             self._owned_shards[key] = owned_shard
-        if owned_shard.state is not OwnedShardState.WAITING:
+        if (
+            owned_shard.state is not OwnedShardState.WAITING
+            or view.is_contested
+        ):
             return
         releases = {
             member: release
--- a/verbenadeck/lease/_ownership.py
+++ b/verbenadeck/lease/_ownership.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import math
+import random
 
 from loguru import logger
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import UpstreamAdapter
 from verbenadeck.journal import Journal
+from verbenadeck.lease._claim_writer import ClaimWriter
 from verbenadeck.lease._fence_rules import checks_fences
 from verbenadeck.lease._grants import PushedGrants
 from verbenadeck.lease._grants_interface import GrantsFactory
@@ -59,6 +61,8 @@
         Service of that upstream.
     proxy : ProxyHandover
         Proxy that closes and opens shards.
+    random_source : random.Random
+        Spreads the ends of claims over the nodes.
     make_grants : GrantsFactory
         Creates the grants of the upstream.
     """
@@ -73,6 +77,7 @@
         upstream: UpstreamAdapter,
         service: ServiceName,
         proxy: ProxyHandover,
+        random_source: random.Random,
         make_grants: GrantsFactory = PushedGrants,
     ) -> None:
         self._clock = clock
@@ -90,7 +95,7 @@
             upstream=upstream,
             service=self._get_service,
             servable_fences=self._servable_fences,
-            lease_deadline_s=lambda: membership.lease_deadline_s,
+            lease_deadline_s=lambda: self._claims.grant_deadline_s,
         )
         self._grants.on_change = self._changed.set
         self._handover = Handover(
@@ -101,6 +106,13 @@
             proxy=proxy,
             grants=self._grants,
         )
+        self._claims = ClaimWriter(
+            clock=clock,
+            random_source=random_source,
+            journal=journal,
+            membership=membership,
+            servable_fences=self._servable_fences,
+        )
         self._task: asyncio.Task[None] | None = None
         transport.register_handler(Release, self._on_release)
         journal.fleet.subscribe(self._on_applied)
@@ -199,6 +211,7 @@
     async def start(self) -> None:
         """Start to apply assignments and to renew grants."""
         await self._handover.start()
+        await self._claims.start()
         self._task = asyncio.ensure_future(self._run())
 
     async def stop(self) -> None:
@@ -208,6 +221,7 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
         await self._handover.stop()
+        await self._claims.stop()
         await self._grants.revoke()
 
     def _owned_shard_deadline_s(
--- a/verbenadeck/lease/_witness.py
+++ b/verbenadeck/lease/_witness.py
@@ -53,7 +53,8 @@
     A witness renews nothing after its own end, also while it can't read the
     log: it is evicted only once its own lease has run out, and without a
     lease it renews only after a read of the log that began after the
-    heartbeat came in. So once a full lease has passed since the end of a
+    heartbeat came in. It renews only members that know the log in the same
+    era, since the members of an earlier one don't see its records. So once a full lease has passed since the end of a
     witness, nothing that it renewed is in force.
 
     Parameters
@@ -131,6 +132,7 @@
             heartbeat.witness,
             heartbeat.sent_s,
             heartbeat.is_renewal,
+            heartbeat.era,
         )
 
     async def _may_renew(self, heartbeat: Heartbeat) -> bool:
@@ -153,6 +155,8 @@
         if not is_addressee or membership.is_stopping:
             return True
         fleet = self._journal.fleet
+        if heartbeat.era != fleet.claims.log_era:
+            return True
         if not may_be_member(fleet, heartbeat.member):
             return True
         member = fleet.members.get(heartbeat.member)
--- a/verbenadeck/lease/tests/exploration.py
+++ b/verbenadeck/lease/tests/exploration.py
@@ -41,6 +41,9 @@
 _MAX_WAIT_S = 4.0
 _MAX_GROUP_SHARE = 1 / 3
 _SMALL_GROUP_SIZE = 3
+_COPIES_KEPT = 5
+_MAX_LATE_APPENDS = 3
+_MAX_LATE_S = 2.0
 _DELAYS_S = (
     (0.005,),
     (0.001, 0.005, 0.02),
@@ -58,6 +61,7 @@
     CUT_LOG = 'group-cut-log'
     RESTORE_LOG = 'group-restore-log'
     END_ALL = 'end-all'
+    RETURN_LOG = 'return-log'
 
 
 class Group(enum.Enum):
@@ -144,6 +148,9 @@
         Fault.ZONES_IN: 1,
     }
 )
+_FAULT_WEIGHTS_WITH_RETURNS: Mapping[Fault | GroupFault, int] = (
+    MappingProxyType({**_FAULT_WEIGHTS, GroupFault.RETURN_LOG: 12})
+)
 _FLEET_FAULTS = frozenset(
     (
         Fault.HEAL,
@@ -162,7 +169,11 @@
 
 
 def draw_exploration(
-    seed: int, *, sizes: tuple[int, ...], step_count: int
+    seed: int,
+    *,
+    sizes: tuple[int, ...],
+    step_count: int,
+    with_returns: bool = False,
 ) -> Exploration:
     """Draw a random series of faults.
 
@@ -174,7 +185,10 @@
         Number of nodes in each zone.
     step_count : int
         Number of faults.
+    with_returns : bool
+        Whether the log also comes back without its newest records.
     """
+    weights = _FAULT_WEIGHTS_WITH_RETURNS if with_returns else _FAULT_WEIGHTS
     random_source = random.Random(seed)
     return Exploration(
         sizes,
@@ -182,13 +196,18 @@
         is_fenced=random_source.choice((True, False)),
         delays_s=random_source.choice(_DELAYS_S),
         steps=tuple(
-            _draw_step(random_source, node_count=sum(sizes))
+            _draw_step(random_source, weights, node_count=sum(sizes))
             for _ in range(step_count)
         ),
     )
 
 
-def _draw_step(random_source: random.Random, *, node_count: int) -> GroupStep:
+def _draw_step(
+    random_source: random.Random,
+    weights: Mapping[Fault | GroupFault, int],
+    *,
+    node_count: int,
+) -> GroupStep:
     group = _draw_weighted(random_source, _GROUP_WEIGHTS)
     largest = (
         1
@@ -199,7 +218,7 @@
     )
     size = random_source.randint(1, largest)
     return GroupStep(
-        _draw_weighted(random_source, _FAULT_WEIGHTS),
+        _draw_weighted(random_source, weights),
         tuple(random_source.sample(range(node_count), size)),
         round(random_source.uniform(_MIN_WAIT_S, _MAX_WAIT_S), 2),
         group,
@@ -250,13 +269,42 @@
         fleet.network.delay_s = lambda _source, _target: random_source.choice(
             exploration.delays_s
         )
+        copies = [len(fleet.log.records)]
         for step in exploration.steps:
-            await inject_group_fault(fleet, step)
+            if step.fault is GroupFault.RETURN_LOG:
+                copied_count = random_source.choice(copies[-_COPIES_KEPT:])
+                return_with_late_appends(fleet, copied_count, random_source)
+                copies = [copied_count]
+            else:
+                await inject_group_fault(fleet, step)
+            copies.append(len(fleet.log.records))
             await wait_watched(fleet, step.wait_s)
         await end_all_faults(fleet)
         await fleet.wait_until(fleet.is_served, limit_s=RECOVERY_LIMIT_S)
 
 
+def return_with_late_appends(
+    fleet: VirtualFleet, copied_count: int, random_source: random.Random
+) -> None:
+    """Let the log come back, and carry out some of the lost appends again.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet whose log it is.
+    copied_count : int
+        Number of records in the copy.
+    random_source : random.Random
+        Chooses the appends, and when they are carried out.
+    """
+    lost = fleet.log.return_from_copy(copied_count)
+    late = random_source.sample(lost, min(len(lost), _MAX_LATE_APPENDS))
+    loop = asyncio.get_running_loop()
+    for record in late:
+        delay_s = random_source.uniform(0, _MAX_LATE_S)
+        loop.call_later(delay_s, fleet.log.records.append, record)
+
+
 async def wait_watched(fleet: VirtualFleet, wait_s: float) -> None:
     """Wait, and raise as soon as the oracle has found two owners.
 
--- a/verbenadeck/lease/tests/returns.py
+++ b/verbenadeck/lease/tests/returns.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections import defaultdict
 
-from verbenadeck.model import NodeId
+import msgspec
+
+from verbenadeck.lease.tests.builders import FORMATION_S, owner_of
+from verbenadeck.model import NodeId, OutOfService, Zone
 from verbenadeck.testing import VirtualFleet
 
 AWAY_S = 1.0
@@ -102,3 +105,89 @@
     await asyncio.gather(*(fleet.nodes[name].kill() for name in names))
     await asyncio.sleep(1)
     await asyncio.gather(*(fleet.restart(name) for name in names))
+
+
+async def move_to_unknown_member(fleet: VirtualFleet) -> NodeId:
+    """Let an owner join again, cut it from the log and lose its new join.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet that serves all shards.
+
+    Returns
+    -------
+    NodeId
+        Node that serves shards of which the log now names other owners.
+    """
+    owner = owner_of(fleet)
+    await fleet.nodes[owner].stop()
+    copied_count = len(fleet.log.records)
+    await fleet.restart(owner)
+    await fleet.wait_until(lambda: _is_owner(fleet, owner))
+    await asyncio.sleep(FORMATION_S)
+    fleet.nodes[owner].adapter.is_cut = True
+    fleet.log.return_from_copy(copied_count)
+    return owner
+
+
+async def move_from_frozen_owner(fleet: VirtualFleet) -> NodeId:
+    """Let an owner freeze and be evicted, and lose the records of that.
+
+    The nodes that took over are cut from the log.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet that serves all shards.
+
+    Returns
+    -------
+    NodeId
+        The owner, which is resumed as the log comes back.
+    """
+    owner = owner_of(fleet)
+    shards = fleet.nodes[owner].owned_shards()
+    copied_count = len(fleet.log.records)
+    fleet.nodes[owner].process.pause()
+    await fleet.wait_until(fleet.is_served)
+    for shard in shards:
+        successor = owner_of(fleet, shard)
+        fleet.nodes[successor].adapter.is_cut = True
+    fleet.log.return_from_copy(copied_count)
+    fleet.nodes[owner].process.resume()
+    return owner
+
+
+async def move_from_zone(fleet: VirtualFleet, zone: Zone) -> None:
+    """Evacuate a zone, and lose the records of that.
+
+    The nodes that took over are cut from the log.
+
+    Parameters
+    ----------
+    fleet : VirtualFleet
+        Fleet that serves all shards.
+    zone : Zone
+        Zone to evacuate.
+    """
+    copied_count = len(fleet.log.records)
+    out = msgspec.structs.replace(
+        fleet.document, zones_out={zone: OutOfService('test')}
+    )
+    await fleet.publish(out)
+    inside = [name for name in fleet.nodes if name.startswith(zone)]
+    await fleet.wait_until(
+        lambda: (
+            not any(_is_owner(fleet, name) for name in inside)
+            and fleet.is_served()
+        )
+    )
+    for name, node in fleet.nodes.items():
+        node.adapter.is_cut = name not in inside
+    fleet.log.return_from_copy(copied_count)
+
+
+def _is_owner(fleet: VirtualFleet, name: NodeId) -> bool:
+    node = fleet.nodes[name]
+    return any(node.would_serve(shard) for shard in node.owned_shards())
--- a/verbenadeck/membership/_heartbeats.py
+++ b/verbenadeck/membership/_heartbeats.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from verbenadeck.fleet import FleetView
+from verbenadeck.fleet import FleetTables
 from verbenadeck.membership._messages import Heartbeat, HeartbeatAck
 from verbenadeck.membership._renewals import Renewals
 from verbenadeck.model import NO_MEMBER, Incarnation
@@ -19,7 +19,7 @@
         Boot clock of the VM.
     transport : PeerTransport
         Transport to the witnesses.
-    fleet : FleetView
+    fleet : FleetTables
         Members according to the log.
     renewals : Renewals
         Where renewals are recorded.
@@ -35,7 +35,7 @@
         *,
         clock: Clock,
         transport: PeerTransport,
-        fleet: FleetView,
+        fleet: FleetTables,
         renewals: Renewals,
         probe_after_s: float,
         incarnation: Callable[[], Incarnation],
@@ -85,11 +85,20 @@
         member = self._fleet.members.get(witness)
         if own == NO_MEMBER or member is None:
             return
-        heartbeat = Heartbeat(own, witness, self._clock.now_s(), is_renewal)
+        heartbeat = Heartbeat(
+            own,
+            witness,
+            self._clock.now_s(),
+            is_renewal,
+            self._fleet.claims.log_era,
+        )
         self._transport.send_datagram(member.address, heartbeat)
 
     async def _on_ack(self, _source: PeerAddress, ack: HeartbeatAck) -> None:
-        if ack.member != self._incarnation():
+        if (
+            ack.member != self._incarnation()
+            or ack.era != self._fleet.claims.log_era
+        ):
             return
         self._renewals.record_answer(ack.witness)
         if ack.is_renewal:
--- a/verbenadeck/membership/_messages.py
+++ b/verbenadeck/membership/_messages.py
@@ -1,6 +1,6 @@
 """Datagrams that a member and its witnesses exchange."""
 
-from verbenadeck.model import Incarnation
+from verbenadeck.model import Era, Incarnation
 from verbenadeck.peers import Message
 
 
@@ -22,12 +22,16 @@
         Moment of sending on the member's boot clock, in seconds.
     is_renewal : bool
         Whether the witness is to renew the lease.
+    era : Era
+        Era of the log that the member's state is from. A witness renews only
+        leases of its own era.
     """
 
     member: Incarnation
     witness: Incarnation
     sent_s: float
     is_renewal: bool
+    era: Era = Era(0)
 
 
 class HeartbeatAck(Message, frozen=True, array_like=True, tag='heartbeat-ack'):
@@ -41,12 +45,15 @@
         As in the heartbeat.
     is_renewal : bool
         Whether the witness renewed the lease.
+    era : Era
+        As in the heartbeat.
     """
 
     member: Incarnation
     witness: Incarnation
     sent_s: float
     is_renewal: bool
+    era: Era = Era(0)
 
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (Heartbeat, HeartbeatAck)
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -287,6 +287,7 @@
         upstream=dependencies.upstream,
         service=location.service,
         proxy=kernel.find('door', UpstreamProxy),
+        random_source=dependencies.random_source,
         make_grants=options.make_grants,
     )
 
--- a/verbenadeck/platform/tests/test_eras.py
+++ b/verbenadeck/platform/tests/test_eras.py
@@ -74,7 +74,7 @@
             copied = store.copy()
             lost = await _publish(client, first=_PUBLISHED_COUNT)
             store.return_from(copied, era=2)
-            while client.fleet.log_era < 2 or not client.is_ready:
+            while client.fleet.claims.log_era < 2 or not client.is_ready:
                 await asyncio.sleep(0.01)
             assert client.fleet.config_version == _PUBLISHED_COUNT
             again = await _publish(client, first=_PUBLISHED_COUNT)
--- a/verbenadeck/records/__init__.py
+++ b/verbenadeck/records/__init__.py
@@ -6,7 +6,11 @@
     decode_envelope,
     encode_envelope,
 )
-from verbenadeck.records._era_records import EraStart
+from verbenadeck.records._era_records import (
+    ClaimsClosed,
+    EraStart,
+    HoldClaim,
+)
 from verbenadeck.records._node_records import (
     LeavePhase,
     NodeJoin,
@@ -32,10 +36,12 @@
     'FORMAT_VERSION',
     'Assign',
     'CheckpointChunk',
+    'ClaimsClosed',
     'CodecError',
     'ConfigPublished',
     'Envelope',
     'EraStart',
+    'HoldClaim',
     'LeavePhase',
     'NodeJoin',
     'NodeLeave',
--- a/verbenadeck/records/_records.py
+++ b/verbenadeck/records/_records.py
@@ -14,7 +14,11 @@
     ServiceName,
     WriterId,
 )
-from verbenadeck.records._era_records import EraStart
+from verbenadeck.records._era_records import (
+    ClaimsClosed,
+    EraStart,
+    HoldClaim,
+)
 from verbenadeck.records._node_records import (
     NodeJoin,
     NodeLeave,
@@ -193,6 +197,8 @@
     | CheckpointChunk
     | UpstreamLeave
     | EraStart
+    | HoldClaim
+    | ClaimsClosed
 )
 
 
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -231,6 +231,7 @@
             upstream=self.upstream,
             service=SERVICE,
             proxy=self.proxy,
+            random_source=self.random,
         )
         self.planner = Planner(
             clock=self.clock,
