Apply the state in a heartbeat before it is acknowledged

Cause: the adapter kept `coldRemaining` of a heartbeat, and the rate limit of the proxy learned of it only with its poll every 0.5 s.

Change: adapters pass on what an upstream reports by itself, before the heartbeat is acknowledged; the proxy applies it at once. A changed rate of cold instances, which waited for the same poll, takes the same way.

--- a/verbenadeck/adapters/_upstream.py
+++ b/verbenadeck/adapters/_upstream.py
@@ -287,6 +287,18 @@
         """
         ...
 
+    def on_report(self, listener: Callable[[LoadReport], None]) -> None:
+        """Register a listener for what the upstream reports by itself.
+
+        An adapter that learns of the state only by `report` never calls it.
+
+        Parameters
+        ----------
+        listener : callable
+            Called with each report, before the upstream gets an answer to it.
+        """
+        ...
+
     async def send(
         self, upstream_request: UpstreamRequest
     ) -> Result[Answer, UpstreamError]:
--- a/verbenadeck/adapters/_upstream_http.py
+++ b/verbenadeck/adapters/_upstream_http.py
@@ -56,6 +56,15 @@
         """
         self._listeners.append(listener)
 
+    def on_report(self, listener: Callable[[LoadReport], None]) -> None:
+        """Ignore the listener, as this upstream only answers to `report`.
+
+        Parameters
+        ----------
+        listener : callable
+            Never called.
+        """
+
     def announce(
         self, body: bytes
     ) -> Result[wire.AnnounceReply, AnnounceError]:
--- a/verbenadeck/platform/_upstream.py
+++ b/verbenadeck/platform/_upstream.py
@@ -45,6 +45,7 @@
     HeartbeatFault,
     refuse_heartbeat,
 )
+from verbenadeck.platform._report_listeners import ReportListeners
 from verbenadeck.routes import RouteStore
 from verbenadeck.utils import Clock
 
@@ -59,7 +60,7 @@
 _log = logger.bind(part='upstream')
 
 
-class PlatformUpstream:
+class PlatformUpstream(ReportListeners):
     """Upstream adapter to the instance beside the node.
 
     Parameters
@@ -95,6 +96,7 @@
         heartbeat_interval_s: float,
         latest_deadline_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        super().__init__()
         self.hold_handler: Callable[[HoldReport], HoldReply | None] = (
             _renew_nothing
         )
@@ -114,6 +116,7 @@
         )
         self._cold_until_s = -math.inf
         self._departures = DepartureNotices()
+        route_store.subscribe(lambda _state: self._notify_report())
         self._announce_listeners: list[Callable[[Announcement], None]] = []
         self._running_tasks: dict[RequestId, asyncio.Task[SendResult]] = {}
 
@@ -280,17 +283,11 @@
         heartbeat = self._last_heartbeat
         if heartbeat is None or self._session is None:
             return Failure(_NO_SESSION_ERROR)
-        return Success(
-            LoadReport(
-                is_healthy=True,
-                running=len(self._running_tasks),
-                bearable=heartbeat.slots,
-                instance=heartbeat.instance_id,
-                cold_start=_make_cold_start_state(
-                    self._route_store, heartbeat.service, self._cold_until_s
-                ),
-            )
+        cold_start = _make_cold_start_state(
+            self._route_store, heartbeat.service, self._cold_until_s
         )
+        running_count = len(self._running_tasks)
+        return Success(_make_report(heartbeat, running_count, cold_start))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -312,12 +309,26 @@
             or heartbeat.instance_id != last_heartbeat.instance_id
         ):
             self._start_session(heartbeat)
+        self._notify_report()
         if heartbeat.is_draining and not self._departures.is_departing:
             self._departures.receive(
                 heartbeat.instance_id, UpstreamDeparture.DRAINING
             )
         return None if report is None else self.hold_handler(report)
 
+    def _notify_report(self) -> None:
+        # Until the next poll, an instance that has become cold would get
+        # requests at the rate of a warm one.
+        heartbeat = self._last_heartbeat
+        if self._session is not None and heartbeat is not None:
+            cold_start = _make_cold_start_state(
+                self._route_store, heartbeat.service, self._cold_until_s
+            )
+            running_count = len(self._running_tasks)
+            self.notify_report(
+                _make_report(heartbeat, running_count, cold_start)
+            )
+
     def _start_session(self, heartbeat: InstanceHeartbeat) -> None:
         earlier_session = self._session
         if earlier_session is not None:
@@ -349,6 +360,18 @@
     return None if service_config is None else service_config.is_keyed
 
 
+def _make_report(
+    heartbeat: InstanceHeartbeat, running_count: int, cold_start: ColdStartState
+) -> LoadReport:
+    return LoadReport(
+        is_healthy=True,
+        running=running_count,
+        bearable=heartbeat.slots,
+        instance=heartbeat.instance_id,
+        cold_start=cold_start,
+    )
+
+
 def _make_cold_start_state(
     route_store: RouteStore, service: ServiceName, cold_until_s: float
 ) -> ColdStartState:
--- a/verbenadeck/platform/tests/test_heartbeats.py
+++ b/verbenadeck/platform/tests/test_heartbeats.py
@@ -14,6 +14,7 @@
     HoldReply,
     HoldReport,
     KeyHandover,
+    LoadReport,
     OrderFault,
     UpstreamDeparture,
 )
@@ -26,11 +27,14 @@
     read_heartbeat,
     write_reply,
 )
+from verbenadeck.platform._operator import read_operator_state
 from verbenadeck.platform._refusals import HeartbeatError, HeartbeatFault
 from verbenadeck.platform._upstream import PlatformUpstream
 from verbenadeck.platform.tests.builders import (
+    CLOCK,
     EXPECTED_UPSTREAM,
     decode_heartbeat,
+    make_config,
     make_heartbeat_body,
     make_route_store,
     make_upstream,
@@ -175,6 +179,36 @@
     assert len(events) == 3
 
 
+# Guards against a node that learns of a cold instance by its next poll only.
+def test_cold_instance_is_reported_before_its_heartbeat_is_acknowledged() -> (
+    None
+):
+    upstream = make_upstream(make_route_store())
+    reports: list[LoadReport] = []
+    upstream.on_report(reports.append)
+    upstream.handle_heartbeat(_make_heartbeat(status_sequence=1))
+    upstream.handle_heartbeat(
+        _make_heartbeat(status_sequence=2, status_coldRemaining='3s')
+    )
+    colds = [each.cold_start.cold_until_s > CLOCK.now_s() for each in reports]
+    assert colds == [False, True]
+
+
+def test_changed_rate_of_cold_instances_is_reported_at_once() -> None:
+    route_store = make_route_store()
+    upstream = make_upstream(route_store)
+    upstream.handle_heartbeat(_make_heartbeat(status_coldRemaining='3s'))
+    reports: list[LoadReport] = []
+    upstream.on_report(reports.append)
+    services = {
+        'columns': ('name', 'healthPath', 'maxConnections', 'coldPerS'),
+        'rows': [['desk', '/health', 110, 7.0]],
+    }
+    config = make_config('0000000d', services=services)
+    route_store.update(read_operator_state(config, frozenset()).unwrap())
+    assert [each.cold_start.requests_per_s for each in reports] == [7.0]
+
+
 def test_longest_reply_fits_into_what_instances_read() -> None:
     last_key = 65_535
     fence = Fence(99_999_999)
--- a/verbenadeck/proxy/_monitor.py
+++ b/verbenadeck/proxy/_monitor.py
@@ -17,6 +17,8 @@
 class UpstreamMonitor:
     """Monitor that applies announcements and load reports to the limit.
 
+    Reports that the upstream sends count at once; others are polled.
+
     An announcement or report from a new instance means that the earlier one
     has ended, possibly in a crash.
 
@@ -41,6 +43,7 @@
         self._instance: str | None = None
         self._task: asyncio.Task[None] | None = None
         self._upstream.on_announce(self._on_announce)
+        self._upstream.on_report(self._on_report)
 
     async def start(self) -> None:
         """Start polling load reports."""
--- a/verbenadeck/proxy/tests/fakes.py
+++ b/verbenadeck/proxy/tests/fakes.py
@@ -10,7 +10,9 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import (
+    WARMED_UP,
     Announcement,
+    ColdStartState,
     Grant,
     LoadReport,
     UpstreamError,
@@ -143,6 +145,8 @@
         self.sheds = 0
         self.restart_count = 0
         self.is_drained = False
+        self.cold_start = WARMED_UP
+        self.report_listeners: list[Callable[[LoadReport], None]] = []
         self._listeners: list[Callable[[Announcement], None]] = []
         self._crash: asyncio.Event = asyncio.Event()
 
@@ -153,6 +157,15 @@
     def on_announce(self, listener: Callable[[Announcement], None]) -> None:
         self._listeners.append(listener)
 
+    def on_report(self, listener: Callable[[LoadReport], None]) -> None:
+        self.report_listeners.append(listener)
+
+    def turn_cold(self, cold_start: ColdStartState) -> None:
+        """Become cold again, and report it at once."""
+        self.cold_start = cold_start
+        for listener in self.report_listeners:
+            listener(self._make_report())
+
     def announce(self) -> None:
         """Announce this instance to the proxy."""
         announcement = Announcement(
@@ -210,10 +223,15 @@
         return Success(None)
 
     async def report(self) -> Result[LoadReport, UpstreamError]:
-        return Success(
-            LoadReport(
-                True, self.running, self.reported_bearable(), self.instance
-            )
+        return Success(self._make_report())
+
+    def _make_report(self) -> LoadReport:
+        return LoadReport(
+            True,
+            self.running,
+            self.reported_bearable(),
+            self.instance,
+            self.cold_start,
         )
 
     async def close(self) -> None:
--- a/verbenadeck/proxy/tests/test_cold_start.py
+++ b/verbenadeck/proxy/tests/test_cold_start.py
@@ -5,6 +5,7 @@
 
 from returns.result import Success
 
+from verbenadeck.adapters import ColdStartState
 from verbenadeck.proxy import ConcurrencyLimit
 from verbenadeck.proxy.tests.builders import (
     Node,
@@ -15,6 +16,10 @@
 from verbenadeck.proxy.tests.fakes import FakeUpstream
 from verbenadeck.testing import run_virtual
 
+_COLD_RATE_PER_S = 19.0
+_MAX_RATE_FACTOR = 1.5
+_EXTRA_REQUESTS = 5
+
 
 async def _keep_busy(node: Node, *, workers: int, until_s: float) -> int:
     """Send requests from many callers until a time and count the answers."""
@@ -92,6 +97,37 @@
     run_virtual(scenario())
 
 
+# Guards against a crash of an instance that turns cold without a restart.
+def test_upstream_that_says_it_is_cold_gets_no_more_at_once() -> None:
+    async def scenario() -> None:
+        site = ProxyFleet()
+        upstream = FakeUpstream(slots=20, service_time_s=0.02)
+        node = await site.add(upstream)
+        loop = asyncio.get_running_loop()
+        sent_counts: list[int] = []
+
+        def count_sent() -> None:
+            sent_counts.append(sum(upstream.runs.values()))
+
+        def turn_cold() -> None:
+            count_sent()
+            cold_until_s = site.clock.now_s() + 1
+            upstream.turn_cold(ColdStartState(cold_until_s, _COLD_RATE_PER_S))
+
+        # The time from the report to the next poll differs between them.
+        for cold_at_s in (2.0, 4.11, 6.23, 8.37):
+            loop.call_at(cold_at_s, turn_cold)
+            loop.call_at(cold_at_s + 0.99, count_sent)
+        await _keep_busy(node, workers=60, until_s=10)
+        for before, after in zip(
+            sent_counts[::2], sent_counts[1::2], strict=True
+        ):
+            allowed = _COLD_RATE_PER_S * _MAX_RATE_FACTOR + _EXTRA_REQUESTS
+            assert after - before <= allowed
+
+    run_virtual(scenario())
+
+
 def test_streak_of_slow_answers_reduces_the_ramp() -> None:
     limit = ConcurrencyLimit()
     limit.reset_for_instance(20, 20, now_s=0)
--- a/verbenadeck/testing/_fakes.py
+++ b/verbenadeck/testing/_fakes.py
@@ -66,6 +66,9 @@
         self._listeners.append(listener)
         listener(self._announcement())
 
+    def on_report(self, listener: Callable[[LoadReport], None]) -> None:
+        """Ignore the listener, as this upstream only answers to `report`."""
+
     def restart(self) -> None:
         """Begin a new instance without a grant and announce it."""
         self.instance = f'life-{int(self.instance[5:]) + 1}'
