Check right before a send what may have changed during the wait

Cause: a departure only set a flag that is read when a request arrives. The checks right before a send left out the departure, an evacuation and the quarantine of requests that crash instances. The flag also waited for the move of the shards, which a node without processor time delays.

Change: the node stores the time from which it sends nothing to a leaving instance as soon as it knows of the departure. Waiting requests that can't start by then are refused at once, the others at that time. The gate makes all its checks again right before a send, and an evacuation refuses what waits. The queue's waiting requests are a base class of their own.

--- a/verbenadeck/node/_departure.py
+++ b/verbenadeck/node/_departure.py
@@ -1,6 +1,7 @@
 """Reaction of a node to the departure and the return of its upstream."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from types import MappingProxyType
 
@@ -33,6 +34,8 @@
     silence_timeout_s : float
         Time in seconds without a heartbeat after which every grant of the
         upstream has expired.
+    close_after_s : float
+        Time in seconds after which nothing is sent to a draining upstream.
     move_timeout_s : float
         Maximum time in seconds for moving the shards of a draining upstream;
         its proxy admits requests for them meanwhile.
@@ -50,6 +53,7 @@
         last_heartbeat_at_s: Callable[[], float],
         mark_lost: Callable[[], None],
         silence_timeout_s: float,
+        close_after_s: float,
         move_timeout_s: float,
         has_left: Callable[[str], bool],
     ) -> None:
@@ -59,6 +63,7 @@
         self._last_heartbeat_at_s = last_heartbeat_at_s
         self._mark_lost = mark_lost
         self._silence_timeout_s = silence_timeout_s
+        self._close_after_s = close_after_s
         self._move_timeout_s = move_timeout_s
         self._has_left = has_left
         self._instance: str | None = None
@@ -95,6 +100,7 @@
         self._cancel_leave_task()
         self._is_departing = False
         self._proxy.set_draining(is_draining=False)
+        self._proxy.close_at(math.inf)
         if self._instance not in {None, announcement.instance}:
             # The earlier instance has ended, so no grant to it is in force.
             self._membership.resign('the upstream restarted as a new instance')
@@ -112,20 +118,28 @@
         self._departure_actions[how]()
 
     def _on_draining(self) -> None:
+        self._proxy.close_at(self._clock.now_s() + self._close_after_s)
+        self._move_shards_away()
+
+    def _move_shards_away(self) -> None:
         self._cancel_leave_task()
         self._leave_task = asyncio.create_task(self._leave())
 
     def _on_left(self) -> None:
-        self._proxy.set_draining(is_draining=True)
-        self._on_draining()
+        self._refuse_all()
+        self._move_shards_away()
 
     def _on_silent(self) -> None:
         self._cancel_leave_task()
-        self._proxy.set_draining(is_draining=True)
+        self._refuse_all()
         self._membership.resign(
             'the upstream sent no heartbeat within its time-out'
         )
 
+    def _refuse_all(self) -> None:
+        self._proxy.set_draining(is_draining=True)
+        self._proxy.close_at(self._clock.now_s())
+
     def _cancel_leave_task(self) -> None:
         if self._leave_task is not None:
             self._leave_task.cancel()
--- a/verbenadeck/node/tests/test_departure.py
+++ b/verbenadeck/node/tests/test_departure.py
@@ -1,6 +1,7 @@
 """Departure of an upstream: drain, leave, missing heartbeats and restart."""
 
 import asyncio
+import math
 from typing import Any
 
 from verbenadeck.adapters import Announcement, UpstreamDeparture
@@ -10,6 +11,7 @@
 
 _SILENCE_TIMEOUT_S = 3.1
 _MOVE_TIMEOUT_S = 1.2
+_CLOSE_AFTER_S = 1.7
 
 
 class _CallRecorder:
@@ -21,6 +23,10 @@
         self.calls: list[str] = []
         self.move_takes_s = 0.5
         self.left: set[str] = set()
+        self.closes_at_s = math.inf
+
+    def close_at(self, closes_at_s: float) -> None:
+        self.closes_at_s = closes_at_s
 
     def set_draining(self, *, is_draining: bool) -> None:
         self.calls.append('refuse' if is_draining else 'admit')
@@ -47,6 +53,7 @@
             last_heartbeat_at_s=lambda: self.last_heartbeat_at_s,
             mark_lost=self.mark_lost,
             silence_timeout_s=_SILENCE_TIMEOUT_S,
+            close_after_s=_CLOSE_AFTER_S,
             move_timeout_s=_MOVE_TIMEOUT_S,
             has_left=lambda instance: instance in self.left,
         )
@@ -81,11 +88,27 @@
     run_virtual(scenario())
 
 
+# Guards against sends after `drain` by a node without time to move the shards.
+def test_draining_upstream_is_closed_however_long_the_move_takes() -> None:
+    async def scenario() -> None:
+        recorder = _CallRecorder()
+        recorder.move_takes_s = 60
+        departure = recorder.departure()
+        departure.on_departure(UpstreamDeparture.DRAINING)
+        closes_at_s = recorder.clock.now_s() + _CLOSE_AFTER_S
+        assert recorder.closes_at_s == closes_at_s
+        departure.on_announce(_announcement('new'))
+        assert math.isinf(recorder.closes_at_s)
+
+    run_virtual(scenario())
+
+
 def test_upstream_that_left_is_refused_at_once() -> None:
     async def scenario() -> None:
         recorder = _CallRecorder()
         recorder.departure().on_departure(UpstreamDeparture.LEFT)
         assert recorder.calls[0] == 'refuse'
+        assert recorder.closes_at_s <= recorder.clock.now_s()
 
     run_virtual(scenario())
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -217,6 +217,10 @@
                 _options.HEARTBEAT_TIMEOUT_INTERVALS
                 * self._settings.heartbeat_interval_s,
             ),
+            close_after_s=max(
+                0,
+                self._settings.drain_timeout_s - _options.LAST_SEND_MARGIN_S,
+            ),
             move_timeout_s=self._settings.drain_timeout_s
             * _options.DRAIN_MOVE_SHARE,
             has_left=self._departures.has_left,
--- a/verbenadeck/platform/_options.py
+++ b/verbenadeck/platform/_options.py
@@ -106,6 +106,10 @@
 """Share of the setting `drain` in which the shards of a leaving instance are
 moved; the rest is for requests in flight."""
 
+LAST_SEND_MARGIN_S = 0.3
+"""Time in seconds before the end of the setting `drain` from which nothing is
+sent to a leaving instance; what a busy node needs for a send that has begun."""
+
 ENTRY_CLOSE_AFTER_S = 0.3
 """Time in seconds after the last request for which a stopping entry still
 answers on open connections; a few round trips of a caller."""
--- a/verbenadeck/proxy/_gate.py
+++ b/verbenadeck/proxy/_gate.py
@@ -1,5 +1,7 @@
 """Admission checks on new requests, before they are queued."""
 
+import math
+
 from verbenadeck.fleet import FleetView
 from verbenadeck.model import (
     ConfigVersion,
@@ -26,8 +28,29 @@
 _RETRY_AFTER_S = 0.5
 
 
+def leaving_refusal() -> Refusal:
+    """Return the refusal of a request whose upstream is about to leave."""
+    return not_run(
+        RefusalReason.DRAINING,
+        'the upstream is leaving',
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def zone_out_refusal() -> Refusal:
+    """Return the refusal of a request to a zone that is out of service."""
+    return not_run(
+        RefusalReason.ZONE_OUT,
+        'the zone or the upstream is out of service',
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
 class Gate:
-    """Admission check that refuses requests this proxy must not run.
+    """Check that refuses requests this proxy must not run.
+
+    What can change while a request waits is checked when it arrives and again
+    right before it is sent.
 
     Parameters
     ----------
@@ -46,6 +69,9 @@
         Service that the upstream announced.
     is_draining : bool
         Whether new requests are refused since the upstream is leaving.
+    closes_at_s : float
+        Time from which nothing is sent, in seconds; finite for an upstream
+        that is leaving.
     closed_shards : set of int
         Shards that are being handed over.
     """
@@ -61,6 +87,7 @@
     ) -> None:
         self.service: ServiceName | None = None
         self.is_draining = False
+        self.closes_at_s = math.inf
         self.closed_shards: set[int] = set()
         self._node_id = node_id
         self._zone = zone
@@ -126,17 +153,30 @@
                 'the node is leaving',
                 retry_after_s=_RETRY_AFTER_S,
             )
+        return self.send_refusal(request, shard)
+
+    def send_refusal(self, request: Request, shard: int) -> Refusal | None:
+        """Return why a request must not be sent now, or None if it may be.
+
+        Parameters
+        ----------
+        request : Request
+            Request that was admitted.
+        shard : int
+            Its shard, or `NO_SHARD`.
+        """
         now_s = self._clock.now_s()
         if now_s >= request.deadline_s:
             return not_run(RefusalReason.DEADLINE, 'the deadline has passed')
+        if now_s >= self.closes_at_s:
+            return leaving_refusal()
         return (
             self._out_refusal(shard, now_s)
-            or self.shard_refusal(shard)
+            or self._shard_refusal(shard)
             or self._poison_refusal(request, now_s)
         )
 
-    def shard_refusal(self, shard: int) -> Refusal | None:
-        """Return a refusal if a shard is being handed over, else None."""
+    def _shard_refusal(self, shard: int) -> Refusal | None:
         if shard in self.closed_shards:
             return not_run(
                 RefusalReason.MOVING, 'the shard is moving to another node'
@@ -161,11 +201,7 @@
             return None
         if shard != NO_SHARD and now_s < since_s + OUT_GRACE_S:
             return None
-        return not_run(
-            RefusalReason.ZONE_OUT,
-            'the zone or the upstream is out of service',
-            retry_after_s=_RETRY_AFTER_S,
-        )
+        return zone_out_refusal()
 
     def _poison_refusal(self, request: Request, now_s: float) -> Refusal | None:
         if self._quarantine.is_empty:
--- a/verbenadeck/proxy/_pipeline.py
+++ b/verbenadeck/proxy/_pipeline.py
@@ -127,15 +127,11 @@
                     RefusalReason.CANCELLED, 'no caller waits for the request'
                 )
             )
-        if self._clock.now_s() >= request.deadline_s:
-            return Failure(
-                not_run(RefusalReason.DEADLINE, 'the deadline has passed')
-            )
-        if run.shard == NO_SHARD:
-            return Success(UpstreamRequest(request, NO_FENCE, NO_SHARD))
-        refusal = self._gate.shard_refusal(run.shard)
+        refusal = self._gate.send_refusal(request, run.shard)
         if refusal is not None:
             return Failure(refusal)
+        if run.shard == NO_SHARD:
+            return Success(UpstreamRequest(request, NO_FENCE, NO_SHARD))
         permit = self._ownership.permit(request.service, Shard(run.shard))
         return permit.map(lambda given: self._with_fence(run, given))
 
--- a/verbenadeck/proxy/_proxy.py
+++ b/verbenadeck/proxy/_proxy.py
@@ -1,8 +1,10 @@
 """Proxy, the only sender to the upstream of this node."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
+from functools import partial
 
 from loguru import logger
 
@@ -22,6 +24,7 @@
 from verbenadeck.proxy._admission import Admission
 from verbenadeck.proxy._components import ProxyComponents, ProxyDependencies
 from verbenadeck.proxy._endpoint import Endpoint
+from verbenadeck.proxy._gate import leaving_refusal, zone_out_refusal
 from verbenadeck.proxy._handover import Handover
 from verbenadeck.proxy._interface import ProxyLoad
 from verbenadeck.proxy._ledger import Ledger
@@ -30,7 +33,7 @@
 from verbenadeck.proxy._queue_options import QueueOptions
 from verbenadeck.proxy._refusals import not_run
 from verbenadeck.proxy._shard_rates import ShardRates
-from verbenadeck.proxy._waiter import LOCAL_ORIGIN
+from verbenadeck.proxy._waiter import LOCAL_ORIGIN, NO_SHARD
 from verbenadeck.records import ReleasedRange
 from verbenadeck.utils import Clock, ignore_name
 
@@ -120,6 +123,7 @@
         self._handover = Handover(self._components)
         self._monitor = UpstreamMonitor(self._components)
         self._drain_task: asyncio.Task[None] | None = None
+        self._closing_timer: asyncio.TimerHandle | None = None
         endpoint = Endpoint(
             self._components, proxy=self, admission=self._admission
         )
@@ -154,6 +158,31 @@
         rate_per_s = self._components.cold_start_rate.rate_per_s
         return max(1, int(min(limit.limit, rate_per_s * limit.service_time_s)))
 
+    def close_at(self, closes_at_s: float) -> None:
+        """Send nothing from a time on, since the upstream leaves then.
+
+        Waiting requests that can't start before are refused now, the others
+        at that time, so that they can still be answered elsewhere.
+
+        Parameters
+        ----------
+        closes_at_s : float
+            The time, in seconds; infinite for an upstream that stays.
+        """
+        components = self._components
+        components.gate.closes_at_s = closes_at_s
+        if self._closing_timer is not None:
+            self._closing_timer.cancel()
+            self._closing_timer = None
+        if math.isinf(closes_at_s):
+            return
+        refusal = leaving_refusal()
+        components.slots.refuse_unstartable(refusal, stops_at_s=closes_at_s)
+        self._closing_timer = asyncio.get_running_loop().call_later(
+            self._clock.remaining_s(closes_at_s),
+            partial(components.slots.refuse, refusal, shards=None),
+        )
+
     def set_draining(self, *, is_draining: bool) -> None:
         """Set whether new requests are refused since the upstream is leaving."""
         self._components.gate.is_draining = is_draining
@@ -161,6 +190,10 @@
     def set_zone_out(self, *, is_out: bool) -> None:
         """Apply an operator's change to this zone before it is in the log."""
         self._components.gate.set_zone_out(is_out=is_out)
+        if is_out:
+            self._components.slots.refuse(
+                zone_out_refusal(), shards=frozenset((NO_SHARD,))
+            )
 
     async def start(self) -> None:
         """Subscribe to the log and start polling load reports."""
--- a/verbenadeck/proxy/_slots.py
+++ b/verbenadeck/proxy/_slots.py
@@ -18,6 +18,7 @@
     first_waiter,
     run_time_s,
 )
+from verbenadeck.proxy._waiting_requests import WaitingRequests
 from verbenadeck.utils import Clock, ignore_name
 
 __all__ = ('SlotQueue', 'Waiter')
@@ -26,22 +27,7 @@
 _TIMER_RESOLUTION_S = 0.001
 
 
-class ReservedRequests:
-    """Requests that count as queued although their bodies have not arrived."""
-
-    def __init__(self) -> None:
-        self._reserved: list[Waiter] = []
-
-    def add_reservation(self, waiter: Waiter) -> None:
-        """Add a request whose body is about to be sent."""
-        self._reserved.append(waiter)
-
-    def remove_reservation(self, waiter: Waiter) -> None:
-        """Remove a request that `add_reservation` added."""
-        self._reserved.remove(waiter)
-
-
-class SlotQueue(ReservedRequests):
+class SlotQueue(WaitingRequests):
     """Slots in use and the queue for them, ordered by priority and deadline.
 
     Parameters
@@ -85,16 +71,15 @@
             clock=clock
         )
         self._cold_start_rate.on_token = self.assign_free_slots
-        super().__init__()
+        super().__init__(
+            clock=clock,
+            limit=limit,
+            service_times=service_times
+            or ServiceTimes(overall_s=service_time_s),
+        )
         self.in_use = 0
-        self._clock = clock
-        self._limit = limit
         self._slots = slots
         self._options = options
-        self._service_times = service_times or ServiceTimes(
-            overall_s=service_time_s
-        )
-        self._waiting: list[Waiter] = []
         self._started_at_s: dict[Waiter, float] = {}
         self._reserve = SlotReserve(
             clock=clock,
@@ -223,26 +208,6 @@
             waiter.resolve(None)
             self._occupy_slot(waiter)
 
-    def refuse(
-        self, refusal: Refusal, *, shards: frozenset[int] | None
-    ) -> None:
-        """Refuse the waiters of some shards.
-
-        Parameters
-        ----------
-        refusal : Refusal
-            Refusal that the waiters get.
-        shards : frozenset of int or None
-            Shards; None for all waiters.
-        """
-        remaining: list[Waiter] = []
-        for waiter in self._waiting:
-            if shards is None or waiter.shard in shards:
-                waiter.resolve(refusal)
-            else:
-                remaining.append(waiter)
-        self._waiting = remaining
-
     def _occupy_slot(self, waiter: Waiter) -> None:
         self._started_at_s[waiter] = self._clock.now_s()
         self._reserve.record_start(waiter)
--- a/verbenadeck/proxy/tests/test_drain.py
+++ b/verbenadeck/proxy/tests/test_drain.py
@@ -1,7 +1,9 @@
 """Draining, and zones or upstreams out of service."""
 
 import asyncio
+import math
 
+import pytest
 from returns.result import Success
 
 from verbenadeck.model import Outcome, OutOfService, RefusalReason
@@ -64,6 +66,78 @@
     run_virtual(scenario())
 
 
+# Guards against requests that are sent to an instance after it has left.
+def test_waiting_requests_are_not_sent_to_an_upstream_that_has_left() -> None:
+    async def scenario() -> None:
+        site = ProxyFleet()
+        node = await site.add(FakeUpstream(slots=2, service_time_s=1))
+        await admit(node, make_request())
+        requests = [make_request(timeout_s=30) for _ in range(20)]
+        tasks = [asyncio.create_task(admit(node, one)) for one in requests]
+        await asyncio.sleep(0.5)
+        node.proxy.close_at(site.clock.now_s() + 1)
+        await asyncio.sleep(0.01)
+        refused_at_once = [task for task in tasks if task.done()]
+        assert len(refused_at_once) >= len(requests) - 6
+        results = await asyncio.gather(*tasks)
+        sent_count = sum(isinstance(result, Success) for result in results)
+        assert sent_count == 4
+        for result in results:
+            if not isinstance(result, Success):
+                assert verdict(result) == (
+                    Outcome.NOT_RUN,
+                    RefusalReason.DRAINING,
+                )
+        assert len(node.upstream.upstream_requests) == sent_count + 1
+
+    run_virtual(scenario())
+
+
+def test_request_that_arrives_after_the_upstream_has_left_is_refused() -> None:
+    async def scenario() -> None:
+        site = ProxyFleet()
+        node = await site.add(FakeUpstream())
+        node.proxy.close_at(site.clock.now_s())
+        assert verdict(await admit(node, make_request())) == (
+            Outcome.NOT_RUN,
+            RefusalReason.DRAINING,
+        )
+        node.proxy.close_at(math.inf)
+        request = make_request()
+        assert await admit(node, request) == answered(request)
+
+    run_virtual(scenario())
+
+
+# Guards against requests that wait in an evacuated zone and are sent there.
+@pytest.mark.parametrize('is_known_from_log', [True, False])
+def test_waiting_requests_are_not_sent_in_a_zone_that_is_out(
+    is_known_from_log: bool,
+) -> None:
+    async def scenario() -> None:
+        site = ProxyFleet()
+        upstream = FakeUpstream(slots=1, service_time_s=1)
+        node = await site.add(upstream, zone='nadi')
+        running = make_request(timeout_s=30)
+        waiting = make_request(timeout_s=30)
+        tasks = [
+            asyncio.create_task(admit(node, one)) for one in (running, waiting)
+        ]
+        await asyncio.sleep(0.1)
+        if is_known_from_log:
+            site.fleet.publish(zones_out={'nadi': OutOfService('fibre work')})
+        else:
+            node.proxy.set_zone_out(is_out=True)
+        results = await asyncio.gather(*tasks)
+        assert results[0] == answered(running)
+        assert verdict(results[1]) == (
+            Outcome.NOT_RUN,
+            RefusalReason.ZONE_OUT,
+        )
+
+    run_virtual(scenario())
+
+
 def test_zone_out_refuses_new_requests_and_finishes_running_ones() -> None:
     async def scenario() -> None:
         site = ProxyFleet()
--- a/verbenadeck/proxy/tests/test_poison.py
+++ b/verbenadeck/proxy/tests/test_poison.py
@@ -45,6 +45,32 @@
     run_virtual(scenario())
 
 
+# Guards against a crash by a request that was admitted before its quarantine.
+def test_request_that_waits_when_it_is_quarantined_is_not_sent() -> None:
+    async def scenario() -> None:
+        site = await _fleet_with_poison()
+        last = site.nodes[2]
+        last.upstream.service_time_s = 2
+        busy = [
+            asyncio.create_task(admit(last, make_request(timeout_s=30)))
+            for _ in range(last.upstream.slots)
+        ]
+        await asyncio.sleep(0.1)
+        waiting = make_request(body=_POISON, timeout_s=30)
+        waiting_task = asyncio.create_task(admit(last, waiting))
+        for node in site.nodes[:2]:
+            await admit(node, make_request(body=_POISON))
+            await asyncio.sleep(0.5)
+        assert verdict(await waiting_task) == (
+            Outcome.NOT_RUN,
+            RefusalReason.POISON,
+        )
+        await asyncio.gather(*busy)
+        assert last.upstream.runs[waiting.request_id] == 0
+
+    run_virtual(scenario())
+
+
 def test_quarantine_ends_after_a_minute() -> None:
     async def scenario() -> None:
         site = await _fleet_with_poison()
