Keep departures and operators' state when the log has lost them

After a return of the store, a member whose leave was in the lost records counted as joined again and could be given keys while its instance leaves; a departure that had been acknowledged was forgotten by the next process; an evacuation that had been acknowledged ended with its record.

Cause: these were acted on once, when they were received, and the log and the operators' topic were trusted to keep them.

Change: the node repeats a departure that is under way and records again one that it has acknowledged.

The fake of test_departure.py gets the new dependency; its checks are the same.

--- a/verbenadeck/journal/__init__.py
+++ b/verbenadeck/journal/__init__.py
@@ -13,7 +13,11 @@
 from verbenadeck.journal._messages import MESSAGE_TYPES
 from verbenadeck.journal._reader import ReadOptions
 from verbenadeck.journal._sources import SourcePlanner
-from verbenadeck.journal._stream import RecordsHandler, StreamFollower
+from verbenadeck.journal._stream import (
+    RecordsHandler,
+    RecordsKind,
+    StreamFollower,
+)
 from verbenadeck.journal._waiters import completes_by
 
 __all__ = (
@@ -32,5 +36,6 @@
     'StreamFollower',
     'TailError',
     'RecordsHandler',
+    'RecordsKind',
     'completes_by',
 )
--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -1,6 +1,7 @@
 """Following of a stream that other processes write, with relaying."""
 
 import asyncio
+import enum
 import random
 from collections.abc import Callable
 
@@ -23,8 +24,28 @@
 _LOAD_RETRY_S = 0.3
 """Time in seconds between attempts to load the retained records of a stream."""
 
-RecordsHandler = Callable[[tuple[bytes, ...], bool], None]
-"""Called with records, and whether they replace all records passed before."""
+
+class RecordsKind(enum.Enum):
+    """How records relate to those that were passed on before.
+
+    Attributes
+    ----------
+    FOLLOWING
+        They come after all others.
+    SNAPSHOT
+        They replace all others.
+    OLDER_SNAPSHOT
+        They are what is left of a stream that has lost its newest records, and
+        what has been written to it since.
+    """
+
+    FOLLOWING = 'following'
+    SNAPSHOT = 'snapshot'
+    OLDER_SNAPSHOT = 'older-snapshot'
+
+
+RecordsHandler = Callable[[tuple[bytes, ...], RecordsKind], None]
+"""Called with records, and how they relate to those before."""
 
 
 class StreamFollower:
@@ -119,6 +140,9 @@
         answer = await self._adapter.newest()
         match answer:
             case Success(newest_records) if newest_records is not None:
+                has_lost_records = (
+                    self._applied_offset >= 0 and self._adapter.era > self._era
+                )
                 self._era = self._adapter.era
                 self._applied_offset = Offset(newest_records.end_offset - 1)
                 self._first_offset = newest_records.end_offset
@@ -126,7 +150,9 @@
                 self._reader.record_end_known()
                 self._pass_on(
                     tuple(record for _, record in newest_records.records),
-                    is_snapshot=True,
+                    kind=RecordsKind.OLDER_SNAPSHOT
+                    if has_lost_records
+                    else RecordsKind.SNAPSHOT,
                 )
                 self._waiters.wake(self._applied_offset)
                 return True
@@ -155,15 +181,15 @@
         for index, payload in enumerate(page.records):
             self._recent.add(Offset(page.start_offset + index), payload)
         self._applied_offset = Offset(page.start_offset + len(page.records) - 1)
-        self._pass_on(page.records, is_snapshot=False)
+        self._pass_on(page.records, kind=RecordsKind.FOLLOWING)
         self._waiters.wake(self._applied_offset)
 
     def _pass_on(
-        self, records: tuple[bytes, ...], *, is_snapshot: bool
+        self, records: tuple[bytes, ...], *, kind: RecordsKind
     ) -> None:
         """Pass records on; an odd one must not end the following."""
         try:
-            self._on_records(records, is_snapshot)
+            self._on_records(records, kind)
         except Exception as error:
             _log.opt(exception=error).error(
                 '{} records of the stream could not be used', len(records)
--- a/verbenadeck/journal/tests/start_fleets.py
+++ b/verbenadeck/journal/tests/start_fleets.py
@@ -81,9 +81,7 @@
             transport=self.transport,
             planner=self.client.make_planner(STREAM_READS.direct_readers),
             options=STREAM_READS,
-            on_records=lambda records, _is_snapshot: self.records.extend(
-                records
-            ),
+            on_records=lambda records, _kind: self.records.extend(records),
         )
 
     def make_adapter(self, log: MemoryLog) -> FaultyAdapter:
--- a/verbenadeck/journal/tests/test_stream.py
+++ b/verbenadeck/journal/tests/test_stream.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure, NewestRecords
-from verbenadeck.journal import ReadOptions, StreamFollower
+from verbenadeck.journal import ReadOptions, RecordsKind, StreamFollower
 from verbenadeck.journal.tests.builders import (
     FaultyAdapter,
     LogFleet,
@@ -72,9 +72,9 @@
         )
 
     def _on_records(
-        self, records: tuple[bytes, ...], is_snapshot: bool
+        self, records: tuple[bytes, ...], kind: RecordsKind
     ) -> None:
-        if is_snapshot:
+        if kind is not RecordsKind.FOLLOWING:
             self.records.clear()
         self.records.extend(records)
 
--- a/verbenadeck/node/_departure.py
+++ b/verbenadeck/node/_departure.py
@@ -9,6 +9,7 @@
 
 from verbenadeck.adapters import Announcement, UpstreamDeparture
 from verbenadeck.membership import Membership
+from verbenadeck.node._departure_log import DepartureLog
 from verbenadeck.proxy import UpstreamProxy
 from verbenadeck.utils import Clock
 
@@ -39,9 +40,9 @@
     move_timeout_s : float
         Maximum time in seconds for moving the shards of a draining upstream;
         its proxy admits requests for them meanwhile.
-    has_left : callable
-        Returns whether the log says that an instance has left; an earlier
-        process of this node may have recorded it.
+    departures : DepartureLog
+        Departures in the log, which an earlier process of this node may have
+        recorded.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         silence_timeout_s: float,
         close_after_s: float,
         move_timeout_s: float,
-        has_left: Callable[[str], bool],
+        departures: DepartureLog,
     ) -> None:
         self._proxy = proxy
         self._membership = membership
@@ -65,7 +66,8 @@
         self._silence_timeout_s = silence_timeout_s
         self._close_after_s = close_after_s
         self._move_timeout_s = move_timeout_s
-        self._has_left = has_left
+        self._departures = departures
+        self._is_repeat_due = False
         self._instance: str | None = None
         self._is_departing = False
         self._task: asyncio.Task[None] | None = None
@@ -117,6 +119,10 @@
         self._is_departing = True
         self._departure_actions[how]()
 
+    def on_new_history(self) -> None:
+        """Repeat a departure of which the log may have lost the records."""
+        self._is_repeat_due = self._is_departing
+
     def _on_draining(self) -> None:
         self._proxy.close_at(self._clock.now_s() + self._close_after_s)
         self._move_shards_away()
@@ -157,6 +163,10 @@
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
+            await self._departures.keep_recorded()
+            if self._is_repeat_due:
+                self._is_repeat_due = False
+                self._move_shards_away()
             silence_s = self._clock.now_s() - self._last_heartbeat_at_s()
             if silence_s > self._silence_timeout_s:
                 self._mark_lost()
@@ -168,5 +178,5 @@
         return (
             not self._is_departing
             and self._instance is not None
-            and self._has_left(self._instance)
+            and self._departures.has_left(self._instance)
         )
--- a/verbenadeck/node/_departure_log.py
+++ b/verbenadeck/node/_departure_log.py
@@ -29,6 +29,7 @@
         self._journal = journal
         self._node_id = node_id
         self._clock = clock
+        self._recorded_instance = ''
 
     def has_left(self, instance: str) -> bool:
         """Return whether an instance has left, as far as the log was read.
@@ -38,8 +39,7 @@
         instance : str
             Id of the instance, which changes with its restart.
         """
-        departed = self._journal.fleet.departed_upstreams.get(self._node_id)
-        return departed == instance
+        return instance == self._recorded_instance or self._is_in_log(instance)
 
     async def record(self, instance: str) -> bool:
         """Record a departure; return whether the log has it for certain.
@@ -49,9 +49,22 @@
         instance : str
             Id of the instance that leaves.
         """
-        if not self.has_left(instance):
+        if not self._is_in_log(instance):
             await self._journal.propose(
                 UpstreamLeave(self._node_id, instance),
                 deadline_s=self._clock.now_s() + _APPEND_TIMEOUT_S,
             )
-        return self.has_left(instance)
+        if not self._is_in_log(instance):
+            return False
+        self._recorded_instance = instance
+        return True
+
+    async def keep_recorded(self) -> None:
+        """Record the last departure again if the log has lost it."""
+        instance = self._recorded_instance
+        if instance and not self._is_in_log(instance):
+            await self.record(instance)
+
+    def _is_in_log(self, instance: str) -> bool:
+        departed = self._journal.fleet.departed_upstreams.get(self._node_id)
+        return departed == instance
--- a/verbenadeck/node/tests/test_departure.py
+++ b/verbenadeck/node/tests/test_departure.py
@@ -25,6 +25,12 @@
         self.left: set[str] = set()
         self.closes_at_s = math.inf
 
+    def has_left(self, instance: str) -> bool:
+        return instance in self.left
+
+    async def keep_recorded(self) -> None:
+        """Do nothing: the log loses no departure."""
+
     def close_at(self, closes_at_s: float) -> None:
         self.closes_at_s = closes_at_s
 
@@ -55,7 +61,7 @@
             silence_timeout_s=_SILENCE_TIMEOUT_S,
             close_after_s=_CLOSE_AFTER_S,
             move_timeout_s=_MOVE_TIMEOUT_S,
-            has_left=lambda instance: instance in self.left,
+            departures=parts,
         )
 
 
@@ -103,6 +109,25 @@
     run_virtual(scenario())
 
 
+# Guards against keys that go to a leaving instance when its leave is lost.
+def test_departure_is_repeated_when_the_log_has_lost_records() -> None:
+    async def scenario() -> None:
+        recorder = _CallRecorder()
+        departure = recorder.departure()
+        await departure.start()
+        departure.on_new_history()
+        await asyncio.sleep(0.5)
+        assert not recorder.calls
+        departure.on_departure(UpstreamDeparture.DRAINING)
+        await asyncio.sleep(1)
+        departure.on_new_history()
+        await asyncio.sleep(1)
+        await departure.stop()
+        assert recorder.calls == ['leave', 'refuse', 'leave', 'refuse']
+
+    run_virtual(scenario())
+
+
 def test_upstream_that_left_is_refused_at_once() -> None:
     async def scenario() -> None:
         recorder = _CallRecorder()
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -28,7 +28,8 @@
 from verbenadeck.platform._control import METRICS_PORT, ControlServer
 from verbenadeck.platform._heartbeats import ExpectedUpstream
 from verbenadeck.platform._log import StoreLog
-from verbenadeck.platform._operator import OperatorTopic, make_records_handler
+from verbenadeck.platform._operator import OperatorTopic
+from verbenadeck.platform._operator_records import make_records_handler
 from verbenadeck.platform._settings import PlatformSettings
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
@@ -223,8 +224,9 @@
             ),
             move_timeout_s=self._settings.drain_timeout_s
             * _options.DRAIN_MOVE_SHARE,
-            has_left=self._departures.has_left,
+            departures=self._departures,
         )
+        journal.new_history_listeners.append(departure.on_new_history)
         self._route_store.subscribe(self._on_operator_state)
         self._upstream.on_announce(departure.on_announce)
         self._upstream.on_departure(departure.on_departure)
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -1,7 +1,7 @@
 """Decoding of the configuration that operators write into the store."""
 
 import string
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -14,7 +14,6 @@
     LogPage,
     NewestRecords,
 )
-from verbenadeck.journal import RecordsHandler
 from verbenadeck.model import Era, Offset, ServiceName, Zone
 from verbenadeck.platform._fields import (
     read_int,
@@ -22,14 +21,13 @@
     read_number,
     read_text,
 )
-from verbenadeck.platform._frames import make_failure, make_record, split_record
+from verbenadeck.platform._frames import make_failure, make_record
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import DECODE_ERRORS, read_time_s
 from verbenadeck.routes import (
     CallerLimits,
     OperatorState,
     Route,
-    RouteStore,
     ServiceConfig,
     WeightedService,
 )
@@ -39,8 +37,6 @@
 """Name of the topic that operators write to."""
 
 _NEWEST_TIMEOUT_S = 2.0
-_CONFIG_KEY = 'config'
-_EVACUATION_PREFIX = 'evacuate/'
 _VERSION_BASE = 16
 _MAX_VERSION_DIGITS = 8
 _HEX_DIGITS = frozenset(string.hexdigits)
@@ -132,52 +128,6 @@
         """Do nothing: the owner of the store's client closes it."""
 
 
-def make_records_handler(route_store: RouteStore) -> RecordsHandler:
-    """Return a function that applies operators' records to a route store.
-
-    Parameters
-    ----------
-    route_store : RouteStore
-        Receives each new state.
-    """
-    contents_by_key: dict[str, bytes] = {}
-
-    def handle_records(records: tuple[bytes, ...], is_snapshot: bool) -> None:
-        if is_snapshot:
-            contents_by_key.clear()
-        for record in records:
-            key, content = split_record(record)
-            if content:
-                contents_by_key[key] = content
-            else:
-                contents_by_key.pop(key, None)
-        _update_route_store(contents_by_key, route_store)
-
-    return handle_records
-
-
-def _update_route_store(
-    contents_by_key: Mapping[str, bytes], route_store: RouteStore
-) -> None:
-    content = contents_by_key.get(_CONFIG_KEY)
-    if content is None:
-        return
-    zones = (
-        Zone(key.removeprefix(_EVACUATION_PREFIX))
-        for key in contents_by_key
-        if key.startswith(_EVACUATION_PREFIX)
-    )
-    match read_operator_state(content, frozenset(zones)):
-        case Success(state):
-            route_store.update(state)
-        case Failure(error):
-            _log.error(
-                'malformed configuration ignored, the previous one stays '
-                'in force: {}',
-                error.detail,
-            )
-
-
 def read_operator_state(
     content: bytes, zones_out: frozenset[Zone]
 ) -> Result[OperatorState, OperatorStateError]:
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -17,10 +17,8 @@
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record, read_appended, read_page
 from verbenadeck.platform._keyed_state import read_newest_page
-from verbenadeck.platform._operator import (
-    make_records_handler,
-    read_operator_state,
-)
+from verbenadeck.platform._operator import read_operator_state
+from verbenadeck.platform._operator_records import make_records_handler
 from verbenadeck.platform._refusals import HeartbeatFault
 from verbenadeck.platform._units import read_address, read_time_s
 from verbenadeck.platform.tests.builders import (
