Open the gate of proposals only where the log was read to its end

`LogClient` could open the gate while the state was being loaded again, if the era had started by another node's record: proposals would have been decided on a state that lacks records.

Also: checkpoints that the log may have lost are forgotten, so that a new one is written soon after a return; rises of the store's era and refused answers are counted for operators.

--- a/verbenadeck/journal/_client.py
+++ b/verbenadeck/journal/_client.py
@@ -157,7 +157,7 @@
                     EraStart(self._fleet.claims.log_era),
                     deadline_s=self._clock.now_s() + _ERA_START_TIMEOUT_S,
                 )
-            self._era_start.mark_caught_up()
+            self._era_start.ask_for_start()
 
     def _relay_peers(self) -> tuple[PeerAddress, ...]:
         return tuple(
--- a/verbenadeck/journal/_era_start_gate.py
+++ b/verbenadeck/journal/_era_start_gate.py
@@ -42,7 +42,11 @@
         """Open the gate, or ask for the first record of the era."""
         if self.is_era_started:
             self._passed.set()
-        else:
+        self.ask_for_start()
+
+    def ask_for_start(self) -> None:
+        """Ask for the first record of the era unless it has been applied."""
+        if not self.is_era_started:
             self._start_due.set()
 
     def close(self) -> None:
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -102,6 +102,7 @@
             random_source=random_source,
         )
         self.new_history_listeners = self._loader.new_history_listeners
+        self.new_history_listeners.append(self.applier.forget_checkpoints)
         self._reader = PageReader(
             adapter=adapter,
             transport=transport,
--- a/verbenadeck/journal/_record_applier.py
+++ b/verbenadeck/journal/_record_applier.py
@@ -81,6 +81,10 @@
         self.recent.restart(self._fleet.applied_offset)
         self._waiters.wake(self._fleet.applied_offset)
 
+    def forget_checkpoints(self) -> None:
+        """Forget checkpoints that the log may have lost."""
+        self.checkpoints = CheckpointTracker(keeps_parts=False)
+
     def _apply(self, payload: bytes) -> None:
         envelope = decode_envelope(payload).value_or(None)
         offset, verdict = self._fleet.follow(
--- a/verbenadeck/journal/_recovery.py
+++ b/verbenadeck/journal/_recovery.py
@@ -17,7 +17,7 @@
     Checkpoint,
     CheckpointTracker,
 )
-from verbenadeck.model import Offset, era_of, index_of, make_offset
+from verbenadeck.model import Era, Offset, index_of, make_offset
 from verbenadeck.records import Envelope, decode_envelope
 
 
@@ -117,7 +117,7 @@
     The log retains the first record of each era for good, so that no position
     is counted in too early an era.
     """
-    era = era_of(Offset(0))
+    era = Era(0)
     for index, payload in newest.records:
         envelope = decode_envelope(payload).value_or(None)
         if envelope is not None:
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -73,7 +73,11 @@
         self._clock = Clock()
         self._random = random.Random()
         self._route_store = RouteStore()
-        self._store = StoreClient(settings.store, clock=self._clock)
+        self._store = StoreClient(
+            settings.store,
+            clock=self._clock,
+            count=lambda name: self._metrics.count(name),
+        )
         self._upstream = PlatformUpstream(
             clock=self._clock,
             route_store=self._route_store,
--- a/verbenadeck/platform/_eras.py
+++ b/verbenadeck/platform/_eras.py
@@ -1,10 +1,11 @@
 """Era of the store, which rises when it comes back from a backup."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
 from verbenadeck.model import MAX_ERA, Era
+from verbenadeck.utils import ignore_name
 
 ERA_HEADER = 'Store-Era'
 """Header of all answers of the store with the number of its era."""
@@ -15,17 +16,20 @@
 class StoreEras:
     """Highest era that any answer of the store has named.
 
+    Parameters
+    ----------
+    count : callable
+        Adds one to the counter with the given name.
+
     Attributes
     ----------
     newest : Era
         The era; 0 for a store that names none.
-    refused_count : int
-        Number of answers that were not admitted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, count: Callable[[str], None] = ignore_name) -> None:
         self.newest = Era(0)
-        self.refused_count = 0
+        self._count = count
 
     def admit(self, headers: Mapping[str, str]) -> bool:
         """Note the era of an answer; return whether it is the newest one.
@@ -42,13 +46,13 @@
         if era > self.newest:
             _log.info('the store is in era {}, after {}', era, self.newest)
             self.newest = era
+            self._count('store_eras')
         if era == self.newest:
             return True
-        self.refused_count += 1
+        self._count('store_answers_of_other_eras')
         _log.warning(
-            'ignoring answer {} of the store from era {!r}, since it is in '
+            'ignoring an answer of the store from era {!r}, since it is in '
             'era {}',
-            self.refused_count,
             headers.get(ERA_HEADER),
             self.newest,
         )
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
@@ -25,7 +26,7 @@
     read_newest_page,
 )
 from verbenadeck.platform._units import Address
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 CONNECT_TIMEOUT_S = 1.0
 """Time in seconds to open a connection: about a hundred round trips."""
@@ -72,12 +73,20 @@
         Address of the store.
     clock : Clock
         Clock of this VM.
+    count : callable
+        Adds one to the counter with the given name.
     """
 
-    def __init__(self, address: Address, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        clock: Clock,
+        count: Callable[[str], None] = ignore_name,
+    ) -> None:
         self._base_url = f'http://{address.host}:{address.port}/v1'
         self._clock = clock
-        self._eras = StoreEras()
+        self._eras = StoreEras(count)
         self._session: aiohttp.ClientSession | None = None
 
     @property
--- a/verbenadeck/platform/tests/test_eras.py
+++ b/verbenadeck/platform/tests/test_eras.py
@@ -32,10 +32,15 @@
 
 
 def test_highest_era_counts() -> None:
-    eras = StoreEras()
+    counted: list[str] = []
+    eras = StoreEras(counted.append)
     assert _admit(eras, '1', '2', '1', '2') == [True, True, False, True]
     assert eras.newest == 2
-    assert eras.refused_count == 1
+    assert counted == [
+        'store_eras',
+        'store_eras',
+        'store_answers_of_other_eras',
+    ]
 
 
 @pytest.mark.parametrize(
