Keep the era of the state when a checkpoint can't be loaded

A node that read a damaged checkpoint after a return would have counted its state of the lost records as one of the new era. Found by reading; test_state_stays_in_its_era_when_the_checkpoint_is_damaged failed before.

A claim that can never be valid is given up with a log line: it would have been appended again without a pause. Found by reading, not seen in a run.

--- a/verbenadeck/journal/_state_loader.py
+++ b/verbenadeck/journal/_state_loader.py
@@ -131,6 +131,7 @@
         base_offset = self._base_offset
         is_new_history = era > self._fleet.claims.log_era
         if checkpoint and checkpoint.as_of_offset > base_offset:
+            known_era = self._fleet.claims.log_era
             if is_new_history:
                 self._begin_history(era)
             restored = self._fleet.restore(checkpoint.packed)
@@ -140,6 +141,7 @@
                     restored.unwrap(),
                 )
                 return True
+            self._fleet.claims.log_era = known_era
             self.blocked_on = restored.failure().detail
         next_index = index_of(base_offset) + 1
         if next_index >= first_offset:
--- a/verbenadeck/journal/tests/test_eras.py
+++ b/verbenadeck/journal/tests/test_eras.py
@@ -1,13 +1,17 @@
 """Log clients after the log has come back without its newest records."""
 
 import asyncio
+import random
 
 import pytest
+from returns.result import Result, Success
 
-from verbenadeck.adapters import NewestRecords
+from verbenadeck.adapters import LogError, NewestRecords
 from verbenadeck.fleet import FleetState
 from verbenadeck.fleet.tests.builders import make_join
+from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._recovery import assemble_state
+from verbenadeck.journal._state_loader import StateLoader
 from verbenadeck.journal.tests.builders import LogFleet, make_site
 from verbenadeck.model import Era, Offset, WriterId, era_of, index_of
 from verbenadeck.records import (
@@ -17,7 +21,12 @@
     Record,
     encode_envelope,
 )
-from verbenadeck.testing import run_virtual
+from verbenadeck.testing import (
+    MemoryLog,
+    MemoryLogAdapter,
+    run_virtual,
+    virtual_clock,
+)
 
 _SETTLING_S = 8.0
 
@@ -139,6 +148,40 @@
     assert recovered.tail.records == records
 
 
+class _DamagedLog(MemoryLogAdapter):
+    """Client for a log of era 1 whose only checkpoint is damaged."""
+
+    era = Era(1)
+
+    async def newest(self) -> Result[NewestRecords | None, LogError]:
+        chunk = CheckpointChunk(Offset(0), 0, 1, b'damaged')
+        record = _encode(chunk, era=Era(1), sequence=1)
+        return Success(NewestRecords(((Offset(1), record),), Offset(2)))
+
+
+# Guards against a state of lost records that counts as one of the new era.
+def test_state_stays_in_its_era_when_the_checkpoint_is_damaged() -> None:
+    async def scenario() -> None:
+        clock = virtual_clock()
+        adapter = _DamagedLog(MemoryLog(), clock)
+        fleet = FleetState()
+        loader = StateLoader(
+            adapter=adapter,
+            search=CheckpointSearch(
+                adapter=adapter, clock=clock, page_limit=512
+            ),
+            fleet=fleet,
+            clock=clock,
+            random_source=random.Random(1),
+        )
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(3):
+                await loader.load()
+        assert fleet.claims.log_era == Era(0)
+
+    run_virtual(scenario())
+
+
 def test_offsets_of_a_new_era_continue_the_indices_of_the_copy() -> None:
     state = FleetState()
     state.follow(_encode(make_join('a'), era=Era(0), sequence=1))
--- a/verbenadeck/lease/_claim_writer.py
+++ b/verbenadeck/lease/_claim_writer.py
@@ -26,6 +26,7 @@
 """Spread in seconds of the ends of the claims, so that few nodes write them."""
 
 _NO_START = Offset(-1)
+_FINAL_VERDICTS = frozenset((Verdict.ACCEPTED, Verdict.INVALID))
 Ranges = tuple[ReleasedRange, ...]
 
 
@@ -135,9 +136,15 @@
         if own == NO_MEMBER or not (is_expected or self._unclaimed_ranges):
             return
         claimed = self._unclaimed_ranges
-        if await self._propose(HoldClaim(own, claimed)):
+        verdict = await self._propose(HoldClaim(own, claimed))
+        if verdict in _FINAL_VERDICTS:
             self._unclaimed_ranges = ()
-            _log.info('incarnation {} claimed the shards {}', own, claimed)
+            _log.info(
+                'claim of the shards {} by incarnation {}: {}',
+                claimed,
+                own,
+                verdict.value,
+            )
 
     async def _close_when_due(self) -> None:
         """Close the claims one lease after the last one that is expected."""
@@ -155,10 +162,10 @@
         if now_s >= self._close_at_s and not self.is_claiming:
             await self._propose(ClaimsClosed(claims.start_offset))
 
-    async def _propose(self, record: Record) -> bool:
+    async def _propose(self, record: Record) -> Verdict | None:
         timeout_s = self._membership.timing.append_timeout_s
         answer = await self._journal.propose(
             record, deadline_s=self._clock.now_s() + timeout_s
         )
         applied = answer.value_or(None)
-        return applied is not None and applied.verdict is Verdict.ACCEPTED
+        return None if applied is None else applied.verdict
