--- a/verbenadeck/lease/tests/test_log_returns.py
+++ b/verbenadeck/lease/tests/test_log_returns.py
@@ -41,7 +41,7 @@
 )
 
 _RESUME_LIMIT_S = 15.0
-"""Time after a fault in which the users' pages want all keys served again."""
+"""Time after a fault in which all keys must be served again, in seconds."""
 
 _WATCHED_S = 6.0
 _UNAWARE_S = 0.3
