--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,7 +15,8 @@
 KEEP_S = 20.0
 COPY_AGE_S = 3.0
 AWAY_S = 1.0
-DRILLS = 3
+DRILLS = 5
+GAP_S = 11.0
 KEPT = set()
 LOST = []
 
@@ -135,7 +136,7 @@
         for number in range(DRILLS):
             if TROUBLE:
                 await drill(lab, copies, ends, config, 2 + number)
-            await asyncio.sleep(14)
+            await asyncio.sleep(GAP_S)
     finally:
         for task in tuple(KEPT):
             task.cancel()
