--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,10 +13,11 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 KEEP_S = 20.0
-COPY_AGE_S = 3.0
+COPY_AGE_S = 5.0
 AWAY_S = 1.0
-DRILLS = 5
-GAP_S = 11.0
+OPERATOR_S = 0.2
+DRILLS = 7
+GAP_S = 8.0
 KEPT = set()
 LOST = []
 
@@ -51,10 +52,11 @@
         topic.first = min(topic.first, len(topic.records))
         async with topic.changed:
             topic.changed.notify_all()
-    # What the operator wrote is written again.
-    await lab.write_config(config)
     lab.store.faults.is_down = False
     lab.record.write('store is back in era', era)
+    await asyncio.sleep(OPERATOR_S)
+    # What the operator wrote is written again.
+    await lab.write_config(config)
 
 
 async def ask_once(pool, machine, method, prefix, counts):
