--- a/review/14/case.py
+++ b/review/14/case.py
@@ -17,6 +17,7 @@
 STAY_S = 20.0
 COPY_AGE_S = 3.0
 AWAY_S = 1.0
+OPERATOR_S = 0.2
 SENT_S = {}
 KEPT = set()
 
@@ -40,6 +41,9 @@
     for topic in lab.store.topics.values():
         async with topic.changed:
             topic.changed.notify_all()
+    lab.store.faults.is_down = False
+    lab.record.write('store is back in era 2')
+    await asyncio.sleep(OPERATOR_S)
     # What the operator wrote is written again.
     await lab.write_config(config)
 
@@ -98,13 +102,8 @@
             cut_store(lab)
             await asyncio.sleep(AWAY_S)
             await return_store(lab, copies, config)
-        # The operator has tried to evacuate the zone meanwhile; the store takes
-        # it as soon as it is back.
         await evacuate(lab, zone)
         acknowledged_s = lab.record.now_s()
-        if TROUBLE:
-            lab.store.faults.is_down = False
-            lab.record.write('store is back in era 2')
         await asyncio.sleep(STAY_S)
     finally:
         for task in tuple(KEPT):
