--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of cases 11 to 15 start: the stand-ins are Python code
+# Builds what the scripts of cases 11, 13 and 14 start: the stand-ins are Python code
 # on the packages that the build of the deploy file puts into target/deps.
 set -e
 cd "$(dirname "$0")/.."
