Judge what a log returns by the era of that answer

A node that heard of the new era from a peer chose the records after the checkpoint by the last offset of the lost history: it read that offset before the answer that brought the new era. Applying them raised an error, which ends the process.

Pages and newest records now carry the era of their answer, and the loader, the stream of operators' records, catch_up and the pages of newest use it. Records that don't follow the state are ignored, counted and logged with both positions.

MemoryLog returns the newest record of each name, as the store does; tests of a log that retains nothing say so. The golden runs stay on such a log. The planted era that is read at the start only now also covers the answers' eras.

The new tests in test_eras.py and test_stream.py failed before.

--- a/verbenadeck/adapters/_log.py
+++ b/verbenadeck/adapters/_log.py
@@ -51,12 +51,15 @@
         Records in order; empty when none was appended before the deadline.
     reaches_end : bool
         Whether the log certainly ended after these records when it answered.
+    era : Era
+        Era of the log in the answer with these records.
     """
 
     first_offset: Offset
     start_offset: Offset
     records: tuple[bytes, ...]
     reaches_end: bool = False
+    era: Era = Era(0)
 
 
 class NewestRecords(msgspec.Struct, frozen=True):
@@ -68,10 +71,13 @@
         Kept records by rising offset; offsets in between may be missing.
     end_offset : Offset
         Offset of the next record to be appended.
+    era : Era
+        Era of the log in the answer with these records.
     """
 
     records: tuple[tuple[Offset, bytes], ...]
     end_offset: Offset
+    era: Era = Era(0)
 
 
 class LogAdapter(Protocol):
@@ -86,7 +92,9 @@
 
         It rises when the log has come back from a backup without its newest
         records. No page or records are returned from an earlier era, also if
-        a call began before the log came back.
+        a call began before the log came back. The answer to another call may
+        raise it at any time, so what follows from an answer depends on the era
+        in that answer.
         """
         ...
 
--- a/verbenadeck/journal/_client.py
+++ b/verbenadeck/journal/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result
@@ -22,7 +23,7 @@
 from verbenadeck.model import NodeId, WriterId
 from verbenadeck.peers import PeerAddress, PeerTransport
 from verbenadeck.records import EraStart, Record
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 _ERA_START_SPREAD_S = 0.3
 _ERA_START_TIMEOUT_S = 1.0
@@ -68,6 +69,8 @@
         Transport to other nodes; None for a process that uses only the log.
     options : JournalOptions or None
         Options; None for the defaults.
+    count : callable
+        Adds one to the counter with the given name.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         node_id: NodeId,
         transport: PeerTransport | None = None,
         options: JournalOptions | None = None,
+        count: Callable[[str], None] = ignore_name,
     ) -> None:
         chosen_options = options or JournalOptions()
         nonce = random_source.getrandbits(64)
@@ -91,6 +95,7 @@
             node_id=node_id,
             transport=transport,
             options=chosen_options.reads,
+            count=count,
         )
         self._era_task: asyncio.Task[None] | None = None
         self._append_slots = asyncio.Semaphore(chosen_options.parallel_appends)
--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
+from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from verbenadeck.adapters import LogAdapter, LogFailure, LogPage
@@ -11,12 +13,13 @@
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._era_start_gate import EraStartGate
 from verbenadeck.journal._proposals import Proposals
-from verbenadeck.journal._reader import PageReader, ReadOptions
+from verbenadeck.journal._reader import PageReader, ReadOptions, ReadResult
 from verbenadeck.journal._record_applier import RecordApplier
 from verbenadeck.journal._sources import LOG, Source, SourcePlanner
 from verbenadeck.journal._state_loader import StateLoader
 from verbenadeck.journal._waiters import OffsetWaiters, completes_by
 from verbenadeck.model import (
+    Era,
     Incarnation,
     NodeId,
     Offset,
@@ -25,7 +28,7 @@
     make_offset,
 )
 from verbenadeck.peers import PeerTransport
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, ignore_name
 
 _log = logger.bind(part='journal')
 
@@ -60,6 +63,8 @@
         Transport to other nodes; None for a process that uses only the log.
     options : ReadOptions
         Options of reading the log.
+    count : callable
+        Adds one to the counter with the given name.
 
     Attributes
     ----------
@@ -80,6 +85,7 @@
         node_id: NodeId,
         transport: PeerTransport | None,
         options: ReadOptions,
+        count: Callable[[str], None] = ignore_name,
     ) -> None:
         self._adapter = adapter
         self._node_id = node_id
@@ -91,6 +97,7 @@
         self.applier = RecordApplier(
             fleet=self._fleet, proposals=proposals, waiters=self._waiters
         )
+        self._count = count
         self._planner = self.make_planner(options.direct_readers)
         self._loader = StateLoader(
             adapter=adapter,
@@ -181,6 +188,7 @@
         False if the end is not known or not applied by the deadline.
         """
         next_offset = _index_after(self._fleet.applied_offset)
+        era = self._fleet.claims.log_era
         answer = await self._adapter.read(
             next_offset,
             limit=self._page_limit,
@@ -188,16 +196,14 @@
         )
         match answer:
             case Success(page):
-                last_index = next_offset + len(page.records) - 1
-                era = era_of(self._fleet.applied_offset)
-                last_offset = make_offset(era, last_index)
-                return (
+                is_end_known = (
                     page.reaches_end
-                    and self._adapter.era == self._fleet.claims.log_era
+                    and page.era == era
                     and page.start_offset == next_offset
-                    and await self.wait_applied(
-                        last_offset, deadline_s=deadline_s
-                    )
+                )
+                last_index = next_offset + len(page.records) - 1
+                return is_end_known and await _wait_index(
+                    self, last_index, era, deadline_s=deadline_s
                 )
             case Failure(error):
                 _log.info('reading the end of the log failed: {}', error.detail)
@@ -208,35 +214,68 @@
         while True:
             if self._planner.consume_change():
                 self._reader.replan()
-            match await self._reader.read(
+            answer = await self._reader.read(
                 _index_after(self._fleet.applied_offset)
-            ):
-                case Success(page):
-                    self._apply_page(page)
-                case Failure(error):
-                    _log.warning(
-                        'reading the log failed: {}; retrying', error.detail
-                    )
-                    await self._handle_read_failure(error.failure)
-
-    async def _handle_read_failure(self, failure: LogFailure) -> None:
-        if failure is LogFailure.EXPIRED:
-            await self._load_state()
+            )
+            if not self._follow_answer(answer):
+                await self._load_state()
+
+    def _follow_answer(self, answer: ReadResult) -> bool:
+        """Apply what was read; return False if the state must be loaded."""
+        if not is_successful(answer):
+            error = answer.failure()
+            _log.warning('reading the log failed: {}; retrying', error.detail)
+            return error.failure is not LogFailure.EXPIRED
+        page = answer.unwrap()
+        is_applied = self._apply_page(page)
+        if is_applied and len(page.records) < self._page_limit:
+            self._era_start.mark_caught_up()
+        return is_applied
 
     async def _load_state(self) -> None:
         self._era_start.close()
         await self._loader.load()
         self.applier.restart()
-        if self._loader.tail is not None:
-            self.applier.apply_page(self._loader.tail)
+        tail = self._loader.tail
+        if tail is not None and self._apply_page(tail):
             # The retained records reached the end of the log when they were read.
             self._reader.record_end_known()
             self._era_start.mark_caught_up()
 
-    def _apply_page(self, page: LogPage) -> None:
-        self.applier.apply_page(page)
-        if len(page.records) < self._page_limit:
-            self._era_start.mark_caught_up()
+    def _apply_page(self, page: LogPage) -> bool:
+        """Apply records; return False if they don't follow the state.
+
+        What a log or a peer returns is no invariant of this process.
+        """
+        next_offset = _index_after(self._fleet.applied_offset)
+        if page.start_offset == next_offset:
+            self.applier.apply_page(page)
+            return True
+        self._count('log_pages_out_of_order')
+        _log.error(
+            'ignoring records from {} of era {}: the state of era {} needs '
+            'those from {}',
+            page.start_offset,
+            page.era,
+            self._fleet.claims.log_era,
+            next_offset,
+        )
+        return False
+
+
+async def _wait_index(
+    follower: LogFollower, index: int, era: Era, *, deadline_s: float
+) -> bool:
+    """Wait for an index of the log; return False in a later era."""
+    applied_era = era_of(follower.fleet.applied_offset)
+    # The first record of a later era ends the wait at any index.
+    return (
+        await follower.wait_applied(
+            make_offset(applied_era, index), deadline_s=deadline_s
+        )
+        and index_of(follower.fleet.applied_offset) >= index
+        and follower.fleet.claims.log_era == era
+    )
 
 
 def _index_after(offset: Offset) -> Offset:
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -223,8 +223,11 @@
             return _lost(self._adapter.era)
         if not is_successful(answer):
             return answer
-        if answer.unwrap().start_offset != next_offset:
+        page = answer.unwrap()
+        if page.start_offset != next_offset:
             return _unavailable('the log returned records from another offset')
+        if page.era != self._era():
+            return _unavailable(f'the log answered from era {page.era}')
         self._log_backoff.record_success()
         self.record_end_known()
         return answer
@@ -264,7 +267,12 @@
             return _unavailable('the peer returned records from another offset')
         self._record_end_known_at(self._clock.now_s() - max(reply.age_s, 0))
         return Success(
-            LogPage(reply.first_offset, reply.start_offset, reply.records)
+            LogPage(
+                reply.first_offset,
+                reply.start_offset,
+                reply.records,
+                era=reply.era,
+            )
         )
 
     def _record_end_known_at(self, known_at_s: float) -> None:
--- a/verbenadeck/journal/_recovery.py
+++ b/verbenadeck/journal/_recovery.py
@@ -4,15 +4,8 @@
 from itertools import takewhile
 
 import msgspec
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
-from verbenadeck.adapters import (
-    LogAdapter,
-    LogError,
-    LogPage,
-    NewestRecords,
-)
+
+from verbenadeck.adapters import LogPage, NewestRecords
 from verbenadeck.journal._checkpoint_tracker import (
     Checkpoint,
     CheckpointTracker,
@@ -56,39 +49,21 @@
         )
 
 
-async def recover_state(
-    adapter: LogAdapter, applied_offset: Offset
-) -> Result[RecoveredState | None, LogError]:
-    """Return the newest checkpoint and the records after it.
+def assemble_state(
+    newest: NewestRecords, applied_offset: Offset
+) -> RecoveredState:
+    """Return the newest state that the retained records lead to.
 
-    This reads retained records only, not the part of the log that expires.
+    This uses retained records only, not the part of the log that expires.
 
     Parameters
     ----------
-    adapter : LogAdapter
-        Client for the log service.
+    newest : NewestRecords
+        Records that the log retains.
     applied_offset : Offset
-        Offset of the last record that is already applied.
-
-    Returns
-    -------
-    Result
-        The recovered state, or None for a log that retains no record beyond
-        its retention time.
+        Offset of the last record that is already applied and that the log
+        still has in the era of `newest`; -1 if there is none.
     """
-    answer = await adapter.newest()
-    if not is_successful(answer):
-        return Failure(answer.failure())
-    newest = answer.unwrap()
-    if newest is None:
-        return Success(None)
-    return Success(assemble_state(newest, applied_offset))
-
-
-def assemble_state(
-    newest: NewestRecords, applied_offset: Offset
-) -> RecoveredState:
-    """Return the newest state that the retained records lead to."""
     checkpoint = _newest_checkpoint(newest)
     base = applied_offset
     if checkpoint is not None:
--- a/verbenadeck/journal/_state_loader.py
+++ b/verbenadeck/journal/_state_loader.py
@@ -10,7 +10,7 @@
 from verbenadeck.fleet import FleetState
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._checkpoint_tracker import Checkpoint
-from verbenadeck.journal._recovery import recover_state
+from verbenadeck.journal._recovery import RecoveredState, assemble_state
 from verbenadeck.model import Era, Offset, index_of
 from verbenadeck.utils import Clock
 
@@ -85,17 +85,26 @@
 
     async def _try_load(self) -> bool:
         self.tail = None
-        recovery = await recover_state(self._adapter, self._base_offset)
-        era = self._adapter.era
-        if not is_successful(recovery):
-            self.blocked_on = f'the log: {recovery.failure().detail}'
+        answer = await self._adapter.newest()
+        if not is_successful(answer):
+            self.blocked_on = f'the log: {answer.failure().detail}'
             return False
-        recovered = recovery.unwrap()
-        if recovered is not None and recovered.is_complete:
-            self.tail = recovered.tail
-            return self._start_from(
-                recovered.checkpoint, recovered.tail.start_offset, era
-            )
+        newest = answer.unwrap()
+        if newest is None:
+            return await self._load_from_pages(None, self._adapter.era)
+        recovered = assemble_state(newest, self._base_offset(newest.era))
+        if not recovered.is_complete:
+            return await self._load_from_pages(recovered, newest.era)
+        is_loaded = self._start_from(
+            recovered.checkpoint, recovered.tail.start_offset, newest.era
+        )
+        self.tail = recovered.tail if is_loaded else None
+        return is_loaded
+
+    async def _load_from_pages(
+        self, recovered: RecoveredState | None, era: Era
+    ) -> bool:
+        """Load a state that the part of the log which expires continues."""
         first = await self._search.first_offset()
         if not is_successful(first):
             self.blocked_on = f'the log: {first.failure().detail}'
@@ -115,10 +124,9 @@
             return False
         return self._start_from(found.unwrap(), first_offset, era)
 
-    @property
-    def _base_offset(self) -> Offset:
-        """Last applied offset that the log still has, -1 in a new history."""
-        if self._adapter.era > self._fleet.claims.log_era:
+    def _base_offset(self, era: Era) -> Offset:
+        """Return the last applied offset of an era, -1 in a new history."""
+        if era > self._fleet.claims.log_era:
             return Offset(-1)
         return self._fleet.applied_offset
 
@@ -128,7 +136,7 @@
         if era != self._adapter.era:
             self.blocked_on = 'the log, which came back while it was read'
             return False
-        base_offset = self._base_offset
+        base_offset = self._base_offset(era)
         is_new_history = era > self._fleet.claims.log_era
         if checkpoint and checkpoint.as_of_offset > base_offset:
             known_era = self._fleet.claims.log_era
--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -141,9 +141,9 @@
         match answer:
             case Success(newest_records) if newest_records is not None:
                 has_lost_records = (
-                    self._applied_offset >= 0 and self._adapter.era > self._era
+                    self._applied_offset >= 0 and newest_records.era > self._era
                 )
-                self._era = self._adapter.era
+                self._era = newest_records.era
                 self._applied_offset = Offset(newest_records.end_offset - 1)
                 self._first_offset = newest_records.end_offset
                 self._recent.restart(self._applied_offset)
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -36,8 +36,8 @@
         Whether operations get no answer before their deadline.
     holds_appends : bool
         Whether appends are kept in `held` until `release_appends`.
-    held : list of bytes
-        Appends that were kept back.
+    held : list of (bytes, str, int)
+        Records, names and generations of appends that were kept back.
     names : list of (str, int)
         Names and generations under which records were to be retained.
     reads, appends : int
@@ -50,7 +50,7 @@
         self.fails_appends = False
         self.is_silent = False
         self.holds_appends = False
-        self.held: list[bytes] = []
+        self.held: list[tuple[bytes, str, int]] = []
         self.reads = 0
         self.appends = 0
         self.names: list[tuple[str, int]] = []
@@ -69,16 +69,19 @@
             await asyncio.sleep(0.01)
             return Failure(LogError(LogFailure.NOT_APPENDED, 'cut'))
         if self.holds_appends:
-            self.held.append(record)
+            self.held.append((record, name, generation))
         if self.is_silent or self.holds_appends:
             await self._clock.sleep_until(deadline_s)
             return Failure(LogError(LogFailure.UNKNOWN, 'silent'))
-        return await super().append(record, deadline_s=deadline_s)
+        return await super().append(
+            record, deadline_s=deadline_s, name=name, generation=generation
+        )
 
     def release_appends(self) -> None:
         """Append the held records, as a log does that answers late."""
         self.holds_appends = False
-        self._log.records.extend(self.held)
+        for held in self.held:
+            self._append_now(*held)
         self.held.clear()
 
     async def read(
@@ -155,8 +158,13 @@
 class LogFleet:
     """Nodes that share one log."""
 
-    def __init__(self, *, options: JournalOptions | None = None) -> None:
-        self.log = MemoryLog()
+    def __init__(
+        self,
+        *,
+        options: JournalOptions | None = None,
+        log: MemoryLog | None = None,
+    ) -> None:
+        self.log = log or MemoryLog()
         self.network = FakeNetwork()
         self.nodes: list[Node] = []
         self._options = options
@@ -192,10 +200,12 @@
 
 @asynccontextmanager
 async def make_site(
-    *zones: str, options: JournalOptions | None = None
+    *zones: str,
+    options: JournalOptions | None = None,
+    log: MemoryLog | None = None,
 ) -> AsyncIterator[LogFleet]:
     """Start a site with one joined node per entry of `zones`."""
-    site = LogFleet(options=options)
+    site = LogFleet(options=options, log=log)
     try:
         for zone in zones:
             await site.add(zone=zone)
--- a/verbenadeck/journal/tests/test_checkpoints.py
+++ b/verbenadeck/journal/tests/test_checkpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import AbstractAsyncContextManager
 
 from verbenadeck.fleet.tests.builders import (
     HOLDS,
@@ -27,7 +28,7 @@
     decode_envelope,
     encode_envelope,
 )
-from verbenadeck.testing import run_virtual
+from verbenadeck.testing import MemoryLog, run_virtual
 
 _FAST_OPTIONS = CheckpointOptions(
     interval_s=60, max_records=50, check_interval_s=1, turn_s=5
@@ -52,6 +53,11 @@
     assert answer.unwrap().verdict is Verdict.ACCEPTED
 
 
+def _make_site(*zones: str) -> AbstractAsyncContextManager[LogFleet]:
+    """Return a site whose log retains nothing but what has not expired."""
+    return make_site(*zones, log=MemoryLog(retains_newest=False))
+
+
 def _make_checkpointer(node: Node) -> Checkpointer:
     return Checkpointer(
         client=node.client, clock=node.clock, options=_FAST_OPTIONS
@@ -67,7 +73,7 @@
 
 def test_new_node_loads_state_from_checkpoint() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             await _publish(first_node)
             await _assign_all(first_node)
@@ -88,7 +94,7 @@
     None
 ):
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             await _publish(site.nodes[0])
             site.expire(keep=1)
             joining_node = await site.add(joins=False)
@@ -107,7 +113,7 @@
 
 def test_checkpoint_is_written_after_outage_longer_than_retention() -> None:
     async def scenario() -> None:
-        async with make_site('suva', 'nadi') as site:
+        async with _make_site('suva', 'nadi') as site:
             first_node = site.nodes[0]
             await _publish(first_node)
             await _assign_all(first_node)
@@ -130,7 +136,7 @@
 
 def test_checkpoint_is_rejected_when_next_record_has_expired() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             snapshot_offset = first_node.client.fleet.applied_offset
             await _publish(first_node)
@@ -148,7 +154,7 @@
 
 def test_incomplete_checkpoint_is_ignored() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             await _publish(first_node)
             assert await _make_checkpointer(first_node).write()
@@ -174,7 +180,7 @@
 
 def test_node_does_not_start_from_corrupt_checkpoint() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             await _publish(first_node)
             as_of = first_node.client.fleet.applied_offset
@@ -193,7 +199,7 @@
 
 def test_concurrent_checkpoints_leave_nodes_consistent() -> None:
     async def scenario() -> None:
-        async with make_site('suva', 'nadi') as site:
+        async with _make_site('suva', 'nadi') as site:
             await _publish(site.nodes[0])
             await site.settle()
             written = await asyncio.gather(
@@ -210,7 +216,7 @@
 
 def test_only_oldest_member_writes_checkpoints_until_it_stops() -> None:
     async def scenario() -> None:
-        async with make_site('suva', 'nadi', 'lautoka') as site:
+        async with _make_site('suva', 'nadi', 'lautoka') as site:
             checkpointers = [_make_checkpointer(node) for node in site.nodes]
             for checkpointer in checkpointers:
                 await checkpointer.start()
@@ -228,7 +234,7 @@
 
 def test_checkpoint_is_written_after_max_records() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             checkpointer = _make_checkpointer(first_node)
             await checkpointer.start()
@@ -252,7 +258,7 @@
 
 def test_node_disconnected_beyond_retention_loads_checkpoint() -> None:
     async def scenario() -> None:
-        async with make_site('suva', 'nadi') as site:
+        async with _make_site('suva', 'nadi') as site:
             first_node, disconnected = site.nodes
             replaced: list[Offset] = []
 
@@ -280,7 +286,7 @@
 
 def test_newest_checkpoint_of_long_log_is_found_in_few_reads() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             first_node = site.nodes[0]
             await _publish(first_node)
             assert await _make_checkpointer(first_node).write()
@@ -311,7 +317,7 @@
 
 def test_start_waits_while_log_is_down() -> None:
     async def scenario() -> None:
-        async with make_site('suva') as site:
+        async with _make_site('suva') as site:
             await _publish(site.nodes[0])
             site.log.is_up = False
             joining_node = await site.add(joins=False)
--- a/verbenadeck/journal/tests/test_eras.py
+++ b/verbenadeck/journal/tests/test_eras.py
@@ -6,14 +6,22 @@
 import pytest
 from returns.result import Result, Success
 
-from verbenadeck.adapters import LogError, NewestRecords
+from verbenadeck.adapters import LogError, LogPage, NewestRecords
 from verbenadeck.fleet import FleetState
 from verbenadeck.fleet.tests.builders import make_join
+from verbenadeck.journal import Checkpointer, LogClient
 from verbenadeck.journal._checkpoint_search import CheckpointSearch
 from verbenadeck.journal._recovery import assemble_state
 from verbenadeck.journal._state_loader import StateLoader
 from verbenadeck.journal.tests.builders import LogFleet, make_site
-from verbenadeck.model import Era, Offset, WriterId, era_of, index_of
+from verbenadeck.model import (
+    Era,
+    NodeId,
+    Offset,
+    WriterId,
+    era_of,
+    index_of,
+)
 from verbenadeck.records import (
     CheckpointChunk,
     Envelope,
@@ -43,6 +51,66 @@
     site.log.return_from_copy(copied_count)
 
 
+async def _lose_joins_after_checkpoint(
+    site: LogFleet, *, checkpoint_by: int, count: int
+) -> None:
+    node = site.nodes[checkpoint_by]
+    checkpointer = Checkpointer(client=node.client, clock=node.clock)
+    assert await checkpointer.write()
+    await site.settle()
+    await _lose_joins(site, count=count)
+
+
+# Guards against records that follow the lost ones, not the loaded checkpoint.
+@pytest.mark.parametrize('checkpoint_by', [0, 2])
+@pytest.mark.parametrize('lost_count', [2, 6])
+def test_node_that_learns_of_a_return_from_a_peer_loads_the_checkpoint(
+    checkpoint_by: int, lost_count: int
+) -> None:
+    async def scenario() -> None:
+        async with make_site(*('suva',) * 9) as site:
+            await _lose_joins_after_checkpoint(
+                site, checkpoint_by=checkpoint_by, count=lost_count
+            )
+            await site.settle(_SETTLING_S)
+            assert all(node.client.is_ready for node in site.nodes)
+            assert site.has_converged()
+            assert site.nodes[-1].client.fleet.claims.log_era == site.log.era
+
+    run_virtual(scenario())
+
+
+# Guards against a process that ends because of what the log has returned.
+def test_records_that_do_not_follow_the_state_are_refused_and_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        counted: list[str] = []
+        clock = virtual_clock()
+        log = MemoryLog()
+        log.records.append(_encode(make_join('a'), era=Era(0), sequence=1))
+        client = LogClient(
+            adapter=MemoryLogAdapter(log, clock),
+            clock=clock,
+            random_source=random.Random(1),
+            node_id=NodeId('node'),
+            count=counted.append,
+        )
+        monkeypatch.setattr(StateLoader, 'load', _load_misplaced_tail)
+        await client.start()
+        await asyncio.sleep(2)
+        assert counted == ['log_pages_out_of_order']
+        assert client.is_ready
+        assert index_of(client.fleet.applied_offset) == 0
+        await client.stop()
+
+    run_virtual(scenario())
+
+
+async def _load_misplaced_tail(loader: StateLoader) -> None:
+    loader.tail = LogPage(Offset(0), Offset(5), (b'record',))
+
+
 async def _fresh_snapshot(site: LogFleet) -> bytes:
     node = await site.add(joins=False)
     await node.client.wait_ready(deadline_s=node.deadline_in(5))
@@ -156,7 +224,7 @@
     async def newest(self) -> Result[NewestRecords | None, LogError]:
         chunk = CheckpointChunk(Offset(0), 0, 1, b'damaged')
         record = _encode(chunk, era=Era(1), sequence=1)
-        return Success(NewestRecords(((Offset(1), record),), Offset(2)))
+        return Success(NewestRecords(((Offset(1), record),), Offset(2), Era(1)))
 
 
 # Guards against a state of lost records that counts as one of the new era.
--- a/verbenadeck/journal/tests/test_stream.py
+++ b/verbenadeck/journal/tests/test_stream.py
@@ -16,7 +16,7 @@
     make_site,
 )
 from verbenadeck.model import Offset
-from verbenadeck.testing import MemoryLog, run_virtual
+from verbenadeck.testing import MemoryLog, MemoryLogAdapter, run_virtual
 
 _MAX_APPLY_S = 2.0
 """Maximum time in seconds until every node knows a record.
@@ -190,3 +190,41 @@
             assert all(reader.records == [b'b'] for reader in readers)
 
     run_virtual(scenario())
+
+
+class _OvertakenAdapter(MemoryLogAdapter):
+    """Client of which another call sees a later era before `newest` returns."""
+
+    async def newest(self) -> Result[NewestRecords | None, LogError]:
+        answer = await super().newest()
+        if not self._log.era:
+            self._log.return_from_copy(0)
+            self._log.append(b'new', 'new')
+            await self.read(Offset(0), limit=1, deadline_s=0)
+        return answer
+
+
+# Guards against records that count as those of a later answer's era, so that
+# the return of the log is never noticed.
+def test_loaded_records_belong_to_the_era_of_their_answer() -> None:
+    async def scenario() -> None:
+        stream = MemoryLog()
+        stream.append(b'lost', 'lost')
+        async with make_site('suva') as site:
+            node = site.nodes[0]
+            passed_on: list[bytes] = []
+            follower = StreamFollower(
+                adapter=_OvertakenAdapter(stream, node.clock),
+                clock=node.clock,
+                random_source=random.Random(1),
+                transport=node.transport,
+                planner=node.client.make_planner(_DIRECT_READERS),
+                options=_OPTIONS,
+                on_records=lambda records, _kind: passed_on.extend(records),
+            )
+            await follower.start()
+            await site.settle(3)
+            await follower.stop()
+            assert passed_on == [b'lost', b'new']
+
+    run_virtual(scenario())
--- a/verbenadeck/lease/tests/test_log_returns.py
+++ b/verbenadeck/lease/tests/test_log_returns.py
@@ -1,6 +1,8 @@
 """Ownership after the log has come back without its newest records."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 import pytest
@@ -206,10 +208,25 @@
     _expect_two_owners(_lose_eviction_of_frozen_owner)
 
 
+def _without_era(name: str) -> Callable[..., Awaitable[Any]]:
+    """Return a call of the log whose answer names no era."""
+    call = getattr(MemoryLogAdapter, name)
+
+    async def call_without_era(*arguments: Any, **options: Any) -> Any:
+        answer = await call(*arguments, **options)
+        return answer.map(
+            lambda found: msgspec.structs.replace(found, era=Era(0))
+        )
+
+    return call_without_era
+
+
 def test_lost_restarts_find_an_era_that_is_read_at_the_start_only(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(MemoryLogAdapter, 'era', Era(0))
+    for name in ('newest', 'read'):
+        monkeypatch.setattr(MemoryLogAdapter, name, _without_era(name))
 
     async def scenario(fleet: VirtualFleet) -> None:
         watch = FenceWatch(fleet)
--- a/verbenadeck/node/_core.py
+++ b/verbenadeck/node/_core.py
@@ -228,6 +228,7 @@
         node_id=location.node_id,
         transport=dependencies.peers,
         options=options.journal,
+        count=options.count,
     )
 
 
--- a/verbenadeck/platform/_eras.py
+++ b/verbenadeck/platform/_eras.py
@@ -31,8 +31,8 @@
         self.newest = Era(0)
         self._count = count
 
-    def admit(self, headers: Mapping[str, str]) -> bool:
-        """Note the era of an answer; return whether it is the newest one.
+    def admit(self, headers: Mapping[str, str]) -> Era | None:
+        """Note and return the era of an answer, None if it is an earlier one.
 
         An answer without a valid era is admitted only from a store that has
         never named one: it may be from before the store came back.
@@ -48,7 +48,7 @@
             self.newest = era
             self._count('store_eras')
         if era == self.newest:
-            return True
+            return era
         self._count('store_answers_of_other_eras')
         _log.warning(
             'ignoring an answer of the store from era {!r}, since it is in '
@@ -56,7 +56,7 @@
             headers.get(ERA_HEADER),
             self.newest,
         )
-        return False
+        return None
 
 
 def _read_era(text: str) -> Era:
--- a/verbenadeck/platform/_frames.py
+++ b/verbenadeck/platform/_frames.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 
 _log = logger.bind(part='store')
 _RECORD_LENGTH = struct.Struct('>I')
@@ -31,12 +31,15 @@
         Offset of the first record of the page.
     records : tuple of bytes
         Records in order.
+    era : Era
+        Era of the store in the answer with the page.
     """
 
     first_offset: Offset
     end_offset: Offset
     start_offset: Offset
     records: tuple[bytes, ...]
+    era: Era
 
 
 _Offset = Annotated[int, msgspec.Meta(ge=0)]
@@ -110,7 +113,7 @@
 
 
 def read_page(
-    status: int, body: bytes, start_offset: Offset
+    status: int, body: bytes, start_offset: Offset, era: Era
 ) -> Result[StorePage, LogError]:
     """Return the records in the answer to a read.
 
@@ -122,6 +125,8 @@
         Body of the answer.
     start_offset : Offset
         Offset that was asked for.
+    era : Era
+        Era of the store in the answer.
     """
     if status == _GONE:
         return make_failure(
@@ -136,7 +141,11 @@
     end, first = _PAGE_BOUNDS.unpack_from(body)
     return Success(
         StorePage(
-            Offset(first), Offset(end), start_offset, tuple(_iter_records(body))
+            Offset(first),
+            Offset(end),
+            start_offset,
+            tuple(_iter_records(body)),
+            era,
         )
     )
 
--- a/verbenadeck/platform/_keyed_state.py
+++ b/verbenadeck/platform/_keyed_state.py
@@ -6,7 +6,7 @@
 from returns.result import Result, Success
 
 from verbenadeck.adapters import LogError, LogFailure
-from verbenadeck.model import Offset
+from verbenadeck.model import Era, Offset
 from verbenadeck.platform._frames import make_failure
 
 _OK = 200
@@ -40,10 +40,13 @@
         Records by rising offset.
     end_offset : Offset
         Offset up to which the records are complete, itself excluded.
+    era : Era
+        Era of the store in the answers with the records.
     """
 
     records: tuple[KeyedRecord, ...]
     end_offset: Offset
+    era: Era
 
 
 class NewestItem(msgspec.Struct, frozen=True, rename={'content': 'value'}):
@@ -123,13 +126,15 @@
     return Success(page)
 
 
-def merge_pages(pages: list[NewestPage]) -> KeyedState:
+def merge_pages(pages: list[NewestPage], era: Era) -> KeyedState:
     """Return the state of a topic as of the end offset of the first page.
 
     Parameters
     ----------
     pages : list of NewestPage
         All pages of the topic, at least one.
+    era : Era
+        Era of the store in the answers with all these pages.
     """
     end_offset = Offset(pages[0].end_offset)
     newest_by_key = {item.key: item for page in pages for item in page.items}
@@ -139,4 +144,4 @@
         if item.offset < end_offset
     ]
     newest_records.sort(key=lambda record: record.offset)
-    return KeyedState(tuple(newest_records), end_offset)
+    return KeyedState(tuple(newest_records), end_offset, era)
--- a/verbenadeck/platform/_log.py
+++ b/verbenadeck/platform/_log.py
@@ -138,6 +138,7 @@
         return NewestRecords(
             tuple((kept.offset, kept.content) for kept in state.records),
             state.end_offset,
+            state.era,
         )
 
     async def close(self) -> None:
@@ -151,6 +152,7 @@
         page.start_offset,
         records,
         reaches_end=page.start_offset + len(records) >= page.end_offset,
+        era=page.era,
     )
 
 
--- a/verbenadeck/platform/_operator.py
+++ b/verbenadeck/platform/_operator.py
@@ -105,7 +105,10 @@
         )
         return answer.map(
             lambda page: LogPage(
-                page.first_offset, page.start_offset, page.records[:limit]
+                page.first_offset,
+                page.start_offset,
+                page.records[:limit],
+                era=page.era,
             )
         )
 
@@ -121,6 +124,7 @@
                     for kept in state.records
                 ),
                 state.end_offset,
+                state.era,
             )
         )
 
--- a/verbenadeck/platform/_store.py
+++ b/verbenadeck/platform/_store.py
@@ -172,9 +172,10 @@
                 timeout=self._make_timeout(deadline_s + ANSWER_MARGIN_S),
             ) as response:
                 body = await response.read()
-                if not self._eras.admit(response.headers):
+                era = self._eras.admit(response.headers)
+                if era is None:
                     return _earlier_era()
-                return read_page(response.status, body, start_offset)
+                return read_page(response.status, body, start_offset, era)
         except _CALL_ERRORS as error:
             return make_failure(
                 LogFailure.UNAVAILABLE, f'no answer from the store: {error!r}'
@@ -198,18 +199,18 @@
         """
         pages: list[NewestPage] = []
         after = ''
-        first_era = self.era
+        eras: set[Era] = set()
         while not pages or pages[-1].has_more:
             answer = await self._fetch_newest_page(topic, after, deadline_s)
             if not is_successful(answer):
                 return Failure(answer.failure())
-            if not pages:
-                first_era = self.era
-            if self.era != first_era:
+            page, era = answer.unwrap()
+            pages.append(page)
+            eras.add(era)
+            if len(eras) > 1:
                 return _earlier_era()
-            pages.append(answer.unwrap())
-            after = pages[-1].last_key
-        return Success(merge_pages(pages))
+            after = page.last_key
+        return Success(merge_pages(pages, eras.pop()))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -219,7 +220,8 @@
 
     async def _fetch_newest_page(
         self, topic: str, after: str, deadline_s: float
-    ) -> Result[NewestPage, LogError]:
+    ) -> Result[tuple[NewestPage, Era], LogError]:
+        """Return a page, and the era of the answer that it came with."""
         params = {'topic': topic, 'part': '0'}
         if after:
             params['after'] = after
@@ -230,9 +232,11 @@
                 timeout=self._make_timeout(deadline_s),
             ) as response:
                 body = await response.read()
-                if not self._eras.admit(response.headers):
+                era = self._eras.admit(response.headers)
+                if era is None:
                     return _earlier_era()
-                return read_newest_page(response.status, body, after)
+                answer = read_newest_page(response.status, body, after)
+                return answer.map(lambda page: (page, era))
         except _CALL_ERRORS as error:
             return make_failure(
                 LogFailure.UNAVAILABLE, f'no answer from the store: {error!r}'
--- a/verbenadeck/platform/tests/test_eras.py
+++ b/verbenadeck/platform/tests/test_eras.py
@@ -12,6 +12,7 @@
     MAX_ERA,
     ConfigDocument,
     ConfigVersion,
+    Era,
     Offset,
     era_of,
 )
@@ -27,14 +28,14 @@
 _PUBLISHED_COUNT = 3
 
 
-def _admit(eras: StoreEras, *headers: str) -> list[bool]:
+def _admit(eras: StoreEras, *headers: str) -> list[Era | None]:
     return [eras.admit({ERA_HEADER: header}) for header in headers]
 
 
 def test_highest_era_counts() -> None:
     counted: list[str] = []
     eras = StoreEras(counted.append)
-    assert _admit(eras, '1', '2', '1', '2') == [True, True, False, True]
+    assert _admit(eras, '1', '2', '1', '2') == [1, 2, None, 2]
     assert eras.newest == 2
     assert counted == [
         'store_eras',
@@ -49,13 +50,13 @@
 )
 def test_malformed_era_is_refused_after_a_valid_one(malformed: str) -> None:
     eras = StoreEras()
-    assert _admit(eras, malformed, '3', malformed) == [True, True, False]
+    assert _admit(eras, malformed, '3', malformed) == [0, 3, None]
     assert eras.newest == 3
 
 
 def test_answer_without_an_era_is_admitted_from_a_store_that_has_none() -> None:
     eras = StoreEras()
-    assert eras.admit({})
+    assert eras.admit({}) == Era(0)
     assert eras.newest == 0
 
 
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -13,7 +13,7 @@
 from verbenadeck.journal import ReadOptions, SourcePlanner, StreamFollower
 from verbenadeck.journal.tests.builders import FaultyAdapter
 from verbenadeck.journal.tests.start_fleets import RetainingAdapter
-from verbenadeck.model import NodeId, Offset
+from verbenadeck.model import Era, NodeId, Offset
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record, read_appended, read_page
 from verbenadeck.platform._keyed_state import read_newest_page
@@ -189,7 +189,7 @@
 def test_answer_cut_within_a_record_returns_the_whole_ones() -> None:
     length = (5).to_bytes(4, 'big')
     body = b''.join((bytes(16), length, b'whole', length, b'cu'))
-    page = read_page(200, body, start_offset=Offset(0)).unwrap()
+    page = read_page(200, body, Offset(0), Era(0)).unwrap()
     assert page.records == (b'whole',)
 
 
--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -45,6 +45,8 @@
         Time-outs of the lease protocol; by default those of `Membership`.
     is_watched : bool
         Whether the oracle checks ownership while the fleet runs.
+    log : MemoryLog or None
+        Log that the nodes share; by default one that is like the store.
     """
 
     def __init__(
@@ -56,8 +58,9 @@
         document: ConfigDocument | None = None,
         timing: LeaseTiming | None = None,
         is_watched: bool = True,
+        log: MemoryLog | None = None,
     ) -> None:
-        self.log = MemoryLog()
+        self.log = log or MemoryLog()
         self.network = FakeNetwork(seed=seed)
         self.shard_count = shard_count
         self.violations: list[str] = []
--- a/verbenadeck/testing/_fleet_node.py
+++ b/verbenadeck/testing/_fleet_node.py
@@ -151,7 +151,7 @@
         clock = virtual_clock(offset_s=_CLOCK_START_S, rate=spec.clock_rate)
         self.clock = clock
         self.random = random.Random(f'{seed}/{spec.name}')
-        self.adapter = MemoryLogAdapter(log, clock)
+        self.adapter = MemoryLogAdapter(log, clock, writer=spec.name)
         self.transport = ProcessTransport(
             network, self.address, clock, self.process
         )
--- a/verbenadeck/testing/tests/golden_scenarios.py
+++ b/verbenadeck/testing/tests/golden_scenarios.py
@@ -14,6 +14,7 @@
 from verbenadeck.proxy.tests.builders import make_deposit, make_request
 from verbenadeck.router.tests.builders import three_zones
 from verbenadeck.testing import (
+    MemoryLog,
     VirtualFleet,
     run_processes,
     run_virtual,
@@ -31,7 +32,11 @@
     """Run a scenario on six nodes in three zones and return its log."""
 
     async def main(transcript: Transcript) -> None:
-        fleet = VirtualFleet(zoned_specs(2, 2, 2), shard_count=16)
+        fleet = VirtualFleet(
+            zoned_specs(2, 2, 2),
+            shard_count=16,
+            log=MemoryLog(retains_newest=False),
+        )
         transcript.name_process = lambda: _process_name(fleet)
         async with fleet:
             await fleet.wait_until(fleet.is_served)
