Merge operators' records of a new era one by one

The first records of a new era were dropped as a whole unless the version of the configuration in them was newer, and replaced all known ones otherwise. In the second case an evacuation that had been acknowledged in the lost seconds ended, without a word of the operators.

StreamState now takes from them the records that this node has not applied before, told by index and content, and keeps names that are missing. A name that is dropped in the new era is dropped also when its record has expired. The version of a configuration never falls, and a malformed one no longer keeps evacuations from taking effect.

--- a/verbenadeck/journal/__init__.py
+++ b/verbenadeck/journal/__init__.py
@@ -18,6 +18,7 @@
     RecordsKind,
     StreamFollower,
 )
+from verbenadeck.journal._stream_state import RecordSplitter
 from verbenadeck.journal._waiters import completes_by
 
 __all__ = (
@@ -32,6 +33,7 @@
     'JournalOptions',
     'LogClient',
     'ReadOptions',
+    'RecordSplitter',
     'SourcePlanner',
     'StreamFollower',
     'TailError',
--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -14,8 +14,9 @@
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._relay import Relay
 from verbenadeck.journal._sources import SourcePlanner
+from verbenadeck.journal._stream_state import RecordSplitter, StreamState
 from verbenadeck.journal._waiters import OffsetWaiters
-from verbenadeck.model import Era, Offset
+from verbenadeck.model import Offset
 from verbenadeck.peers import PeerTransport
 from verbenadeck.utils import Clock
 
@@ -34,14 +35,10 @@
         They come after all others.
     SNAPSHOT
         They replace all others.
-    OLDER_SNAPSHOT
-        They are what is left of a stream that has lost its newest records, and
-        what has been written to it since.
     """
 
     FOLLOWING = 'following'
     SNAPSHOT = 'snapshot'
-    OLDER_SNAPSHOT = 'older-snapshot'
 
 
 RecordsHandler = Callable[[tuple[bytes, ...], RecordsKind], None]
@@ -68,6 +65,8 @@
         Plans the sources to read from.
     options : ReadOptions
         Options of reading the stream.
+    split_record : RecordSplitter
+        Returns the name and the content of a record.
     on_records : RecordsHandler
         Called with the records that were read.
     """
@@ -81,6 +80,7 @@
         transport: PeerTransport,
         planner: SourcePlanner,
         options: ReadOptions,
+        split_record: RecordSplitter,
         on_records: RecordsHandler,
     ) -> None:
         self._adapter = adapter
@@ -89,7 +89,7 @@
         self._on_records = on_records
         self._applied_offset = Offset(-1)
         self._first_offset = Offset(0)
-        self._era = Era(0)
+        self._state = StreamState(split_record)
         self._recent = RecentRecords()
         self._waiters = OffsetWaiters(clock)
         self._task: asyncio.Task[None] | None = None
@@ -100,7 +100,7 @@
             random_source=random_source,
             plan=planner.plan,
             options=options,
-            era=lambda: self._era,
+            era=lambda: self._state.era,
             make_fetch=StreamFetch,
             on_refresh=self._waiters.refresh,
         )
@@ -111,7 +111,7 @@
             applied_offset=lambda: self._applied_offset,
             first_offset=lambda: self._first_offset,
             age_s=lambda: self._reader.age_s,
-            era=lambda: self._era,
+            era=lambda: self._state.era,
         )
         transport.register_handler(StreamFetch, relay.handle_fetch)
 
@@ -140,20 +140,12 @@
         answer = await self._adapter.newest()
         match answer:
             case Success(newest_records) if newest_records is not None:
-                has_lost_records = (
-                    self._applied_offset >= 0 and newest_records.era > self._era
-                )
-                self._era = newest_records.era
+                self._state.load(newest_records)
                 self._applied_offset = Offset(newest_records.end_offset - 1)
                 self._first_offset = newest_records.end_offset
                 self._recent.restart(self._applied_offset)
                 self._reader.record_end_known()
-                self._pass_on(
-                    tuple(record for _, record in newest_records.records),
-                    kind=RecordsKind.OLDER_SNAPSHOT
-                    if has_lost_records
-                    else RecordsKind.SNAPSHOT,
-                )
+                self._pass_on(self._state.records, kind=RecordsKind.SNAPSHOT)
                 self._waiters.wake(self._applied_offset)
                 return True
             case Failure(error):
@@ -180,6 +172,7 @@
             return
         for index, payload in enumerate(page.records):
             self._recent.add(Offset(page.start_offset + index), payload)
+        self._state.follow(page.start_offset, page.records)
         self._applied_offset = Offset(page.start_offset + len(page.records) - 1)
         self._pass_on(page.records, kind=RecordsKind.FOLLOWING)
         self._waiters.wake(self._applied_offset)
--- a/verbenadeck/journal/tests/builders.py
+++ b/verbenadeck/journal/tests/builders.py
@@ -216,6 +216,11 @@
             await node.client.stop()
 
 
+def name_by_content(record: bytes) -> tuple[str, bytes]:
+    """Return the name and content of a record that no other one replaces."""
+    return record.hex(), record
+
+
 def make_client(
     log: MemoryLog,
     clock: Clock,
--- a/verbenadeck/journal/tests/start_fleets.py
+++ b/verbenadeck/journal/tests/start_fleets.py
@@ -9,7 +9,11 @@
 from verbenadeck.adapters import LogError, LogFailure, NewestRecords
 from verbenadeck.fleet.tests.builders import make_published
 from verbenadeck.journal import JournalOptions, ReadOptions, StreamFollower
-from verbenadeck.journal.tests.builders import FaultyAdapter, Node
+from verbenadeck.journal.tests.builders import (
+    FaultyAdapter,
+    Node,
+    name_by_content,
+)
 from verbenadeck.model import Offset
 from verbenadeck.testing import FakeNetwork, MemoryLog
 
@@ -81,6 +85,7 @@
             transport=self.transport,
             planner=self.client.make_planner(STREAM_READS.direct_readers),
             options=STREAM_READS,
+            split_record=name_by_content,
             on_records=lambda records, _kind: self.records.extend(records),
         )
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from verbenadeck.entry import EntryOptions, EntryServer, make_request_reader
-from verbenadeck.journal import LogClient, StreamFollower
+from verbenadeck.journal import LogClient
 from verbenadeck.kernel import Kernel
 from verbenadeck.lease import HeartbeatGrants
 from verbenadeck.membership import Membership
@@ -29,7 +29,7 @@
 from verbenadeck.platform._heartbeats import ExpectedUpstream
 from verbenadeck.platform._log import StoreLog
 from verbenadeck.platform._operator import OperatorTopic
-from verbenadeck.platform._operator_records import make_records_handler
+from verbenadeck.platform._operator_records import make_operator_follower
 from verbenadeck.platform._settings import PlatformSettings
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
@@ -186,7 +186,7 @@
         membership = kernel.find('membership', Membership)
         kernel.register(
             'operators',
-            StreamFollower(
+            make_operator_follower(
                 adapter=OperatorTopic(self._store, clock=self._clock),
                 clock=self._clock,
                 random_source=self._random,
@@ -195,7 +195,7 @@
                     _options.OPERATOR_READS.direct_readers
                 ),
                 options=_options.OPERATOR_READS,
-                on_records=make_records_handler(self._route_store),
+                route_store=self._route_store,
             ),
             depends_on=('store', 'peers'),
         )
--- a/verbenadeck/platform/_operator_records.py
+++ b/verbenadeck/platform/_operator_records.py
@@ -1,15 +1,25 @@
 """Application of operators' records to the routes in force."""
 
-from collections.abc import Mapping
+import random
+from collections.abc import Iterable
 
 from loguru import logger
 from returns.result import Failure, Success
 
-from verbenadeck.journal import RecordsHandler, RecordsKind
+from verbenadeck.adapters import LogAdapter
+from verbenadeck.journal import (
+    ReadOptions,
+    RecordsHandler,
+    RecordsKind,
+    SourcePlanner,
+    StreamFollower,
+)
 from verbenadeck.model import Zone
+from verbenadeck.peers import PeerTransport
 from verbenadeck.platform._frames import split_record
 from verbenadeck.platform._operator import read_operator_state
-from verbenadeck.routes import RouteStore
+from verbenadeck.routes import OperatorState, RouteStore
+from verbenadeck.utils import Clock
 
 _CONFIG_KEY = 'config'
 _EVACUATION_PREFIX = 'evacuate/'
@@ -17,6 +27,47 @@
 _log = logger.bind(part='operators')
 
 
+def make_operator_follower(
+    *,
+    adapter: LogAdapter,
+    clock: Clock,
+    random_source: random.Random,
+    transport: PeerTransport,
+    planner: SourcePlanner,
+    options: ReadOptions,
+    route_store: RouteStore,
+) -> StreamFollower:
+    """Return a follower that applies operators' records to a route store.
+
+    Parameters
+    ----------
+    adapter : LogAdapter
+        Client for the topic that operators write to.
+    clock : Clock
+        Monotonic clock of this VM.
+    random_source : random.Random
+        Source of retry jitter and of the choice of peers.
+    transport : PeerTransport
+        Transport to other nodes.
+    planner : SourcePlanner
+        Plans the sources to read from.
+    options : ReadOptions
+        Options of reading the topic.
+    route_store : RouteStore
+        Receives each new state.
+    """
+    return StreamFollower(
+        adapter=adapter,
+        clock=clock,
+        random_source=random_source,
+        transport=transport,
+        planner=planner,
+        options=options,
+        split_record=split_record,
+        on_records=make_records_handler(route_store),
+    )
+
+
 def make_records_handler(route_store: RouteStore) -> RecordsHandler:
     """Return a function that applies operators' records to a route store.
 
@@ -28,54 +79,57 @@
     contents_by_key: dict[str, bytes] = {}
 
     def handle_records(records: tuple[bytes, ...], kind: RecordsKind) -> None:
-        contents = dict(map(split_record, records))
-        if kind is RecordsKind.OLDER_SNAPSHOT and not _is_newer(
-            contents.get(_CONFIG_KEY), contents_by_key.get(_CONFIG_KEY)
-        ):
-            # What is in force stays so until the operator has written again.
-            return
-        if kind is not RecordsKind.FOLLOWING:
+        in_force = contents_by_key.get(_CONFIG_KEY)
+        if kind is RecordsKind.SNAPSHOT:
             contents_by_key.clear()
-        contents_by_key.update(contents)
-        for key in contents:
-            if not contents[key]:
+        contents_by_key.update(map(split_record, records))
+        for key in tuple(contents_by_key):
+            if not contents_by_key[key]:
                 contents_by_key.pop(key)
-        _update_route_store(contents_by_key, route_store)
+        content = _choose_config(contents_by_key.get(_CONFIG_KEY), in_force)
+        if content is not None:
+            contents_by_key[_CONFIG_KEY] = content
+            _update_route_store(content, contents_by_key, route_store)
 
     return handle_records
 
 
-def _is_newer(content: bytes | None, known: bytes | None) -> bool:
-    """Return whether a configuration record is newer than a known one."""
-    states = (
-        None
-        if each is None
-        else read_operator_state(each, frozenset()).value_or(None)
-        for each in (content, known)
-    )
-    found, in_force = states
+def _choose_config(found: bytes | None, in_force: bytes | None) -> bytes | None:
+    """Return the configuration record to use; its version never falls."""
+    if found is None or found == in_force:
+        return in_force
+    match read_operator_state(found, frozenset()):
+        case Success(state):
+            return in_force if _is_older(state, in_force) else found
+        case Failure(error):
+            _log.error(
+                'malformed configuration ignored, the previous one stays '
+                'in force: {}',
+                error.detail,
+            )
+    return in_force
+
+
+def _is_older(state: OperatorState, in_force: bytes | None) -> bool:
     if in_force is None:
-        return True
-    return found is not None and found.version > in_force.version
+        return False
+    known = read_operator_state(in_force, frozenset()).value_or(None)
+    if known is None or state.version >= known.version:
+        return False
+    _log.warning(
+        'ignoring configuration {}, as {} is in force',
+        state.version,
+        known.version,
+    )
+    return True
 
 
 def _update_route_store(
-    contents_by_key: Mapping[str, bytes], route_store: RouteStore
+    content: bytes, keys: Iterable[str], route_store: RouteStore
 ) -> None:
-    content = contents_by_key.get(_CONFIG_KEY)
-    if content is None:
-        return
-    zones = (
+    zones = frozenset(
         Zone(key.removeprefix(_EVACUATION_PREFIX))
-        for key in contents_by_key
+        for key in keys
         if key.startswith(_EVACUATION_PREFIX)
     )
-    match read_operator_state(content, frozenset(zones)):
-        case Success(state):
-            route_store.update(state)
-        case Failure(error):
-            _log.error(
-                'malformed configuration ignored, the previous one stays '
-                'in force: {}',
-                error.detail,
-            )
+    route_store.update(read_operator_state(content, zones).unwrap())
--- a/verbenadeck/testing/_memory_log.py
+++ b/verbenadeck/testing/_memory_log.py
@@ -72,6 +72,7 @@
         self._keep_s = keep_s
         self._ends: list[tuple[float, int]] = []
         self._names: dict[int, str] = {}
+        self._drops: set[int] = set()
         self._generations: dict[str, int] = {}
         self._writer_numbers = itertools.count()
         self._process_counts: dict[str, int] = defaultdict(int)
@@ -79,19 +80,25 @@
             itertools.count
         )
 
-    def append(self, record: bytes, name: str) -> Offset:
+    def append(
+        self, record: bytes, name: str, *, is_drop: bool = False
+    ) -> Offset:
         """Append a record, which replaces the retained one of its name.
 
         Parameters
         ----------
         record : bytes
-            The record; an empty one drops the name.
+            The record.
         name : str
             Name of the record.
+        is_drop : bool
+            Whether the name has no newest record from here on.
         """
         offset = Offset(len(self.records))
         self.records.append(record)
         self._names[offset] = name
+        if is_drop:
+            self._drops.add(offset)
         return offset
 
     def admit_generation(self, name: str, generation: int) -> bool:
@@ -143,7 +150,7 @@
         kept = sorted(
             (name, found)
             for name, found in newest.items()
-            if found[1] and name > after
+            if found[0] not in self._drops and name > after
         )
         page = kept[: self._newest_page_size]
         return page, len(page) < len(kept)
@@ -183,6 +190,7 @@
             if offset < record_count
         }
         self._generations.clear()
+        self._drops = {each for each in self._drops if each < record_count}
         self._ends = [
             (time_s, min(end, record_count)) for time_s, end in self._ends
         ]
