Let peers answer with their state, and end the back-off at any answer

A peer that had loaded the newest records anew said only that it no longer had the requested ones, so just the store could help, and nodes that are no direct readers left the store out for up to 6 s after failures, among which they counted answers such as 410.

Peers now answer with the newest record of each name, drops included, also to a node of an earlier era. Any answer of the store ends the back-off. A node that fails to load a new era goes on asking peers. On the fleet's log, where peers have no such state, the log is the next source after such an answer, and a node that loads its state and goes on from the same record keeps the records that peers may ask for. Where the history behind the copy has expired in part, the rest of it is read.

--- a/verbenadeck/journal/_follower.py
+++ b/verbenadeck/journal/_follower.py
@@ -234,8 +234,11 @@
 
     async def _load_state(self) -> None:
         self._era_start.close()
+        known = (self._fleet.claims.log_era, self._fleet.applied_offset)
         await self._loader.load()
-        self.applier.restart()
+        if known != (self._fleet.claims.log_era, self._fleet.applied_offset):
+            # Otherwise the records that peers may still need stay available.
+            self.applier.restart()
         tail = self._loader.tail
         if tail is not None and self._apply_page(tail):
             # The retained records reached the end of the log when they were read.
--- a/verbenadeck/journal/_log_backoff.py
+++ b/verbenadeck/journal/_log_backoff.py
@@ -9,10 +9,11 @@
 
 
 class LogBackoff:
-    """Back-off that leaves a failing log to its direct readers for a while.
+    """Back-off that leaves a log without answers to its direct readers.
 
     Without it, all nodes would call a log that is down at the rate of its
-    direct readers. It doubles with each failure, up to a limit.
+    direct readers. It doubles with each failure, up to a limit. Any answer ends
+    it, also one that the records have expired.
 
     Parameters
     ----------
@@ -52,3 +53,4 @@
     def record_success(self) -> None:
         """End the back-off after an answer of the log."""
         self._mean_s = 0
+        self._until_s = -math.inf
--- a/verbenadeck/journal/_messages.py
+++ b/verbenadeck/journal/_messages.py
@@ -1,6 +1,7 @@
 """Messages between the log clients of nodes."""
 
 from verbenadeck.adapters import LogFailure
+from verbenadeck.journal._stream_state import PositionedRecord
 from verbenadeck.model import Era, Offset
 from verbenadeck.peers import Message
 
@@ -56,6 +57,31 @@
     era: Era = Era(0)
 
 
+class RelayState(Message, frozen=True, array_like=True, tag='relay-state'):
+    """Answer to a fetch of a stream: the newest record of each name.
+
+    Sent in place of a page if the peer has the requested records no more, or
+    if the requester's are from an earlier era.
+
+    Parameters
+    ----------
+    end_offset : Offset
+        Index up to which the records are complete, itself excluded.
+    records : tuple of PositionedRecord
+        Newest record of each name, drops included.
+    age_s : float
+        Time in seconds since the peer last knew the end of the stream, directly
+        or through other peers.
+    era : Era
+        Era of the stream that the records were read in.
+    """
+
+    end_offset: Offset
+    records: tuple[PositionedRecord, ...]
+    age_s: float
+    era: Era
+
+
 class RelayAppend(Message, frozen=True, array_like=True, tag='relay-append'):
     """Request to a peer to append an encoded record unchanged.
 
@@ -95,6 +121,7 @@
     RelayFetch,
     StreamFetch,
     RelayPage,
+    RelayState,
     RelayAppend,
     RelayAppended,
 )
--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -15,6 +15,7 @@
 from verbenadeck.journal._messages import (
     RelayFetch,
     RelayPage,
+    RelayState,
 )
 from verbenadeck.journal._sources import DIRECT_READERS, LOG, Source
 from verbenadeck.model import Era, Offset
@@ -82,6 +83,10 @@
     direct_readers: int = DIRECT_READERS
 
 
+def _ignore_state(_state: RelayState) -> bool:
+    return False
+
+
 class PageReader:
     """Reader that prefers one source and fails over to the others.
 
@@ -113,6 +118,9 @@
         Message type that requests records from a peer.
     on_refresh : callable
         Called when the end of the log is known as of a later time.
+    on_state : callable
+        Called with the state of a peer that has no record from the requested
+        one on; returns whether it was used. Peers send it for streams only.
     """
 
     def __init__(
@@ -127,7 +135,9 @@
         era: Callable[[], Era],
         make_fetch: type[RelayFetch] = RelayFetch,
         on_refresh: Callable[[], None] = do_nothing,
+        on_state: Callable[[RelayState], bool] = _ignore_state,
     ) -> None:
+        self._on_state = on_state
         self._on_refresh = on_refresh
         self._era = era
         self._make_fetch = make_fetch
@@ -151,6 +161,9 @@
             min_backoff_s=options.log_backoff_s,
         )
         self._next_read_at_s = -math.inf
+        self._has_log_answered = False
+        self._needs_log = False
+        self._log_due_s = -math.inf
 
     @property
     def age_s(self) -> float:
@@ -203,22 +216,27 @@
         if is_successful(answer) and not self._is_stale():
             self._failed_count = 0
             return answer
-        if not is_successful(answer) or self._may_switch():
+        if peer is None and self._has_log_answered:
+            # Where the records have expired, the log has the newest ones.
+            return answer
+        is_stale_allowed = self._clock.now_s() < self._stale_allowed_until_s
+        if not is_successful(answer) or not is_stale_allowed:
             await self._switch_source(has_answer=is_successful(answer))
         return answer
 
     def _is_stale(self) -> bool:
         return self.age_s > self._options.max_age_s
 
-    def _may_switch(self) -> bool:
-        return self._clock.now_s() >= self._stale_allowed_until_s
-
     async def _read_log(self, next_offset: Offset) -> ReadResult:
         answer = await self._adapter.read(
             next_offset,
             limit=self._options.page_limit,
             deadline_s=self._clock.now_s() + self._options.wait_s,
         )
+        self._has_log_answered = _is_from_log(answer)
+        if self._has_log_answered:
+            self._needs_log = False
+            self._log_backoff.record_success()
         if self._adapter.era > self._era():
             return _lost(self._adapter.era)
         if not is_successful(answer):
@@ -228,7 +246,6 @@
             return _unavailable('the log returned records from another offset')
         if page.era != self._era():
             return _unavailable(f'the log answered from era {page.era}')
-        self._log_backoff.record_success()
         self.record_end_known()
         return answer
 
@@ -259,9 +276,13 @@
 
     def _validate_page(self, reply: object, next_offset: Offset) -> ReadResult:
         """Validate the answer of a peer and convert it to a page."""
+        if isinstance(reply, RelayState):
+            return self._use_state(reply)
         if isinstance(reply, RelayPage) and reply.era > self._era():
             return _lost(reply.era)
         if not isinstance(reply, RelayPage) or not reply.is_kept:
+            # The log may have these records, or newer ones that replace them.
+            self._needs_log = True
             return _unavailable('the peer cannot serve the requested records')
         if reply.start_offset != next_offset:
             return _unavailable('the peer returned records from another offset')
@@ -275,6 +296,14 @@
             )
         )
 
+    def _use_state(self, reply: RelayState) -> ReadResult:
+        if reply.era < self._era() or not self._on_state(reply):
+            return _unavailable('the state of the peer is of no use')
+        self._record_end_known_at(self._clock.now_s() - max(reply.age_s, 0))
+        return Success(
+            LogPage(reply.end_offset, reply.end_offset, (), era=reply.era)
+        )
+
     def _record_end_known_at(self, known_at_s: float) -> None:
         self._end_known_at_s = max(self._end_known_at_s, known_at_s)
         if known_at_s > self._refreshed_at_s + _MIN_REFRESH_S:
@@ -322,11 +351,24 @@
         if is_fallback and self._log_backoff.is_active:
             self._source_index = (self._source_index + 1) % count
             self._failed_count += 1
+        now_s = self._clock.now_s()
+        if self._needs_log and now_s >= self._log_due_s:
+            self._source_index = self._sources.index(LOG)
+            self._log_due_s = now_s + self._add_jitter(
+                self._options.log_backoff_s
+            )
 
     def _add_jitter(self, mean_s: float) -> float:
         return mean_s * self._random.uniform(0.5, 1.5)
 
 
+def _is_from_log(answer: ReadResult) -> bool:
+    """Return whether the log has answered, be it that records expired."""
+    return (
+        is_successful(answer) or answer.failure().failure is LogFailure.EXPIRED
+    )
+
+
 def _unavailable(detail: str) -> ReadResult:
     return Failure(LogError(LogFailure.UNAVAILABLE, detail))
 
--- a/verbenadeck/journal/_relay.py
+++ b/verbenadeck/journal/_relay.py
@@ -10,12 +10,13 @@
     RelayAppended,
     RelayFetch,
     RelayPage,
+    RelayState,
 )
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._waiters import OffsetWaiters
 from verbenadeck.model import Era, Offset, era_of, index_of, make_offset
 from verbenadeck.peers import Handler, Message, PeerAddress
-from verbenadeck.utils import Clock
+from verbenadeck.utils import Clock, do_nothing
 
 _MAX_FETCH_WAIT_S = 5.0
 _APPEND_TIMEOUT_S = 1.0
@@ -40,6 +41,9 @@
         Returns the seconds since this node last knew the end of the log.
     era : callable
         Returns the era of the log that the records are from.
+    make_state : callable
+        Returns the state to answer with where records are no longer kept; None
+        to say only that they aren't.
     """
 
     def __init__(
@@ -52,7 +56,9 @@
         first_offset: Callable[[], Offset],
         age_s: Callable[[], float],
         era: Callable[[], Era],
+        make_state: Callable[[], RelayState | None] = do_nothing,
     ) -> None:
+        self._make_state = make_state
         self._clock = clock
         self._recent = recent
         self._waiters = waiters
@@ -83,6 +89,10 @@
         is_kept = request.era == self._era() and (
             is_ahead or self._recent.covers(wanted_index)
         )
+        if not is_kept and request.era <= self._era():
+            state = self._make_state()
+            if state is not None:
+                return state
         return RelayPage(
             first_offset=self._first_offset(),
             start_offset=wanted_index,
--- a/verbenadeck/journal/_stream.py
+++ b/verbenadeck/journal/_stream.py
@@ -6,11 +6,12 @@
 from collections.abc import Callable
 
 from loguru import logger
+from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from verbenadeck.adapters import LogAdapter, LogFailure, LogPage, NewestRecords
-from verbenadeck.journal._messages import StreamFetch
-from verbenadeck.journal._reader import PageReader, ReadOptions
+from verbenadeck.journal._messages import RelayState, StreamFetch
+from verbenadeck.journal._reader import PageReader, ReadOptions, ReadResult
 from verbenadeck.journal._recent import RecentRecords
 from verbenadeck.journal._relay import Relay
 from verbenadeck.journal._sources import SourcePlanner
@@ -22,11 +23,14 @@
 
 _log = logger.bind(part='journal')
 
-_History = tuple[tuple[Offset, bytes], ...]
-
 _LOAD_RETRY_S = 0.3
 """Time in seconds between attempts to load the retained records of a stream."""
 
+_History = tuple[tuple[Offset, bytes], ...]
+
+_MAX_STATE_BYTES = 1_048_576
+"""Maximum size in bytes of the records of a state that is sent to a peer."""
+
 
 class RecordsKind(enum.Enum):
     """How records relate to those that were passed on before.
@@ -105,6 +109,7 @@
             era=lambda: self._state.era,
             make_fetch=StreamFetch,
             on_refresh=self._waiters.refresh,
+            on_state=self._use_state,
         )
         relay = Relay(
             clock=clock,
@@ -114,6 +119,7 @@
             first_offset=lambda: self._first_offset,
             age_s=lambda: self._reader.age_s,
             era=lambda: self._state.era,
+            make_state=self._make_state,
         )
         transport.register_handler(StreamFetch, relay.handle_fetch)
 
@@ -128,27 +134,28 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _follow(self) -> None:
-        is_loaded = False
+        while not await self._load_newest():
+            await self._wait_before_retry()
         while True:
-            if not is_loaded:
-                is_loaded = await self._load_newest()
-                continue
             if self._planner.consume_change():
                 self._reader.replan()
-            is_loaded = await self._read_next()
+            if not await self._read_next() and not await self._load_newest():
+                # A peer may have what the log doesn't return to this node.
+                await self._wait_before_retry()
 
     async def _load_newest(self) -> bool:
         """Load the retained records; return whether they were read."""
         answer = await self._adapter.newest()
         match answer:
             case Success(newest_records) if newest_records is not None:
-                if await self._load(newest_records):
-                    return True
+                if newest_records.era < self._state.era:
+                    _log.warning('the stream answered from an earlier era')
+                    return False
+                return await self._load(newest_records)
             case Failure(error):
                 _log.warning(
                     'loading the stream failed: {}; retrying', error.detail
                 )
-        await self._clock.sleep_until(self._clock.now_s() + _LOAD_RETRY_S)
         return False
 
     async def _load(self, newest: NewestRecords) -> bool:
@@ -157,11 +164,7 @@
             return False
         self._state.load(newest, history)
         self._reader.record_end_known()
-        self._applied_offset = Offset(newest.end_offset - 1)
-        self._first_offset = newest.end_offset
-        self._recent.restart(self._applied_offset)
-        self._pass_on(self._state.records, kind=RecordsKind.SNAPSHOT)
-        self._waiters.wake(self._applied_offset)
+        self._restart(newest.end_offset)
         return True
 
     async def _read_history(self, newest: NewestRecords) -> _History | None:
@@ -169,21 +172,62 @@
         if self._applied_offset < 0 or newest.era == self._state.era:
             return ()
         start = self._state.find_known_stop(newest)
-        answer = await self._adapter.read(
+        answer = await self._read_records(start, newest)
+        if not is_successful(answer):
+            # Only what the stream still has can be read.
+            start = max(start, answer.failure().first_offset)
+            answer = await self._read_records(start, newest)
+        if not is_successful(answer) or answer.unwrap().era != newest.era:
+            _log.warning('records after {} not read; retrying', start)
+            return None
+        return tuple(
+            (Offset(start + number), record)
+            for number, record in enumerate(answer.unwrap().records)
+        )
+
+    async def _read_records(
+        self, start: Offset, newest: NewestRecords
+    ) -> ReadResult:
+        return await self._adapter.read(
             start,
             limit=newest.end_offset - start,
             deadline_s=self._clock.now_s(),
         )
-        match answer:
-            case Success(page) if page.era == newest.era:
-                return tuple(
-                    (Offset(start + number), record)
-                    for number, record in enumerate(page.records)
-                )
-            case Failure(error) if error.failure is LogFailure.EXPIRED:
-                _log.warning('the history from {} on has expired', start)
-                return ()
-        return None
+
+    async def _wait_before_retry(self) -> None:
+        await self._clock.sleep_until(self._clock.now_s() + _LOAD_RETRY_S)
+
+    def _restart(self, end_offset: Offset) -> None:
+        """Continue from an offset, after a state that replaces all records."""
+        self._applied_offset = Offset(end_offset - 1)
+        self._first_offset = end_offset
+        self._recent.restart(self._applied_offset)
+        self._pass_on(self._state.records, kind=RecordsKind.SNAPSHOT)
+        self._waiters.wake(self._applied_offset)
+
+    def _use_state(self, state: RelayState) -> bool:
+        """Use the state of a peer unless this node has read as far."""
+        is_behind = (
+            state.era > self._state.era
+            or state.end_offset > self._applied_offset + 1
+        )
+        if is_behind:
+            self._state.merge(state.records, state.era, state.end_offset)
+            self._restart(state.end_offset)
+        return is_behind
+
+    def _make_state(self) -> RelayState | None:
+        """Return the state for a peer, None if it is too large to send."""
+        records = self._state.positioned_records
+        size_bytes = sum(len(record.payload) for record in records)
+        if size_bytes > _MAX_STATE_BYTES or self._applied_offset < 0:
+            return None
+        return RelayState(
+            end_offset=Offset(self._applied_offset + 1),
+            records=records,
+            age_s=self._reader.age_s,
+            era=self._state.era,
+        )
 
     async def _read_next(self) -> bool:
         """Read the next records; return False if some have expired unread."""
--- a/verbenadeck/journal/tests/test_stream.py
+++ b/verbenadeck/journal/tests/test_stream.py
@@ -6,9 +6,9 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from verbenadeck.adapters import LogError, LogFailure, NewestRecords
+from verbenadeck.adapters import LogError, NewestRecords
 from verbenadeck.journal import ReadOptions, RecordsKind, StreamFollower
 from verbenadeck.journal.tests.builders import (
     FaultyAdapter,
@@ -38,30 +38,13 @@
 )
 
 
-class _RetainingAdapter(FaultyAdapter):
-    """Client for a stream that retains its records from `kept_from` on."""
-
-    kept_from = 0
-
-    async def newest(self) -> Result[NewestRecords | None, LogError]:
-        if not self._log.is_up:
-            return Failure(LogError(LogFailure.UNAVAILABLE, 'down'))
-        records = tuple(enumerate(self._log.records))[self.kept_from :]
-        return Success(
-            NewestRecords(
-                tuple((Offset(offset), record) for offset, record in records),
-                Offset(len(self._log.records)),
-            )
-        )
-
-
 class _StreamReader:
     """Follower of the stream on one node of a site."""
 
     def __init__(self, site: LogFleet, index: int, stream: MemoryLog) -> None:
         node = site.nodes[index]
         self.records: list[bytes] = []
-        self.adapter = _RetainingAdapter(stream, node.clock)
+        self.adapter = FaultyAdapter(stream, node.clock)
         self.follower = StreamFollower(
             adapter=self.adapter,
             clock=node.clock,
@@ -183,10 +166,9 @@
         async with _make_readers(stream) as (site, readers):
             stream.is_up = False
             await site.settle(5)
-            stream.records.extend((b'a', b'b'))
-            stream.first_offset = 1
-            for reader in readers:
-                reader.adapter.kept_from = 1
+            stream.append(b'a', 'name')
+            stream.append(b'b', 'name')
+            stream.expire_all()
             stream.is_up = True
             await site.settle(5)
             assert all(reader.records == [b'b'] for reader in readers)
@@ -231,3 +213,75 @@
             assert b'new' in passed_on
 
     run_virtual(scenario())
+
+
+async def _forget_history_unread(
+    site: LogFleet, readers: list[_StreamReader], behind: int, stream: MemoryLog
+) -> None:
+    """Let all nodes but one load the newest records of a shortened history."""
+    site.network.isolate(site.nodes[behind].address)
+    for reader in readers:
+        reader.adapter.is_cut = True
+    await site.settle(3)
+    stream.append(b'first', 'name')
+    stream.append(b'news', 'name')
+    stream.expire_all()
+    for index, reader in enumerate(readers):
+        reader.adapter.is_cut = index == behind
+    await site.settle(6)
+    site.network.heal()
+
+
+# Guards against a node that only the log can help, while the log rejects it.
+@pytest.mark.parametrize('behind', [0, 5, 17])
+def test_peers_send_their_state_when_records_have_expired(behind: int) -> None:
+    async def scenario() -> None:
+        stream = MemoryLog()
+        async with _make_readers(stream) as (site, readers):
+            await _forget_history_unread(site, readers, behind, stream)
+            await site.settle(_MAX_APPLY_S)
+            assert readers[behind].records == [b'news']
+
+    run_virtual(scenario())
+
+
+# Guards against a node that waits for the log to learn of its return.
+def test_peers_send_their_state_after_a_return() -> None:
+    async def scenario() -> None:
+        stream = MemoryLog()
+        stream.append(b'lost', 'lost')
+        async with _make_readers(stream) as (site, readers):
+            readers[5].adapter.is_cut = True
+            stream.return_from_copy(0)
+            stream.append(b'news', 'name')
+            await site.settle(_MAX_APPLY_S)
+            assert readers[5].records == [b'lost', b'news']
+
+    run_virtual(scenario())
+
+
+# Guards against a back-off that goes on after the log has answered.
+@pytest.mark.parametrize('index', [5, 11, 17])
+def test_expired_records_end_the_back_off_from_the_log(index: int) -> None:
+    async def scenario() -> None:
+        stream = MemoryLog()
+        async with _make_readers(stream) as (site, readers):
+            for reader in readers:
+                reader.adapter.is_cut = True
+            await site.settle(20)
+            stream.append(b'first', 'name')
+            stream.append(b'second', 'name')
+            stream.expire_all()
+            alone = readers[index]
+            site.network.isolate(site.nodes[index].address)
+            alone.adapter.is_cut = False
+            await site.settle(10)
+            assert alone.records == [b'second']
+            for number in range(8):
+                stream.append(b'skipped', 'name')
+                stream.append(bytes([number]), 'name')
+                stream.expire_all()
+                await site.settle(_MAX_APPLY_S)
+                assert alone.records[-1] == bytes([number])
+
+    run_virtual(scenario())
--- a/verbenadeck/platform/tests/test_operator_returns.py
+++ b/verbenadeck/platform/tests/test_operator_returns.py
@@ -203,6 +203,17 @@
     _run(scenario)
 
 
+# Guards against the same where older records of the copy have expired.
+def test_end_of_an_evacuation_is_read_from_a_shortened_history() -> None:
+    async def scenario(node: _OperatedNode) -> None:
+        await node.write_and_read(_SUVA, b'{}')
+        await node.forget_history()
+        await node.return_from(node.copy(), (_SUVA, b''), _config('0000000d'))
+        assert not node.state.zones_out
+
+    _run(scenario)
+
+
 # Guards against a configuration that goes back to that of the copy.
 def test_version_in_force_outlives_an_older_copy() -> None:
     async def scenario(node: _OperatedNode) -> None:
