Test what the fleet's log does where peers have lost the records

A node that loads its state and goes on from the same record keeps the records that peers may ask for, and the log is read soon although the back-off lasts when no peer has them.

--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -323,3 +323,48 @@
     took_s = reader.clock.now_s() - began_s
     await asyncio.sleep(0.7)
     return took_s
+
+
+# Guards against a node whose peers lose what it needs whenever they load anew.
+def test_records_stay_available_to_peers_when_a_state_goes_on() -> None:
+    async def scenario() -> None:
+        async with make_site('suva', 'nadi') as site:
+            asker, peer = site.nodes
+            await _publish(peer)
+            await site.settle()
+            await peer.client._load_state()
+            answer = await asker.transport.call(
+                peer.address,
+                RelayFetch(Offset(1), 0),
+                deadline_s=asker.deadline_in(3),
+            )
+            page = answer.unwrap()
+            assert isinstance(page, RelayPage)
+            assert page.is_kept
+            assert page.records
+
+    run_virtual(scenario())
+
+
+# Guards against a back-off from the log while no peer has the records.
+@pytest.mark.parametrize('cut_s', range(16, 24))
+def test_log_is_read_soon_when_no_peer_has_the_records(cut_s: int) -> None:
+    async def scenario() -> None:
+        async with make_site(*_EIGHT_NODES_IN_ZONE, 'nadi') as site:
+            behind = site.nodes[5]
+            site.network.isolate(behind.address)
+            behind.adapter.is_cut = True
+            await site.settle(cut_s)
+            offset = await _publish(site.nodes[0])
+            await site.settle()
+            for node in site.nodes:
+                if node is not behind:
+                    applied_offset = node.client.fleet.applied_offset
+                    node.client.applier.recent.restart(applied_offset)
+            behind.adapter.is_cut = False
+            site.network.heal()
+            assert await behind.client.wait_applied(
+                offset, deadline_s=behind.deadline_in(2)
+            )
+
+    run_virtual(scenario())
