--- a/verbenadeck/journal/_reader.py
+++ b/verbenadeck/journal/_reader.py
@@ -161,9 +161,9 @@
             min_backoff_s=options.log_backoff_s,
         )
         self._next_read_at_s = -math.inf
-        self._is_expired = False
+        self._has_just_expired = False
         self._needs_log = False
-        self._log_due_s = -math.inf
+        self._log_due_at_s = -math.inf
 
     @property
     def age_s(self) -> float:
@@ -215,12 +215,12 @@
             answer = await self._read_peer(peer, next_offset)
         if is_successful(answer) and not self._is_stale():
             self._failed_count = 0
-            self._is_expired = False
+            self._has_just_expired = False
             return answer
-        if peer is None and _has_expired(answer) and not self._is_expired:
+        if peer is None and _has_expired(answer) and not self._has_just_expired:
             # The log has newer records, which the caller loads. A log that
             # says so again right after that counts as failed.
-            self._is_expired = True
+            self._has_just_expired = True
             return answer
         is_stale_allowed = self._clock.now_s() < self._stale_allowed_until_s
         if not is_successful(answer) or not is_stale_allowed:
@@ -354,9 +354,9 @@
             self._source_index = (self._source_index + 1) % count
             self._failed_count += 1
         now_s = self._clock.now_s()
-        if self._needs_log and now_s >= self._log_due_s:
+        if self._needs_log and now_s >= self._log_due_at_s:
             self._source_index = self._sources.index(LOG)
-            self._log_due_s = now_s + self._add_jitter(
+            self._log_due_at_s = now_s + self._add_jitter(
                 self._options.log_backoff_s
             )
 
--- a/verbenadeck/journal/_stream_state.py
+++ b/verbenadeck/journal/_stream_state.py
@@ -14,7 +14,7 @@
 
 _MAX_KNOWN_RECORDS = 4_096
 """Maximum number of records that are remembered by their digests: more than
-operators write within the seconds that a return of the log may cost."""
+are written within the seconds that a return of the log may cost."""
 
 _MAX_DROPPED_NAMES = 1_024
 
@@ -131,11 +131,7 @@
         stop = newest.end_offset
         if newest.era > known_era:
             stop = self.find_known_stop(newest)
-        written = tuple(
-            itertools.dropwhile(
-                self._is_known_or_older, self._iter_records(history, newest.era)
-            )
-        )
+        written = self._skip_older(self._iter_records(history, newest.era))
         found = tuple(self._iter_records(newest.records, newest.era))
         self.merge(found, newest.era, newest.end_offset)
         for record in written:
@@ -183,15 +179,23 @@
     def _is_known(self, record: PositionedRecord) -> bool:
         return _make_key(record) in self._known
 
-    def _is_known_or_older(self, record: PositionedRecord) -> bool:
-        """Return whether a record may have been there before the return.
+    def _skip_older(
+        self, records: Iterable[PositionedRecord]
+    ) -> tuple[PositionedRecord, ...]:
+        """Skip leading records that may have been there before a return.
 
-        Records before the newest ones that were loaded have not all been read.
+        Of those before the newest ones that were loaded, not all were read.
         """
-        index = index_of(record.position)
-        known_indices = {known_index for known_index, _ in self._known}
-        is_unread = index < self._complete_from and index not in known_indices
-        return is_unread or self._is_known(record)
+        read_indices = {index for index, _ in self._known}
+
+        def is_older(record: PositionedRecord) -> bool:
+            index = index_of(record.position)
+            is_unread = (
+                index < self._complete_from and index not in read_indices
+            )
+            return is_unread or self._is_known(record)
+
+        return tuple(itertools.dropwhile(is_older, records))
 
     def _make_record(
         self, position: Offset, payload: bytes
--- a/verbenadeck/journal/tests/test_relay.py
+++ b/verbenadeck/journal/tests/test_relay.py
@@ -271,6 +271,18 @@
     run_virtual(scenario())
 
 
+async def _fetch_page(asker: Node, peer: Node) -> RelayPage:
+    """Ask a peer for the second record of the log and those after it."""
+    answer = await asker.transport.call(
+        peer.address,
+        RelayFetch(Offset(1), 0),
+        deadline_s=asker.deadline_in(3),
+    )
+    page = answer.unwrap()
+    assert isinstance(page, RelayPage)
+    return page
+
+
 def test_relay_reports_evicted_record_as_not_kept() -> None:
     async def scenario() -> None:
         async with make_site('suva', 'nadi') as site:
@@ -278,13 +290,7 @@
             await _publish(peer)
             await _publish(peer)
             peer.client.applier.recent.restart(peer.client.fleet.applied_offset)
-            answer = await asker.transport.call(
-                peer.address,
-                RelayFetch(Offset(1), 0),
-                deadline_s=asker.deadline_in(3),
-            )
-            page = answer.unwrap()
-            assert isinstance(page, RelayPage)
+            page = await _fetch_page(asker, peer)
             assert not page.is_kept
 
     run_virtual(scenario())
@@ -333,13 +339,7 @@
             await _publish(peer)
             await site.settle()
             await peer.client._load_state()
-            answer = await asker.transport.call(
-                peer.address,
-                RelayFetch(Offset(1), 0),
-                deadline_s=asker.deadline_in(3),
-            )
-            page = answer.unwrap()
-            assert isinstance(page, RelayPage)
+            page = await _fetch_page(asker, peer)
             assert page.is_kept
             assert page.records
 
--- a/verbenadeck/platform/_assembly.py
+++ b/verbenadeck/platform/_assembly.py
@@ -29,7 +29,10 @@
 from verbenadeck.platform._heartbeats import ExpectedUpstream
 from verbenadeck.platform._log import StoreLog
 from verbenadeck.platform._operator import OperatorTopic
-from verbenadeck.platform._operator_records import make_operator_follower
+from verbenadeck.platform._operator_records import (
+    make_operator_follower,
+    make_records_handler,
+)
 from verbenadeck.platform._settings import PlatformSettings
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform._units import Address
@@ -195,7 +198,7 @@
                     _options.OPERATOR_READS.direct_readers
                 ),
                 options=_options.OPERATOR_READS,
-                route_store=self._route_store,
+                on_records=make_records_handler(self._route_store),
             ),
             depends_on=('store', 'peers'),
         )
--- a/verbenadeck/platform/tests/store_exploration.py
+++ b/verbenadeck/platform/tests/store_exploration.py
@@ -16,7 +16,10 @@
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform import _options
 from verbenadeck.platform._frames import make_record, split_record
-from verbenadeck.platform._operator_records import make_operator_follower
+from verbenadeck.platform._operator_records import (
+    make_operator_follower,
+    make_records_handler,
+)
 from verbenadeck.platform.tests.builders import make_config
 from verbenadeck.routes import RouteStore
 from verbenadeck.testing import (
@@ -92,7 +95,7 @@
                 _options.OPERATOR_READS.direct_readers
             ),
             options=_options.OPERATOR_READS,
-            route_store=self.route_store,
+            on_records=make_records_handler(self.route_store),
         )
         self.confirmed_writes: dict[Zone, int] = {}
         self.versions = [0]
--- a/verbenadeck/platform/tests/test_odd_entries.py
+++ b/verbenadeck/platform/tests/test_odd_entries.py
@@ -22,7 +22,10 @@
 )
 from verbenadeck.platform._keyed_state import read_newest_page
 from verbenadeck.platform._operator import read_operator_state
-from verbenadeck.platform._operator_records import make_operator_follower
+from verbenadeck.platform._operator_records import (
+    make_operator_follower,
+    make_records_handler,
+)
 from verbenadeck.platform._refusals import HeartbeatFault
 from verbenadeck.platform._units import read_address, read_time_s
 from verbenadeck.platform.tests.builders import (
@@ -216,7 +219,7 @@
                 direct_readers=1,
             ),
             options=ReadOptions(),
-            route_store=route_store,
+            on_records=make_records_handler(route_store),
         )
         await follower.start()
         for content in (*_MALFORMED[:-1], make_config('0000000d')):
--- a/verbenadeck/platform/tests/test_operator.py
+++ b/verbenadeck/platform/tests/test_operator.py
@@ -23,7 +23,10 @@
     OperatorTopic,
     read_operator_state,
 )
-from verbenadeck.platform._operator_records import make_operator_follower
+from verbenadeck.platform._operator_records import (
+    make_operator_follower,
+    make_records_handler,
+)
 from verbenadeck.platform._store import StoreClient
 from verbenadeck.platform.tests.builders import (
     CLOCK,
@@ -66,7 +69,7 @@
             direct_readers=1,
         ),
         options=ReadOptions(),
-        route_store=route_store,
+        on_records=make_records_handler(route_store),
     )
 
 
--- a/verbenadeck/platform/tests/test_operator_returns.py
+++ b/verbenadeck/platform/tests/test_operator_returns.py
@@ -11,7 +11,10 @@
 from verbenadeck.model import NodeId, Zone
 from verbenadeck.peers import PeerAddress
 from verbenadeck.platform._frames import make_record
-from verbenadeck.platform._operator_records import make_operator_follower
+from verbenadeck.platform._operator_records import (
+    make_operator_follower,
+    make_records_handler,
+)
 from verbenadeck.platform.tests.builders import make_config
 from verbenadeck.routes import OperatorState, RouteStore
 from verbenadeck.testing import (
@@ -50,7 +53,7 @@
                 direct_readers=1,
             ),
             options=ReadOptions(),
-            route_store=self._route_store,
+            on_records=make_records_handler(self._route_store),
         )
 
     async def start(self) -> None:
--- a/verbenadeck/platform/tests/test_store_exploration.py
+++ b/verbenadeck/platform/tests/test_store_exploration.py
@@ -108,7 +108,7 @@
     advance = PageReader._advance
 
     def advance_past_log(reader: PageReader) -> None:
-        reader._log_due_s = math.inf
+        reader._log_due_at_s = math.inf
         advance(reader)
 
     def end_doubling(backoff: LogBackoff) -> None:
--- a/verbenadeck/testing/_fleet.py
+++ b/verbenadeck/testing/_fleet.py
@@ -46,7 +46,8 @@
     is_watched : bool
         Whether the oracle checks ownership while the fleet runs.
     log : MemoryLog or None
-        Log that the nodes share; by default one that is like the store.
+        Log that the nodes share; by default one that retains the
+        newest record of each name.
     """
 
     def __init__(
